Reload on SIGHUP, and keep descriptors for usual clients and engines

The order was broken since requests in the system's queue are taken by the rule, but were read seconds after later ones on open connections. Ruled out: memory (19 of 64 MB), CPU (0.18 s in the worst second), the module's turns (order was kept until descriptors ran out). At fault: config.sockets was read and never used; mysql.py LOGIN_MS of 10 s, no end for a half packet or an idle connection; driver.py _write cut off after 1 s what still sent, reading 4 KB at a time; __main__ had no SIGHUP. Now: clients may hold half of the descriptors; near that, connections that said nothing for 50 ms go first, then the longest idle. Silent within 2 s of connecting, or a packet unfinished for 1.2 s: error 1159 and a close. Idle 5 s: close. What follows an error is dropped into one buffer for up to 5 s. A task cancelled before its first step no longer leaves its socket open. SIGHUP loads the file and follows the new bus from the last event.

--- a/cottonhold/__main__.py
+++ b/cottonhold/__main__.py
@@ -38,11 +38,12 @@
         self.engines = Engines(config.links, clock, counters, say)
         self.engines.connect = self.driver.connect
         self.gateway = Gateway(config.settings, config.seed, clock, self.engines, counters, say)
-        self.front = Front(self.gateway, clock, counters)
+        self.front = Front(self.gateway, clock, counters, config.sockets)
         self.peers = Peers(config.peers, config.peers_all, counters)
         self.gateway.tell = self.tell
         self.bus = Bus(config.bus.host, config.offset, config.names, counters, self.gateway.change_list)
         self.stop = asyncio.Event()
+        self.following: asyncio.Task[None] | None = None
 
     def tell(self, tell: io.Tell) -> None:
         """Send a message to a peer."""
@@ -59,8 +60,8 @@
             udp = driver.udp_socket(config.peer_listen)
             driver.hear_peers(udp, self.peers, self.gateway.push)
         listener = driver.listen(config.listen)
-        accepting = driver.spawn(driver.accept(listener, self.front.open))
-        driver.spawn(driver.follow(self.bus, config.bus))
+        accepting = driver.spawn(driver.accept(listener, self.front))
+        self.following = driver.spawn(driver.follow(self.bus, config.bus))
         await self.stop.wait()
         await asyncio.sleep(LEAVE_S)
         accepting.cancel()
@@ -73,6 +74,23 @@
             await asyncio.sleep(CHECK_S)
         await asyncio.sleep(CHECK_S)  # the last answer's bytes are with the system now
 
+    def reload(self) -> None:
+        """Read the configuration again and follow the event bus that it names, on from the last event.
+
+        Danger: without a handler SIGHUP ended the program. A file that can't be used must change nothing.
+        """
+        try:
+            config = load(os.environ, self.counters)
+        except ConfigError as error:
+            self.counters.add("reloads_failed")
+            self.log.say(f"reload: the configuration stays as it is: {error}")
+            return
+        self.counters.add("reloads")
+        self.config, self.bus.host = config, config.bus.host
+        if self.following is not None:
+            self.following.cancel()
+            self.following = self.driver.spawn(self.driver.follow(self.bus, config.bus))
+
     def print_counters(self) -> None:
         """Counters, whatever the log's rate."""
         print(self.counters.line(), file=sys.stderr, flush=True)
@@ -93,6 +111,7 @@
         loop.set_exception_handler(lambda _, context: dispatcher.log.say(f"loop: {context}"))
         loop.add_signal_handler(signal.SIGTERM, dispatcher.stop.set)
         loop.add_signal_handler(signal.SIGINT, dispatcher.stop.set)
+        loop.add_signal_handler(signal.SIGHUP, dispatcher.reload)
         loop.add_signal_handler(signal.SIGUSR1, dispatcher.print_counters)
         gc.collect()
         gc.freeze()  # what lives as long as the program need not be looked through again and again
--- a/cottonhold/node/driver.py
+++ b/cottonhold/node/driver.py
@@ -15,17 +15,18 @@
 from cottonhold.node.bus import ANSWER_MS, HOLD_MS, Address, Bus
 from cottonhold.node.counters import Counters
 from cottonhold.node.engines import Connection
-from cottonhold.node.mysql import Session
+from cottonhold.node.mysql import Front, Session
 from cottonhold.node.peers import Peers
 from cottonhold.settings import WireError
 
 CLIENT_BYTES, ENGINE_BYTES = 4096, 32768  # what one read takes
+DRAIN_BYTES = 256 * 1024  # what one read drops of a client that was told to go and still sends
 SWEEP_S = 5.0
 STUCK_S = 30.0  # a peer that takes nothing for so long is cut off
-LINGER_S = 1.0  # after the last byte, so long the peer may read it and close
+LINGER_S, MOST_LINGER_S = 1.0, 5.0  # a peer has so long to read the last byte, more if it still sends
 BACKLOG = 512
 DATAGRAMS = 64  # taken in one turn of the loop, so that a flood of them does not stop the rest
-ACCEPT_PAUSE_S = 0.05
+ACCEPT_PAUSE_S = 0.02
 BACKOFF_S, MOST_BACKOFF_S = 0.05, 1.0
 
 
@@ -80,12 +81,15 @@
         self.writer: asyncio.Task[None] | None = None
         self.task: asyncio.Task[None] | None = None
         self.writing_since = math.inf
+        self.dropped = 0
 
     def start(self, sock: socket.socket) -> None:
         """Read and write from now on."""
         self.sock = sock
         self.driver.wires.add(self)
         self.task = self.driver.spawn(self._serve(sock))
+        # Danger: a task cancelled before its first step never runs, and its socket stayed open for good.
+        self.task.add_done_callback(lambda _: self._end(sock))
         self.flush()
 
     def flush(self) -> None:
@@ -93,6 +97,10 @@
         if self.sock is not None and self.writer is None:
             self.writer = self.driver.spawn(self._write(self.sock))
 
+    def busy(self) -> bool:
+        """Whether something is being written."""
+        return self.writer is not None
+
     def abort(self) -> None:
         """Close at once."""
         if self.task is not None:
@@ -109,18 +117,28 @@
             self.driver.say(f"connection: {type(error).__name__}: {error}")
         finally:
             self.sock = None
-            self.driver.wires.discard(self)
             if self.writer is not None:
                 self.writer.cancel()
                 with contextlib.suppress(asyncio.CancelledError):
                     await asyncio.gather(self.writer, return_exceptions=True)
-            sock.close()
-            self.machine.closed()
+
+    def _end(self, sock: socket.socket) -> None:
+        self.sock = None
+        self.driver.wires.discard(self)
+        sock.close()
+        self.machine.closed()
 
     async def _read(self, sock: socket.socket) -> None:
         loop, buffer = self.driver.loop, bytearray(self.size)
         while (count := await loop.sock_recv_into(sock, buffer)) > 0:
+            if self.machine.closing:
+                break
             self.machine.receive(bytes(memoryview(buffer)[:count]))
+        # Danger: closed with bytes unread, a connection is reset, and the client never sees why. So what
+        # still comes, be it 60 MB, is read and dropped, all into one buffer.
+        while count > 0:
+            self.dropped += count
+            count = await loop.sock_recv_into(sock, self.driver.scrap)
 
     async def _write(self, sock: socket.socket) -> None:
         try:
@@ -130,7 +148,11 @@
                 self.writing_since = math.inf
             if self.machine.closing:
                 sock.shutdown(socket.SHUT_WR)
-                await asyncio.sleep(LINGER_S)
+                until = self.driver.loop.time() + MOST_LINGER_S
+                dropped = -1
+                while dropped != self.dropped and self.driver.loop.time() < until:
+                    dropped = self.dropped
+                    await asyncio.sleep(LINGER_S)
                 self.abort()
         except OSError:
             self.abort()
@@ -154,6 +176,7 @@
         self.udp: socket.socket | None = None
         self.connect_s = 0.25
         self.wires: set[Wire] = set()
+        self.scrap = bytearray(DRAIN_BYTES)
         loop.call_later(SWEEP_S, self._sweep)
 
     def _sweep(self) -> None:
@@ -181,9 +204,12 @@
         sock.listen(BACKLOG)
         return sock
 
-    async def accept(self, sock: socket.socket, open_session: Callable[[], Session]) -> None:
+    async def accept(self, sock: socket.socket, front: Front) -> None:
         """Take in clients until cancelled."""
         while True:
+            if not front.has_room():
+                await asyncio.sleep(ACCEPT_PAUSE_S)
+                continue
             try:
                 client: socket.socket | None = (await self.loop.sock_accept(sock))[0]
             except OSError as error:
@@ -196,8 +222,8 @@
             # Danger: taken one a turn, connections that came together waited many turns of a busy loop, with
             # their requests already written; those were read, and answered, after their limits.
             while client is not None:
-                self._admit(client, open_session())
-                client = self._next_client(sock)
+                self._admit(client, front.open())
+                client = self._next_client(sock) if front.has_room() else None
 
     def _next_client(self, sock: socket.socket) -> socket.socket | None:
         """A further client that has come already."""
@@ -242,7 +268,7 @@
     # --- event bus ---
 
     async def follow(self, bus: Bus, address: Address) -> None:
-        """Keep a long poll open, for good; a broken link is opened anew, ever less often."""
+        """Keep a long poll open until cancelled; a broken link is opened anew, ever less often."""
         pause = BACKOFF_S
         while True:
             sock = None
--- a/cottonhold/node/mysql.py
+++ b/cottonhold/node/mysql.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import heapq
 import math
 import re
 from collections import deque
@@ -23,9 +24,17 @@
 AUTOCOMMIT = b"\x02\x00"
 UTF8 = 33
 QUIT, INIT_DB, QUERY, PING, RESET = 0x01, 0x02, 0x03, 0x0E, 0x1F
-MOST_PACKET = 256 * 1024  # of a client's packet: statements are short, and many clients share the memory
+MOST_PACKET = 64 * 1024  # of a client's packet: statements are short, and many clients share the memory
 MOST_BACKLOG = 256 * 1024  # bytes written but not read by the client, from which on it is served no further
-LOGIN_MS = 10000.0  # a connection without a login is closed after this
+# A client is owed an end within 3 s of connecting, so what goes nowhere is closed well before that.
+LOGIN_MS = 2000.0  # a connection without a login and a first command is closed after this
+PARTIAL_MS = 1200.0  # and so is one whose packet began but does not end
+IDLE_MS = 5000.0  # clients close an idle connection after 4 s; one that is held for good is closed here
+CHECK_MS = 200.0
+SPARE_MS = 50.0  # where descriptors run short, one that has said nothing for so long makes room
+ROOM_STEP = 8  # so many connections are closed at once to make room
+MOST_COMMANDS = 16  # that wait on one connection: clients send one at a time
+CLIENTS_PART = 0.5  # of the descriptors; usual clients hold a third at most, engines need the rest
 COLUMNS = (b"c1", b"c2", b"c3")
 KILL = re.compile(rb"\s*KILL\s+(QUERY\s+|CONNECTION\s+)?(\d+)\s*;?\s*\Z", re.IGNORECASE)
 
@@ -38,6 +47,7 @@
 FAILED: Error = (1105, b"HY000")
 TOO_LARGE: Error = (1153, b"08S01")
 OUT_OF_ORDER: Error = (1156, b"08S01")
+TIMED_OUT: Error = (1159, b"08S01")
 REFUSED: Error = (1226, b"42000")
 INTERRUPTED: Error = (1317, b"70100")
 
@@ -56,6 +66,12 @@
     def flush(self) -> None:
         """There is something to write."""
 
+    def busy(self) -> bool:
+        """Whether something is being written."""
+
+    def abort(self) -> None:
+        """Close at once."""
+
 
 def lenenc(text: bytes) -> bytes:
     """A length-encoded string."""
@@ -85,12 +101,37 @@
 class Front:
     """What all sessions share: the gateway, the classes' names, and the sessions by connection id."""
 
-    def __init__(self, gateway: Gateway, clock: Clock, counters: Counters) -> None:
+    def __init__(self, gateway: Gateway, clock: Clock, counters: Counters, sockets: int) -> None:
         self.gateway, self.clock, self.counters = gateway, clock, counters
         self.classes = {cls.name: i for i, cls in enumerate(gateway.settings.classes)}
         self.sessions: dict[int, Session] = {}
+        self.most = max(int(sockets * CLIENTS_PART), 8)
         self.last_id = 0
         self.leaving = False
+        clock.call_in(CHECK_MS, self._check)
+
+    def _check(self) -> None:
+        """Close what goes nowhere; a timer for each connection would cost more than this."""
+        now = self.clock.now()
+        for session in list(self.sessions.values()):
+            session.check(now)
+        self.clock.call_in(CHECK_MS, self._check)
+
+    def has_room(self) -> bool:
+        """Whether a further client may be taken in; near the limit, makes room for the next ones."""
+        if len(self.sessions) > self.most - ROOM_STEP:
+            self._make_room()
+        return len(self.sessions) < self.most
+
+    def _make_room(self) -> None:
+        # Danger: connections that say nothing, by the hundred, and idle ones that are never closed took every
+        # descriptor. Then usual clients waited in the system's queue, and engines could not be connected to.
+        now = self.clock.now()
+        idle = [s for s in self.sessions.values() if s.idle_at(now) < now - SPARE_MS]
+        silent = [s for s in idle if not s.used]
+        for session in silent or heapq.nsmallest(ROOM_STEP, idle, key=lambda s: s.idle_at(now)):
+            self.counters.add("clients_pushed_out")
+            session.cut()
 
     def open(self) -> Session:
         """A session for a new connection."""
@@ -127,11 +168,13 @@
         self.buffer, self.output = bytearray(), bytearray()
         self.commands: deque[tuple[int, bytes, float]] = deque()
         self.logged_in = self.closing = self.over = False
+        self.used = False  # a command has come
+        self.opened_at = self.heard_at = front.clock.now()
+        self.partial_at = math.inf  # since when a packet is there in part
         self.sequence = 0
         self.request: Request | None = None
         self._packet(self._greeting())
         front.counters.add("client_connections")
-        self.login_timer = front.clock.call_in(LOGIN_MS, self._late_login)
 
     # --- bytes ---
 
@@ -140,10 +183,13 @@
         if self.closing:
             return
         self.buffer += data
-        now = self.front.clock.now()
+        now = self.heard_at = self.front.clock.now()
         try:
             while packet := self._read_packet():
                 self.commands.append((*packet, now))
+                self.partial_at = math.inf
+            if self.buffer:
+                self.partial_at = min(self.partial_at, now)
             self._advance()
         except ProtocolError as error:
             self._broken(error)
@@ -156,7 +202,7 @@
         if size > MOST_PACKET:
             self.sequence = (buffer[3] + 1) & 0xFF
             raise ProtocolError(TOO_LARGE, f"a packet of {size} bytes; at most {MOST_PACKET} are taken")
-        if len(self.commands) > 64:
+        if len(self.commands) > MOST_COMMANDS:
             raise ProtocolError(OUT_OF_ORDER, "commands are taken one at a time")
         if len(buffer) < 4 + size:
             return None
@@ -183,7 +229,6 @@
         if self.over:
             return
         self.over = self.closing = True
-        self.login_timer.cancel()
         self.front.sessions.pop(self.number, None)
         self._give_up()
 
@@ -211,6 +256,7 @@
             self._leave()
 
     def _command(self, command: int, argument: bytes, at: float) -> None:
+        self.used = True
         if command == QUERY:
             self._query(argument, at)
         elif command in (PING, RESET):
@@ -280,7 +326,6 @@
         if database not in (b"", DATABASE):
             raise ProtocolError(UNKNOWN_DB, f"unknown database '{database.decode('utf-8', 'replace')[:40]}'")
         self.logged_in = True
-        self.login_timer.cancel()
         self._packet(OK)
 
     def _database(self, name: bytes) -> None:
@@ -289,10 +334,30 @@
         else:
             self._error(UNKNOWN_DB, f"unknown database '{name.decode('utf-8', 'replace')[:40]}'")
 
-    def _late_login(self) -> None:
-        if not self.logged_in and not self.closing:
+    # --- what goes nowhere ---
+
+    def idle_at(self, now: float) -> float:
+        """Since when nothing is owed here; now while something is."""
+        if self.request is not None or self.commands or self.output or self.line is None or self.line.busy():
+            return now
+        return self.heard_at
+
+    def check(self, now: float) -> None:
+        """Close a connection that only costs a descriptor; the client hears why where it can."""
+        if self.closing:
+            return
+        if now - self.partial_at > PARTIAL_MS or not self.used and now - self.opened_at > LOGIN_MS:
+            # Danger: such a client was kept for as long as it liked, in mid-packet for good.
+            self._broken(ProtocolError(TIMED_OUT, "the client's packet did not come in time"))
+        elif now - self.idle_at(now) > IDLE_MS:
             self._leave()
 
+    def cut(self) -> None:
+        """Close at once, to make room."""
+        self.closing = True
+        if self.line is not None:
+            self.line.abort()
+
     # --- answers (gateway.Client) ---
 
     def served(self, pages: list[bytes]) -> None:
@@ -327,6 +392,7 @@
 
     def _owed(self) -> bool:
         owed, self.request = self.request is not None, None
+        self.heard_at = self.front.clock.now()
         return owed
 
     def _after_answer(self) -> None:
