Give up spoilt and silent connections, and take resets as one sign, not as death

Each spoilt answer ('a bulk string does not end where it should', "expected b'*'") is followed by 'suspect: dead' in the same millisecond and 'trusted again' 3 to 6 s later; at 7 s a dispatcher held three of five engines for dead. 16 more doubts were 'errors', from bad clients' queries that no engine knows (169 reached engines, up to five attempts each). Ruled out: descriptors (206 of 384), memory, CPU (0.16 s in the worst second). At fault: scheduler._judge doubted an engine at any reset, and added an error for each of the attempts that one broken connection took along; every error of a bad query counted. engines.answer counted a bad shape and kept the connection; Session.served read the pages after the attempt was reported ok; a probe unanswered on one connection made the engine deaf; answers read together with a spoilt one were lost; places of gone engines stayed. Now: pages are read on arrival, count and pos are needed, and what makes no sense ends the connection (RESET for what was out). A connection with work out and silent for 1.2 s is asked for a sign of life, given up 0.5 s later. A second copy and unknown ids are passed over. A late probe is asked again on a new connection. All resets of one moment are one sign; a failed connect still is proof. A second error of one query on another engine fails it and clears the first. Engines may hold 0.35 of the descriptors. Budget windows are kept only where a budget is set.

--- a/cottonhold/__main__.py
+++ b/cottonhold/__main__.py
@@ -35,7 +35,7 @@
         self.driver = Driver(loop, counters, say)
         self.driver.connect_s = config.links.connect_ms / 1000
         clock = self.driver.clock
-        self.engines = Engines(config.links, clock, counters, say)
+        self.engines = Engines(config.links, clock, counters, say, config.sockets)
         self.engines.connect = self.driver.connect
         self.gateway = Gateway(config.settings, config.seed, clock, self.engines, counters, say)
         self.front = Front(self.gateway, clock, counters, config.sockets)
--- a/cottonhold/node/engines.py
+++ b/cottonhold/node/engines.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -13,13 +14,19 @@
 from cottonhold.node.clock import Clock, Timer
 from cottonhold.node.config import Links
 from cottonhold.node.counters import Counters
-from cottonhold.node.resp import RespError, RespReader, encode, read_fields
+from cottonhold.node.resp import RespError, RespReader, Rows, encode, read_count, read_fields, read_rows
 from cottonhold.settings import REPORT
 
 IDLE_MARGIN_MS = 2000.0  # so long before its idle limit a connection gets nothing new: it may just be closing
 SILENT_MS = 1000.0  # a connection silent for so long when its engine is told gone has lost what was out on it
-MOST_PAGES = 64
-MOST_RESULT = 256 * 1024  # bytes of one result; engines make at most 48,000
+MOST_PAGES = 64  # of at most 6,000 bytes; engines make at most 48,000
+CHECK_MS = 200.0
+QUIET_MS = 1200.0  # a connection with work out that says nothing for so long is asked for a sign of life
+SIGN_MS = 500.0  # and given up without one; also the longest that an answer may take from first byte to last
+MOST_GIVEN_UP = 256  # ids remembered on a connection: each could only come again within its request's life
+MOST_NUMBER = 1e8  # of milliseconds or megabytes that an answer may tell
+WORDS = {b"served", b"overload", b"crashed", b"nobody", b"rows"}
+ENGINES_PART = 0.35  # of the descriptors: clients have half
 
 
 class Line(Protocol):
@@ -52,18 +59,26 @@
     written: bool = False
     answered_at: float = 0.0
     fields: dict[str, str] = field(default_factory=dict)
-    pages: list[bytes | None] = field(default_factory=list)
+    pages: list[Rows | None] = field(default_factory=list)
 
     @property
     def ref(self) -> bytes:
         return self.query.encode()
 
+    def rows(self) -> Rows:
+        """The whole result."""
+        return [row for page in self.pages if page is not None for row in page]
+
 
 @dataclass(slots=True, eq=False)
 class Probe:
-    """A probe that is out."""
+    """A probe that is out: one that the module asked for, or a connection's sign of life."""
 
     engine: str
+    sent_at: float
+    answers: int  # that the connection had given before; any further one is a sign of life as well
+    fresh: bool  # the connection was not up yet
+    told: bool = True  # the module waits for its end
     timer: Timer | None = None
 
 
@@ -84,10 +99,12 @@
         self.owner, self.engine = owner, engine
         self.reader, self.line = RespReader(), None
         self.opened_at, self.heard_at, self.used_at = now, now, now
+        self.partial_at = math.inf  # since when an answer is there in part
+        self.answers = 0
         self.up = self.over = self.closing = False
         self.queue: deque[Attempt | bytes] = deque()
         self.attempts: dict[bytes, Attempt] = {}
-        self.given_up: set[bytes] = set()
+        self.given_up: dict[bytes, None] = {}
         self.probes: dict[bytes, Probe] = {}
 
     line: Line | None
@@ -114,17 +131,32 @@
 
     def receive(self, data: bytes) -> None:
         """Bytes from the engine."""
-        self.heard_at = self.used_at = self.owner.clock.now()
+        if self.closing:
+            return
+        now = self.heard_at = self.used_at = self.owner.clock.now()
         try:
-            arrays = self.reader.feed(data)
+            while arrays := self.reader.feed(data):
+                data, self.partial_at = b"", math.inf
+                for words in arrays:
+                    self.answers += 1
+                    self.owner.answer(self, words)
+            if self.reader.partial():
+                self.partial_at = min(self.partial_at, now)
         except RespError as error:
             self.owner.malformed(f"engine {self.engine}: {error}")
-            self.closing = True
-            if self.line is not None:
-                self.line.abort()
-            return
-        for words in arrays:
-            self.owner.answer(self, words)
+            self.give_up()
+
+    def give_up(self) -> None:
+        """Close, and tell of what was out: it may have run.
+
+        Danger: after an answer that makes no sense, or none at all, nothing more comes that could be used,
+        yet the connection stays open. It was picked again and again, and what was out on it waited long.
+        """
+        self.closing = True
+        self.owner.counters.add("engine_connections_given_up")
+        if self.line is not None:
+            self.line.abort()
+        self.closed()
 
     def closed(self) -> None:
         """The connection has ended, or never came up."""
@@ -151,12 +183,16 @@
 class Engines:
     """All engines; sends attempts, gives them up, and tells the gateway of their ends."""
 
-    def __init__(self, links: Links, clock: Clock, counters: Counters, say: Callable[[str], None]) -> None:
+    def __init__(
+        self, links: Links, clock: Clock, counters: Counters, say: Callable[[str], None], sockets: int
+    ) -> None:
         self.links, self.clock, self.counters, self.say = links, clock, counters, say
         self.places: dict[str, Place] = {}
         self.connect: Connect
         self.listener: Listener
         self.tags = 0
+        self.most, self.open = max(int(sockets * ENGINES_PART), 8), 0
+        clock.call_in(CHECK_MS, self._check)
 
     # --- the list ---
 
@@ -186,9 +222,11 @@
             return
         for connection in list(place.connections):
             self.check_queue(connection)
+        self._close(place, lambda c: c.up and not c.attempts and not c.probes)
         if place.info.state is EngineState.GONE:
             quiet = self.clock.now() - SILENT_MS
             self._close(place, lambda c: c.heard_at < quiet or not c.attempts)
+            # Danger: an engine that left with work out was kept for good, with its connections.
             if not place.connections:
                 del self.places[place.info.id]
 
@@ -205,6 +243,34 @@
             return None
         return place
 
+    def _check(self) -> None:
+        """Look after connections that stay open and silent, and after engines that have left."""
+        now = self.clock.now()
+        for place in list(self.places.values()):
+            for connection in list(place.connections):
+                self._look_at(place, connection, now)
+            self._left(place)
+        self.clock.call_in(CHECK_MS, self._check)
+
+    def _look_at(self, place: Place, connection: Connection, now: float) -> None:
+        if not connection.up or connection.over:
+            return
+        for tag, probe in list(connection.probes.items()):
+            if not probe.told and probe.answers != connection.answers:
+                del connection.probes[tag]
+        if now - connection.partial_at > SIGN_MS:
+            self.malformed(f"engine {connection.engine}: an answer that stops short")
+            connection.give_up()
+        elif now - self._asked_at(connection) >= SIGN_MS:
+            self.say(f"engine {connection.engine}: a connection gives no sign of life")
+            connection.give_up()
+        elif connection.attempts and not connection.probes and place.info.state is EngineState.LIVE:
+            oldest = next(iter(connection.attempts.values()))
+            if now - max(connection.heard_at, oldest.began) > QUIET_MS:
+                self._ask(connection, told=False)
+        if len(connection.given_up) > MOST_GIVEN_UP:
+            connection.given_up.clear()
+
     # --- attempts ---
 
     def send(self, attempt: Attempt) -> bool:
@@ -213,6 +279,8 @@
         if place is None:
             return False
         connection = self._pick(place, attempt.ref)
+        if connection is None:
+            return False
         attempt.connection = connection
         connection.attempts[attempt.ref] = attempt
         left = max(attempt.until - self.clock.now(), 0.0)
@@ -221,14 +289,19 @@
         connection.put(attempt)
         return True
 
-    def _pick(self, place: Place, ref: bytes) -> Connection:
-        """The fullest connection with room, so that spare ones run idle and close; else a new one."""
+    def _pick(self, place: Place, ref: bytes) -> Connection | None:
+        """The fullest connection with room, so that spare ones run idle and close; else a new one.
+
+        None where no descriptor is left for it.
+        """
         self._close(place, lambda c: c.up and not c.attempts and not c.probes and self._stale(c))
         usable = [
             c
             for c in place.connections
             if len(c.attempts) < self.links.streams
+            and not c.closing
             and not self._stale(c)
+            and not self._doubtful(c)
             # Danger: a late answer to an attempt given up must not pass for one of the next under its id.
             and ref not in c.given_up
             and ref not in c.attempts
@@ -236,8 +309,15 @@
         if usable:
             return max(usable, key=lambda c: (c.up, len(c.attempts)))
         assert place.address is not None
+        if self.open >= self.most:
+            for other in self.places.values():
+                self._close(other, lambda c: c.up and not c.attempts and not c.probes)
+            if self.open >= self.most:
+                self.counters.add("engine_connections_lacking")
+                return None
         connection = Connection(self, place.info.id, self.clock.now())
         place.connections.append(connection)
+        self.open += 1
         self.counters.add("engine_connections")
         connection.line = self.connect(place.address, connection)
         return connection
@@ -246,6 +326,15 @@
         # Danger: a request written as the engine closes an idle connection may or may not have run.
         return connection.up and self.clock.now() - connection.used_at > self.links.idle_ms - IDLE_MARGIN_MS
 
+    def _asked_at(self, connection: Connection) -> float:
+        """Since when a sign of life is waited for; infinity where none is."""
+        waiting = (p.sent_at for p in connection.probes.values() if p.answers == connection.answers)
+        return min(waiting, default=math.inf)
+
+    def _doubtful(self, connection: Connection) -> bool:
+        """A sign of life is late; what is new goes elsewhere meanwhile."""
+        return self.clock.now() - self._asked_at(connection) > self.links.connect_ms / 2
+
     def frame(self, attempt: Attempt) -> bytes:
         """The request's words."""
         left = max(1, int(attempt.until - self.clock.now()))
@@ -278,7 +367,7 @@
         else:
             connection.put(encode(b"DROP", attempt.ref))
         if attempt.written:
-            connection.given_up.add(attempt.ref)
+            connection.given_up[attempt.ref] = None
         self._end(attempt, outcome)
 
     def _time_out(self, attempt: Attempt) -> None:
@@ -314,41 +403,39 @@
     def answer(self, connection: Connection, words: list[bytes]) -> None:
         """An answer: ID WORD FIELDS BODY. What belongs to nothing that is out is late, and passed over."""
         if len(words) not in (3, 4):
-            self.malformed(f"engine {connection.engine}: an answer of {len(words)} words")
-            return
+            raise RespError(f"an answer of {len(words)} words")
         ref, word, fields = words[0], words[1], read_fields(words[2])
         body = words[3] if len(words) == 4 else b""
         if probe := connection.probes.pop(ref, None):
-            self._probe_ended(probe, Outcome.ERROR if word == b"red" else Outcome.OK, read_gauges(fields))
+            if probe.told:
+                outcome = Outcome.ERROR if word == b"red" else Outcome.OK
+                self._probe_ended(probe, outcome, read_gauges(fields))
             return
         attempt = connection.attempts.get(ref)
+        if attempt is not None and word not in WORDS:
+            raise RespError(f"unknown word {word[:40]!r}")
         if attempt is None:
+            connection.given_up.pop(ref, None)
             self.counters.add("answers_late")
+        elif word == b"crashed":
+            self._end(attempt, Outcome.ERROR, fields)
         elif word == b"rows" and attempt.pages:
             self._page(attempt, fields, body)
-        elif word == b"served" and not attempt.pages:
+        elif attempt.pages or word == b"rows":
+            self.counters.add("answers_again")  # a second copy, which is harmless
+        elif word == b"served":
             self._served(attempt, fields, body)
-        elif word == b"overload" and not attempt.pages:
-            self._end(attempt, Outcome.FULL, fields)
-        elif word == b"nobody" and not attempt.pages:
-            self._end(attempt, Outcome.MOOT, fields)
-        elif word == b"crashed":
-            self._end(attempt, Outcome.ERROR, fields)
         else:
-            self.malformed(f"engine {connection.engine}: unexpected word {word[:40]!r}")
+            self._end(attempt, Outcome.FULL if word == b"overload" else Outcome.MOOT, fields)
 
     def _served(self, attempt: Attempt, fields: dict[str, str], body: bytes) -> None:
-        """Page 0 has come: ask for the others. All are collected before the first row goes out, so that a
-        loss can still become a retry or a clean error."""
+        """Page 0 has come: ask for the others. All are collected and read before the first row goes out, so
+        that a loss can still become a retry or a clean error."""
+        # Danger: rows were read only when the client was answered. By then the attempt counted as served, and
+        # a spoilt page could only fail the query.
+        count, rows = read_count(fields, "count", 1, MOST_PAGES), read_rows(body)
         attempt.answered_at, attempt.fields = self.clock.now(), fields
-        try:
-            count = max(int(fields.get("count", "1")), 1)
-        except ValueError:
-            count = 0
-        if not 0 < count <= MOST_PAGES:
-            self._broken(attempt, "a bad count of pages")
-            return
-        attempt.pages = [body, *[None] * (count - 1)]
+        attempt.pages = [rows, *[None] * (count - 1)]
         if count == 1:
             self._end(attempt, Outcome.OK, fields)
         elif attempt.connection is not None:
@@ -356,29 +443,20 @@
             attempt.connection.put(b"".join(asks))
 
     def _page(self, attempt: Attempt, fields: dict[str, str], body: bytes) -> None:
-        place = fields.get("pos", "")
-        if not place.isdigit() or not 0 < int(place) < len(attempt.pages):
-            self._broken(attempt, "a page without a number")
-            return
-        attempt.pages[int(place)] = body
-        if sum(len(page) for page in attempt.pages if page is not None) > MOST_RESULT:
-            self._broken(attempt, "a result too large")
-        elif None not in attempt.pages:
+        attempt.pages[read_count(fields, "pos", 1, len(attempt.pages) - 1)] = read_rows(body)
+        if None not in attempt.pages:
             connection = attempt.connection
             self._end(attempt, Outcome.OK, attempt.fields)
             if connection is not None:
                 connection.put(encode(b"CLOSE", attempt.ref))
 
-    def _broken(self, attempt: Attempt, why: str) -> None:
-        self.malformed(f"engine {attempt.engine}: {why}")
-        self.drop(attempt, Outcome.ERROR)
-
     def connection_closed(self, connection: Connection) -> None:
         """What was written may have run; what still waited did not."""
         place = self.places.get(connection.engine)
         if place is not None and connection in place.connections:
             place.connections.remove(connection)
-        for probe in list(connection.probes.values()):
+            self.open -= 1
+        for probe in filter(lambda probe: probe.told, list(connection.probes.values())):
             self._probe_ended(probe, Outcome.RESET if connection.up else Outcome.CONNECT_FAILED)
         for attempt in list(connection.attempts.values()):
             self._end(attempt, Outcome.RESET if attempt.written else Outcome.CONNECT_FAILED)
@@ -388,21 +466,33 @@
     def probe(self, engine: str) -> bool:
         """Ask an engine for a sign of life and its load; false where it can't be asked."""
         place = self._open_place(engine)
-        if place is None:
-            return False
+        connection = self._pick(place, b"") if place is not None else None
+        if connection is not None:
+            self._ask(connection)
+        return connection is not None
+
+    def _ask(self, connection: Connection, told: bool = True) -> None:
         self.tags += 1
         tag = b"t%d" % self.tags
-        connection = self._pick(place, tag)
-        probe = connection.probes[tag] = Probe(engine)
+        fresh = not connection.up
+        probe = Probe(connection.engine, self.clock.now(), connection.answers, fresh, told)
+        connection.probes[tag] = probe
         self.counters.add("probes_sent")
         connection.put(encode(b"LOAD", tag))
-
-        def late() -> None:
-            if connection.probes.pop(tag, None):
-                self._probe_ended(probe, Outcome.TIMEOUT)
-
-        probe.timer = self.clock.call_in(self.links.connect_ms, late)
-        return True
+        if told:
+            probe.timer = self.clock.call_in(self.links.connect_ms, lambda: self._late(connection, probe))
+
+    def _late(self, connection: Connection, probe: Probe) -> None:
+        """A probe lacks its answer. From now on it counts for its connection only."""
+        # Danger: on a connection that has gone silent a probe said that the whole engine is deaf, and all
+        # that ran there was given up. So where other answers come it lives; else it is asked on a new one.
+        if not probe.told:
+            return
+        if probe.answers != connection.answers:
+            self._probe_ended(probe, Outcome.OK)
+        elif probe.fresh or not self.probe(probe.engine):
+            self._probe_ended(probe, Outcome.TIMEOUT)
+        probe.told = False
 
     def _probe_ended(self, probe: Probe, outcome: Outcome, report: dict[str, float] | None = None) -> None:
         if probe.timer is not None:
@@ -422,7 +512,7 @@
         value = float(text) if text else 0.0
     except ValueError:
         return 0.0
-    return value if 0 <= value < 1e12 else 0.0
+    return value if 0 <= value < MOST_NUMBER else 0.0
 
 
 def read_gauges(fields: dict[str, str]) -> dict[str, float]:
--- a/cottonhold/node/gateway.py
+++ b/cottonhold/node/gateway.py
@@ -17,6 +17,7 @@
 from cottonhold.node.clock import Clock
 from cottonhold.node.counters import Counters
 from cottonhold.node.engines import Attempt, Engines
+from cottonhold.node.resp import Rows
 from cottonhold.scheduler import Scheduler
 
 # Danger: in a burst one turn of the loop takes 100 ms. A request is read a turn late, its time-out is seen a
@@ -29,7 +30,7 @@
 class Client(Protocol):
     """The way back to the client of one request; called once at most."""
 
-    def served(self, pages: list[bytes]) -> None:
+    def served(self, rows: Rows) -> None:
         """The whole result."""
 
     def refused(self, retry_after: float) -> None:
@@ -143,7 +144,7 @@
         request.attempt = None
         if event.outcome is Outcome.OK and (client := self._finish(request)):
             self.counters.add("answers_served")
-            self._answer(lambda: client.served([page or b"" for page in attempt.pages]))
+            self._answer(lambda: client.served(attempt.rows()))
         self._report(request, event)
 
     def _report(self, request: Request, event: io.AttemptEnded) -> None:
--- a/cottonhold/node/mysql.py
+++ b/cottonhold/node/mysql.py
@@ -12,6 +12,7 @@
 from cottonhold.node.clock import Clock
 from cottonhold.node.counters import Counters
 from cottonhold.node.gateway import DuplicateRef, Gateway, Request, Taken
+from cottonhold.node.resp import Rows
 from cottonhold.node.statement import FieldError, Statement, parse
 
 VERSION = b"8.0.0-cottonhold"
@@ -92,9 +93,8 @@
 EOF = b"\xfe\x00\x00" + AUTOCOMMIT
 OK = b"\x00\x00\x00" + AUTOCOMMIT + b"\x00\x00"
 SIZES = [bytes((size,)) for size in range(251)]
-HEADERS = [size.to_bytes(3, "little") for size in range(1024)]
+HEADERS = [size.to_bytes(3, "little") for size in range(251)]
 NUMBERS = [bytes((number,)) for number in range(256)]
-PARTS = 8  # of a row's packet: size, number, and a length and text for each of three columns
 HEAD = [bytes((len(COLUMNS),)), *[column(name) for name in COLUMNS], EOF]
 
 
@@ -360,21 +360,15 @@
 
     # --- answers (gateway.Client) ---
 
-    def served(self, pages: list[bytes]) -> None:
-        """The result set; rows that make no sense fail it before its first byte is out."""
+    def served(self, rows: Rows) -> None:
+        """The result set."""
         if not self._owed():
             return
-        try:
-            packets = encode_rows(pages, self.sequence + len(HEAD))
-        except ValueError as error:
-            self.front.counters.add("engine_malformed")
-            self._error(FAILED, f"the engine's answer can't be read: {error}")
-        else:
-            for payload in HEAD:
-                self._packet(payload)
-            self.output += b"".join(packets)
-            self.sequence = (self.sequence + len(packets) // PARTS) & 0xFF
-            self._packet(EOF)
+        for payload in HEAD:
+            self._packet(payload)
+        self.output += b"".join(encode_rows(rows, self.sequence))
+        self.sequence = (self.sequence + len(rows)) & 0xFF
+        self._packet(EOF)
         self._after_answer()
 
     def refused(self, retry_after: float) -> None:
@@ -451,26 +445,18 @@
     return user, secret.strip(b"\x00"), database
 
 
-def encode_rows(pages: list[bytes], sequence: int) -> list[bytes]:
-    """The rows of a result as packets, PARTS pieces for each.
+def encode_rows(rows: Rows, sequence: int) -> list[bytes]:
+    """The rows of a result as packets, in pieces.
 
     Danger: one call a cell took a third of the CPU of a whole request, so nearly all rows go by tables.
     """
     parts: list[bytes] = []
-    for page in pages:
-        if page and not page.endswith(b"\n"):
-            raise ValueError("a page does not end with a whole row")
-        for row in page.split(b"\n")[:-1]:
-            cells = row.split(b"\t")
-            if len(cells) != len(COLUMNS):
-                raise ValueError(f"a row of {len(cells)} columns")
-            a, b, c = cells
-            number = NUMBERS[sequence & 0xFF]
-            sequence += 1
-            if len(row) < 251:
-                size = HEADERS[len(row) + 1]
-                parts += (size, number, SIZES[len(a)], a, SIZES[len(b)], b, SIZES[len(c)], c)
-            else:
-                payload = b"".join(lenenc(cell) for cell in cells)
-                parts += (len(payload).to_bytes(3, "little"), number, payload, b"", b"", b"", b"", b"")
+    for a, b, c in rows:
+        number, size = NUMBERS[sequence & 0xFF], len(a) + len(b) + len(c) + 3
+        sequence += 1
+        if size < 251:
+            parts += (HEADERS[size], number, SIZES[len(a)], a, SIZES[len(b)], b, SIZES[len(c)], c)
+        else:
+            payload = lenenc(a) + lenenc(b) + lenenc(c)
+            parts += (len(payload).to_bytes(3, "little"), number, payload)
     return parts
--- a/cottonhold/node/resp.py
+++ b/cottonhold/node/resp.py
@@ -2,8 +2,12 @@
 
 from __future__ import annotations
 
-MOST_WORDS = 16
-MOST_BYTES = 64 * 1024  # of one word; a page has at most 6,000
+MOST_WORDS = 8  # an answer has four
+MOST_BYTES = 8 * 1024  # of one word
+MOST_PAGE = 6000
+COLUMNS = 3
+
+Rows = list[list[bytes]]
 
 
 class RespError(Exception):
@@ -24,13 +28,22 @@
     def __init__(self) -> None:
         self.buffer = bytearray()
 
+    def partial(self) -> bool:
+        """Whether an array has begun and is not whole."""
+        return bool(self.buffer)
+
     def feed(self, data: bytes) -> list[list[bytes]]:
-        """The arrays that these bytes complete."""
+        """The arrays that these bytes complete. What follows them and can't be read is an error next time."""
         self.buffer += data
-        arrays, at = [], 0
-        while (found := self._array(at)) is not None:
-            words, at = found
-            arrays.append(words)
+        arrays, at = list[list[bytes]](), 0
+        try:
+            while (found := self._array(at)) is not None:
+                words, at = found
+                arrays.append(words)
+        except RespError:
+            # Danger: good answers that came in one read with a spoilt one were lost with it.
+            if not arrays:
+                raise
         if at:
             del self.buffer[:at]
         return arrays
@@ -70,6 +83,32 @@
         return int(digits), end + 2
 
 
+def read_rows(page: bytes) -> Rows:
+    """The rows of a page as their cells."""
+    if len(page) > MOST_PAGE:
+        raise RespError(f"a page of {len(page)} bytes")
+    if not page:
+        return []
+    if page[-1:] != b"\n":
+        raise RespError("a page does not end with a whole row")
+    rows = [row.split(b"\t") for row in page[:-1].split(b"\n")]
+    if any(len(row) != COLUMNS for row in rows):
+        raise RespError("a row that is not of three columns")
+    try:
+        page.decode()
+    except UnicodeDecodeError:
+        raise RespError("a page that is not text") from None
+    return rows
+
+
+def read_count(fields: dict[str, str], name: str, least: int, most: int) -> int:
+    """A whole number of an answer that it can't do without."""
+    text = fields.get(name, "")
+    if not (text.isascii() and text.isdigit() and len(text) < 9 and least <= int(text) <= most):
+        raise RespError(f"no use in {name}={text[:20]!r}")
+    return int(text)
+
+
 def read_fields(text: bytes) -> dict[str, str]:
     """A list name=value,name=value; `-` when there are none."""
     if text in (b"-", b""):
--- a/cottonhold/scheduler.py
+++ b/cottonhold/scheduler.py
@@ -49,6 +49,7 @@
 OVERDUE = 1.5  # planned run times after which an attempt ought to have answered: silence counts from there
 ERROR_GAIN = 0.15  # weight of one outcome in an engine's error share, of a report in the fleet's util
 ERROR_SUSPECT = 0.35  # error share from which an engine is suspect; clean engines stay far below
+FAILURES = 2  # engines that could not run a query: then it is the query
 ERROR_CLEAR = 0.15  # and below which it is trusted again, so that it does not flap
 TRICKLE_MS = 150.0  # gap between the safe queries that all gateways together send to a suspect engine
 DOUBT_MS = 10000.0  # without a new bad sign a suspicion ends: at a small share the trickle never tests it
@@ -566,7 +567,7 @@
         timeout = TEACH_LIMIT * q.p + SILENCE_MIN_MS if q.trickle else 0.0
         self.actions.append(io.Send(q.id, e.id, timeout))
         if q.attempts:
-            self.extra.add(now, 1.0)
+            self._count(self.extra)
         q.attempts += 1
         q.out, q.sent_at, q.seen_at, q.run_at, q.done, q.engine = True, now, now, now, 0.0, e
         q.cancelled = q.waits = False
@@ -579,6 +580,11 @@
             if permits.peers:
                 self._tell(struct.pack(">BIHf", LOAD, e.code, q.tables & 0xFFFF, q.p), self._users(e))
 
+    def _count(self, window: state.Window) -> None:
+        # Danger: where no budget is set nothing asks for these sums, so nothing was forgotten: both grew.
+        if self.settings.rules.budget_free is not None:
+            window.add(self.now, 1.0)
+
     def _users(self, e: EngineView) -> list[int]:
         """The other gateways that draw on an engine: readers of theirs would stand still behind a load."""
         n, wide = self.settings.gateways, self.settings.gateways / max(len(self.live), 1)
@@ -597,7 +603,7 @@
                    event.tables, event.tenant, event.order_key if cls.in_order else None, next(self.serial))
         q.began = self._first_tried(q, event.retry)
         self.queries[q.id] = q
-        self.taken.add(self.now, 1.0)
+        self._count(self.taken)
         self.traffic.add(self.now)
         self.probes = min(self.probes + PROBES_PER_QUERY, CANDIDATES)
         # Danger: where only probes tell load, or answers are rare, load is a guess. A probe fills in where
@@ -682,9 +688,30 @@
             e.jams, e.pressed_until = e.jams + 1, self.now + FULL_REST_MS
             e.rest_until = self.now + min(FULL_REST_MS * 2**e.jams, DOUBT_MS)
         elif outcome in (Outcome.ERROR, Outcome.CONNECT_FAILED, Outcome.RESET):
-            e.errors, e.good = e.errors + ERROR_GAIN * (1 - e.errors), 0
-            if outcome is not Outcome.ERROR or e.errors > ERROR_SUSPECT:
-                self._doubt(e, "errors" if outcome is Outcome.ERROR else "dead")
+            self._bad_sign(e, q, outcome)
+
+    def _bad_sign(self, e: EngineView, q: Query | None, outcome: Outcome) -> None:
+        """An error, a broken connection or a failed connect: how much it says against the engine."""
+        # Danger: a query that no engine can run failed on all of them, and all were doubted. The second error
+        # shows that it was the query, and the first engine gets back what it lost.
+        if outcome is Outcome.ERROR and q is not None:
+            q.failures += 1
+            if q.blamed is not None:
+                q.blamed.errors = max(0.0, q.blamed.errors - ERROR_GAIN)
+                return
+            q.blamed = e
+        # Danger: one reset connection or one spoilt answer was taken for a death, and half the fleet was left
+        # for seconds. All that was out on it is one sign; a dead engine shows in the next connect, which is
+        # proof. May hurt where an engine dies and takes connections, but answers nothing.
+        if outcome is Outcome.RESET:
+            if e.broke_at == self.now:
+                return
+            e.broke_at = self.now
+            if self.settings.permits.probes:
+                self._probe(e)
+        e.errors, e.good = e.errors + ERROR_GAIN * (1 - e.errors), 0
+        if outcome is Outcome.CONNECT_FAILED or e.errors > ERROR_SUSPECT:
+            self._doubt(e, "errors" if outcome is Outcome.ERROR else "dead")
 
     def _again(self, q: Query, outcome: Outcome) -> None:
         """Try elsewhere if rules and time allow, else answer at once."""
@@ -697,8 +724,9 @@
     def _answer(self, q: Query) -> None:
         """The one place for every final answer: refused where honest, told when the plans have drained."""
         q.leave_plan()
-        if q.risk_at is None or q.cls.effect is Effect.SAFE or (
-                q.cls.effect is Effect.KEYED and q.cls.group is io.Group.ALL):
+        # What two engines could not run no third one will, and a refusal would only bring it back.
+        if q.failures < FAILURES and (q.risk_at is None or q.cls.effect is Effect.SAFE or (
+                q.cls.effect is Effect.KEYED and q.cls.group is io.Group.ALL)):
             drained = sum(e.held_area for e in self.active.values()) / self.own_room
             most = self.settings.permits.max_retry_after if self.settings.permits.retry_after else 0.0
             self.actions.append(io.Refuse(q.id, min(most, max(RETRY_AFTER_MS, drained))))
@@ -782,7 +810,7 @@
 
     def _repeat_barred(self, q: Query) -> str:
         """Why no further attempt may be made: attempts, repeat safety or the budget."""
-        if q.attempts >= self.settings.permits.max_attempts:
+        if q.attempts >= self.settings.permits.max_attempts or q.failures >= FAILURES:
             return "attempts"
         if q.risk_at is not None:
             if q.cls.effect is Effect.UNSAFE:
--- a/cottonhold/state.py
+++ b/cottonhold/state.py
@@ -32,6 +32,8 @@
     attempts: int = 0
     risk_at: float | None = None
     risk_engine: EngineView | None = None
+    failures: int = 0
+    blamed: EngineView | None = None
     engine: EngineView | None = None
     out: bool = False
     over: bool = False
@@ -98,6 +100,7 @@
     own_room: float = 1.0
     own_memory: float = math.inf
     errors: float = 0.0
+    broke_at: float = -math.inf
     suspect: str = ""
     suspect_at: float = 0.0
     suspect_until: float = 0.0
