Let readers use home engines while no load on their tables is there

Checked: a trace of each second (engines' room, own work out, held, reports). One 16-core engine stood at util 0.5 with 1 to 3 held, an 8-core one at 1.0 with 20 to 40 held. The idle one was home to much read tables: the rule that readers avoid homes shut them out even without a load there; with five engines, one suspect, homes are half of what is left. At fault: scheduler._candidates, 'e not in homes'. Now: only while a load on these tables is out, told of or held there; else a home is taken where it ends a tenth of the aim sooner.

--- a/cottonhold/scheduler.py
+++ b/cottonhold/scheduler.py
@@ -29,6 +29,7 @@
 MIX = 16  # own last sends that stand for what the other gateways run on an engine
 REDRAWN = 2  # engines drawn anew for a held query where engines are rarely heard of: more is only CPU
 HOMES = 0.4  # share of the engines that take the loads on a set of tables: the others serve its readers
+HOME_PRICE = 0.1  # of its aim: so much sooner a reader must end at a home, where a load may come
 CANDIDATES = 8  # engines compared for each query; the paper sees no more gain from 10 on
 THREADS_PER_CORE = 2.0  # thread room, the design page's start; lower leaves cores idle while threads read
 MEMORY_ROOM = 0.9  # share of an engine's memory planned for; needs are estimates
@@ -389,6 +390,8 @@
             start += max(0.0, e.locks.get(q.tables, 0.0) - self.now)
         if q.cls.loads and e.line:  # loads on the same tables run one at a time, all gateways' in turn
             start += e.line.get(q.tables, 0.0) / self.share
+        if q.cls.waits and not q.cls.loads and e in self._homes(q.tables):
+            start += HOME_PRICE * q.cls.aim
         area, space = e.held_area, e.held_space
         best_finish = start + max(area / room, space / memory)
         best_place, best = len(e.plan), self._density(q, p, best_finish)
@@ -432,7 +435,10 @@
             homes = self._homes(q.tables)
             if q.cls.loads and (pool := [e for e in homes if e.id not in q.tried and self._fits(q, e)]):
                 return pool
-            near = [e for e in near if q.cls.loads or e not in homes] or near
+            # Danger: readers kept off all homes at all times left homes of much read tables half idle,
+            # and waited in line elsewhere till they were refused. So they keep off while such a load is there.
+            bars = homes if not q.cls.loads else []
+            near = [e for e in near if e not in bars or not e.loads_on(q.tables, self.now)] or near
         drawn = heapq.nlargest(k, near, key=lambda e: self.random.random() ** (1 / e.room))
         if q.engine is not None and not q.attempts and q.engine not in drawn:
             drawn.append(q.engine)
--- a/cottonhold/state.py
+++ b/cottonhold/state.py
@@ -131,6 +131,11 @@
         """Forget what was learned of the process that ran before."""
         self.speed, self.errors, self.warm, self.locks = Rate(), 0.0, [], {}
 
+    def loads_on(self, tables: int, now: float) -> bool:
+        """Whether a load on these tables is out here, of this gateway or as a peer told, or held for here."""
+        mine = self.loading.get(tables, 0) > 0 or self.line.get(tables, 0.0) > 0
+        return mine or self.locks.get(tables, 0.0) > now
+
     def read(self, tables: int, keep: int) -> bool:
         """Note that a query reads these tables; tells whether they were among the last few read."""
         was = tables in self.warm
