--- a/cottonhold/scheduler.py
+++ b/cottonhold/scheduler.py
@@ -436,7 +436,7 @@
             if q.cls.loads and (pool := [e for e in homes if e.id not in q.tried and self._fits(q, e)]):
                 return pool
             # Danger: readers kept off all homes at all times left homes of much read tables half idle,
-            # and waited in line elsewhere till they were refused. So they keep off while such a load is there.
+            # and waited in line elsewhere till they were refused. So they keep off while a load is there.
             bars = homes if not q.cls.loads else []
             near = [e for e in near if e not in bars or not e.loads_on(q.tables, self.now)] or near
         drawn = heapq.nlargest(k, near, key=lambda e: self.random.random() ** (1 / e.room))
