Count what a query passes as a quarter of its room and of the time ahead of it

Checked: a trace of each second shows 8-core engines at their own part of the room (9 to 12 threads, all reports) with 20 to 40 held. At fault: scheduler._has_room held a query by all of the engine's own work out whatever its density; state.ahead put the whole of that work before it, so a lookup looked late behind reports (density 0) and was refused by the next replan; _release stopped at the first query without room. But the engine shares its cores 1:4 for one step of priority. Now: work out that a query passes counts a quarter (PASSED) in both; what passes a blocked head may still go. A quarter is the engine's own ratio and keeps the tests of small shares as they are. Tests: three inputs changed where a query of 100 ms now passes: the room test asks with 1,000 ms, the test of the plan's margin has no priorities, and the passing query is sent one event earlier, with the same priority. One new test.

--- a/cottonhold/scheduler.py
+++ b/cottonhold/scheduler.py
@@ -32,6 +32,7 @@
 HOME_PRICE = 0.1  # of its aim: so much sooner a reader must end at a home, where a load may come
 CANDIDATES = 8  # engines compared for each query; the paper sees no more gain from 10 on
 THREADS_PER_CORE = 2.0  # thread room, the design page's start; lower leaves cores idle while threads read
+PASSED = 0.25  # of the work out that a query passes counts: one priority above gets four times the cores
 MEMORY_ROOM = 0.9  # share of an engine's memory planned for; needs are estimates
 LATE_FALL = 0.5  # of the aim: how fast worth falls to its late value behind the aim (finish is a guess)
 RATE_HALF_MS = 3000.0  # half life of an engine's learned rate: some queries long, yet seconds short
@@ -385,7 +386,9 @@
         p = work / (q.cls.threads * max(e.rate if e.rate_at == self.now else self._rate(e), 0.02))
         room, memory = e.own_room, e.own_memory
         start = self.now + (1 + BETA * EPSILON) * p
-        start += e.ahead(self.now, LEFT_LEAST) + self._others_line(self._density(q, p, start))
+        density = self._density(q, p, start)
+        passing = density if self.settings.permits.priorities else 0.0
+        start += e.ahead(self.now, LEFT_LEAST, passing, ALPHA, PASSED) + self._others_line(density)
         if e.locks and (q.cls.waits or q.cls.loads):  # it stands still behind a load that holds its tables
             start += max(0.0, e.locks.get(q.tables, 0.0) - self.now)
         if q.cls.loads and e.line:  # loads on the same tables run one at a time, all gateways' in turn
@@ -525,12 +528,17 @@
         # pays, not all, so there it binds as far as the fleet is reported busy.
         pressed, short = self._pressed(e), self.settings.when_short
         binds = {io.WhenShort.WAIT: 0.0, io.WhenShort.SHRINK: self.util, io.WhenShort.PAGE: 1.0}[short]
-        own = max((e.threads_out + q.cls.threads) / e.room, (e.memory_out + q.memory) / e.memory_room)
+        # Danger: a lookup waited for room until reports of seconds ended, and was refused as too late, though
+        # the engine would have let it pass them. So what q passes holds it back in part only.
+        density = q.density if self.settings.permits.priorities else 0.0
+        above, needed, _ = e.levels.held_by(density, ALPHA)
+        wide = above + (e.threads_out - above) * PASSED + q.cls.threads
+        needed += (e.memory_out - needed) * PASSED + q.memory
+        own = max(wide / e.room, needed / e.memory_room)
         if pressed and e.out and own > self.share:
             return False
         # Danger: one query of each gateway on each engine floods the fleet; paging shows only in the jam. So
         # the share is of the whole fleet; any spare above it adds up. What q passes does not hold it back.
-        density = q.density if self.settings.permits.priorities else 0.0
         threads, memory, busy = self.pool.sound.held_by(density, ALPHA)
         # Danger: a timed-out attempt that nothing cancels runs on unseen; it counts for the time planned.
         unseen = [o for until, o in self.unseen if until > self.now]
@@ -542,16 +550,24 @@
     def _release(self) -> None:
         """Send held queries in plan order while there is room; the densest plan goes first."""
         for e in sorted(filter(lambda e: e.plan, self.active.values()), key=lambda e: -e.plan[0].density):
-            place = 0
+            place, blocked = 0, 0.0
             while place < len(e.plan):
                 q = e.plan[place]
+                # Danger: one without room at the head held all back, also those that pass it on the engine.
+                if blocked and q.density <= ALPHA * blocked:
+                    place += 1
+                    continue
                 # It would only stand still there, and keep readers waiting the longer. Looked at before room:
                 # Danger: asked for room at each step, loads that wait for their tables took most of the CPU.
                 if q.cls.loads and e.loading.get(q.tables):
                     place += 1
                     continue
                 if not self._has_room(q, e) or q.density <= 0 and self._fleet_fill() > IDLE_FILL:
-                    break
+                    blocked = max(blocked, q.density)
+                    if not blocked or not self.settings.permits.priorities:
+                        break
+                    place += 1
+                    continue
                 barred = self._barred(q, e)
                 if not barred:
                     q.leave_plan()
--- a/cottonhold/state.py
+++ b/cottonhold/state.py
@@ -90,8 +90,7 @@
     held_space: float = 0.0
     levels: Levels = field(default_factory=lambda: Levels())
     ahead_at: float = -math.inf
-    area_left: float = 0.0
-    space_left: float = 0.0
+    left: dict[float, tuple[float, float]] = field(default_factory=dict)
     speed: Rate = field(default_factory=lambda: Rate())
     rate: float = 1.0
     rate_at: float = -1.0
@@ -144,17 +143,26 @@
         self.warm = [tables, *self.warm[: keep - 1]]
         return was
 
-    def ahead(self, now: float, least: float) -> float:
-        """Time that this gateway's room takes for what is left of the work out."""
+    def ahead(self, now: float, least: float, density: float, alpha: float, passed: float) -> float:
+        """Time that this gateway's room takes for what is left of the work out, of what is passed a part."""
         # Danger: counted for every decision, hundreds of attempts out on a big engine cost more than a core.
         if now - self.ahead_at >= FRESH_MS:
-            self.ahead_at, area, space = now, 0.0, 0.0
+            self.ahead_at = now
+            self.left.clear()
             for q in self.out.values():
                 left = 1 - (now - q.sent_at) / q.p if q.p > 1 and not q.done else q.left(now, least)
-                left = left if left > least else least
-                area, space = area + q.area * left, space + q.p * q.memory * left
-            self.area_left, self.space_left = area, space
-        return max(self.area_left / self.own_room, self.space_left / self.own_memory)
+                self._add_left(q, left if left > least else least)
+        # Danger: counted whole, reports made the lookups that pass them on the engine look late for good.
+        area = space = 0.0
+        for at, (more, memory) in self.left.items():
+            part = 1.0 if density <= alpha * at else passed
+            area, space = area + more * part, space + memory * part
+        return max(area / self.own_room, space / self.own_memory)
+
+    def _add_left(self, q: Query, part: float) -> None:
+        """Count a part of a query's run as left, by density; a negative part takes it back."""
+        area, space = self.left.get(q.density, (0.0, 0.0))
+        self.left[q.density] = max(area + q.area * part, 0.0), max(space + q.p * q.memory * part, 0.0)
 
     def hold(self, place: int, q: Query) -> None:
         """Hold a query at a place of the plan."""
@@ -174,7 +182,7 @@
         if q.cls.loads:
             self.loading[q.tables] = self.loading.get(q.tables, 0) + 1
         self.levels.add(q)
-        self.area_left, self.space_left = self.area_left + q.area, self.space_left + q.p * q.memory
+        self._add_left(q, 1.0)
         self.threads_out, self.memory_out = self.threads_out + q.cls.threads, self.memory_out + q.memory
 
     def drop_out(self, q: Query, least: float) -> bool:
@@ -184,9 +192,7 @@
         self.levels.drop(q)
         if q.cls.loads:
             self.loading[q.tables] -= 1
-        left = q.left(max(self.ahead_at, q.sent_at), least)
-        self.area_left = max(self.area_left - q.area * left, 0.0)
-        self.space_left = max(self.space_left - q.p * q.memory * left, 0.0)
+        self._add_left(q, -q.left(max(self.ahead_at, q.sent_at), least))
         self.threads_out, self.memory_out = self.threads_out - q.cls.threads, self.memory_out - q.memory
         return True
 
