Let a report of fewer queries than are out from here deny no pressure

Checked: a trace of all three dispatchers beside the reports: 43 to 71 queries believed out on one engine, which reported 13 to 20 for eight seconds; and the connections of attempts out over 2 s: all written, none with pages, each heard within 0.4 s, 8 + 24 + 22 open at once. So the belief of what is out was right and the reports were late. Ruled out: lost answers (2 to 5 old attempts a connection), blocked writers, silent connections, doubts (no log line). At fault: scheduler._pressed let a report of few queries deny own work of up to twice the room, whatever its age. Now: one that holds fewer than this gateway alone has out (by a fifth, for lag and noise) denies nothing.

--- a/cottonhold/scheduler.py
+++ b/cottonhold/scheduler.py
@@ -43,6 +43,7 @@
 PRESSED_RATE = 0.6  # of the fleet's best rate: a slower engine is under pressure
 IDLE_FILL = 0.8  # of the fleet in use: below it one that looks worthless costs no other, and looks deceive
 PRESSED_UTIL = 0.9  # reported share of cores busy that means pressure
+OUTDATED = 1.2  # own queries out for each reported that show a report to be late: it lags and is noisy
 REPORT_FRESH_MS = 3000.0  # a load report older than this tells nothing
 FULL_REST_MS = 500.0  # pressure holds so long after a full refusal or a wait for memory
 CHANCE = 1.5  # standard deviations of an engine's memory in use left free for chance
@@ -252,7 +253,10 @@
         if report.get("util", 0.0) > PRESSED_UTIL or report.get("queue", 0.0) > 0:
             return True
         used = max(e.threads_out / e.own_room, e.memory_out / e.own_memory) + self.blind * self._fleet_fill()
-        if used < 1 or used > 2:
+        # Danger: late reports told of 17 queries where 54 were out, and engines filled to twice their room.
+        # One that holds fewer than this gateway alone has out there denies nothing.
+        late = report.get("inflight", math.inf) * OUTDATED < len(e.out)
+        if used < 1 or used > 2 or late:
             return used >= 1
         # Cores idle in a jam on memory: where engines page, half busy is no proof of room.
         most = 1 / THREADS_PER_CORE if self.settings.when_short is io.WhenShort.PAGE else PRESSED_UTIL
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -410,3 +410,17 @@
     assert sends(short) == [("q", "e1")] and io.Terms("q", 0, 2) in short
     many = sends(s.step(200.0, [arrival(f"q{i}", due=5200.0) for i in range(100)]))
     assert 0 < len(many) <= ROOM  # but not without end
+
+
+@pytest.mark.parametrize("inflight, pressed", [(2.0, True), (25.0, False)])
+def test_a_report_of_fewer_queries_than_are_out_from_here_denies_no_pressure(
+    inflight: float, pressed: bool
+) -> None:
+    """Found on a day of late reports: one engine was filled to twice its room."""
+    wide = dataclasses.replace(LOOKUP, threads=3)
+    s = started(settings(wide, models=(io.Model(32, 64000.0),)), "e1")
+    s.step(1.0, [arrival(f"r{i}", cost=1000.0) for i in range(26)])
+    report = {"inflight": inflight, "util": 0.5}
+    s.step(2.0, [ended("r0", io.Outcome.OK, final=True, elapsed=1.0, report=report)])
+    e = s.engines["e1"]
+    assert e.threads_out > e.room and s._pressed(e) is pressed
