Forget the oldest ids given up on an engine connection, one by one

Seen by reading: past 256 the whole list was cleared, with it the newest id, which alone may come again: a late answer to a first attempt could then pass for one of the next. Now only the oldest go. The reload no longer keeps the new configuration beside the old one, since only its bus is used.

--- a/cottonhold/__main__.py
+++ b/cottonhold/__main__.py
@@ -86,7 +86,7 @@
             self.log.say(f"reload: the configuration stays as it is: {error}")
             return
         self.counters.add("reloads")
-        self.config, self.bus.host = config, config.bus.host
+        self.bus.host = config.bus.host
         if self.following is not None:
             self.following.cancel()
             self.following = self.driver.spawn(self.driver.follow(self.bus, config.bus))
--- a/cottonhold/node/engines.py
+++ b/cottonhold/node/engines.py
@@ -268,8 +268,9 @@
             oldest = next(iter(connection.attempts.values()))
             if now - max(connection.heard_at, oldest.began) > QUIET_MS:
                 self._ask(connection, told=False)
-        if len(connection.given_up) > MOST_GIVEN_UP:
-            connection.given_up.clear()
+        # Danger: the list grew with each attempt given up, for as long as its connection lived.
+        for ref in list(connection.given_up)[:-MOST_GIVEN_UP]:
+            del connection.given_up[ref]
 
     # --- attempts ---
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -5,6 +5,7 @@
 import pytest
 
 from cottonhold.interface import Outcome
+from cottonhold.node.engines import MOST_GIVEN_UP
 from cottonhold.node.mysql import MOST_PACKET, ROOM_STEP
 from tests.scenario import LOGIN, Client, World, packet
 
@@ -288,6 +289,16 @@
     assert world.lines[0].connection.over and not world.lines[1].connection.over
 
 
+def test_ids_given_up_are_remembered_for_a_while_only() -> None:
+    world = World().run("c1 query lookup r1\ne1 expect GET *")
+    connection = world.lines[0].connection
+    connection.given_up = dict.fromkeys(b"%016x" % n for n in range(1000))
+    world.run("e1 send r7 served count=1 a|b|c/")
+    assert b"%016x" % 7 not in connection.given_up
+    world.wait(300)
+    assert list(connection.given_up) == [b"%016x" % n for n in range(1000 - MOST_GIVEN_UP, 1000)]
+
+
 def test_engines_that_left_are_forgotten_with_their_connections() -> None:
     world = World(engines="a b c").run("c1 query load r1 allow=20000\ne1 expect GET *")
     world.run("list tell e1 gone\ntime wait 500")
