Close engine connections and pick them in one place each; behaviour stays

Found reading the whole change once more. Closing a connection (abort, then told) stood in Engines._close and in Connection.give_up, now in Connection.close; 'up with nothing out' stood three times, now Connection.unused; send and probe each looked the engine up before _pick, which does it now. _pick no longer asks for 'closing': one that is given up leaves its place in the same call. In _release what gets as far as the room check is denser than any blocked one before, so max() said nothing.

--- a/cottonhold/node/engines.py
+++ b/cottonhold/node/engines.py
@@ -154,10 +154,18 @@
         """
         self.closing = True
         self.owner.counters.add("engine_connections_given_up")
+        self.close()
+
+    def close(self) -> None:
+        """Close at once, and tell of what was out."""
         if self.line is not None:
             self.line.abort()
         self.closed()
 
+    def unused(self) -> bool:
+        """Whether it is up with nothing out on it."""
+        return self.up and not self.attempts and not self.probes
+
     def closed(self) -> None:
         """The connection has ended, or never came up."""
         if not self.over:
@@ -222,7 +230,7 @@
             return
         for connection in list(place.connections):
             self.check_queue(connection)
-        self._close(place, lambda c: c.up and not c.attempts and not c.probes)
+        self._close(place, Connection.unused)
         if place.info.state is EngineState.GONE:
             quiet = self.clock.now() - SILENT_MS
             self._close(place, lambda c: c.heard_at < quiet or not c.attempts)
@@ -232,9 +240,7 @@
 
     def _close(self, place: Place, which: Callable[[Connection], bool]) -> None:
         for connection in [c for c in place.connections if which(c)]:
-            if connection.line is not None:
-                connection.line.abort()
-            connection.closed()
+            connection.close()
 
     def _open_place(self, engine: str) -> Place | None:
         """The engine, if it may get something new."""
@@ -276,10 +282,7 @@
 
     def send(self, attempt: Attempt) -> bool:
         """Start an attempt; false where the engine can't be sent anything, so that it surely never ran."""
-        place = self._open_place(attempt.engine)
-        if place is None:
-            return False
-        connection = self._pick(place, attempt.ref)
+        connection = self._pick(attempt.engine, attempt.ref)
         if connection is None:
             return False
         attempt.connection = connection
@@ -290,17 +293,19 @@
         connection.put(attempt)
         return True
 
-    def _pick(self, place: Place, ref: bytes) -> Connection | None:
+    def _pick(self, engine: str, ref: bytes) -> Connection | None:
         """The fullest connection with room, so that spare ones run idle and close; else a new one.
 
-        None where no descriptor is left for it.
+        None where the engine may get nothing new, or no descriptor is left.
         """
-        self._close(place, lambda c: c.up and not c.attempts and not c.probes and self._stale(c))
+        place = self._open_place(engine)
+        if place is None:
+            return None
+        self._close(place, lambda c: c.unused() and self._stale(c))
         usable = [
             c
             for c in place.connections
             if len(c.attempts) < self.links.streams
-            and not c.closing
             and not self._stale(c)
             and not self._doubtful(c)
             # Danger: a late answer to an attempt given up must not pass for one of the next under its id.
@@ -312,7 +317,7 @@
         assert place.address is not None
         if self.open >= self.most:
             for other in self.places.values():
-                self._close(other, lambda c: c.up and not c.attempts and not c.probes)
+                self._close(other, Connection.unused)
             if self.open >= self.most:
                 self.counters.add("engine_connections_lacking")
                 return None
@@ -466,8 +471,7 @@
 
     def probe(self, engine: str) -> bool:
         """Ask an engine for a sign of life and its load; false where it can't be asked."""
-        place = self._open_place(engine)
-        connection = self._pick(place, b"") if place is not None else None
+        connection = self._pick(engine, b"")
         if connection is not None:
             self._ask(connection)
         return connection is not None
--- a/cottonhold/node/statement.py
+++ b/cottonhold/node/statement.py
@@ -77,10 +77,8 @@
 def number(fields: dict[str, str], name: str) -> float:
     """A field that holds a number that is not negative; 0 where it is absent."""
     text = fields.get(name, "0")
-    if not NUMBER.match(text):
+    if not NUMBER.match(text) or (value := float(text)) > MOST_MS:
         raise FieldError(f"field '{name}' is not a number, or out of range")
-    if (value := float(text)) > MOST_MS:
-        raise FieldError(f"field '{name}' is out of range")
     return value
 
 
--- a/cottonhold/scheduler.py
+++ b/cottonhold/scheduler.py
@@ -567,7 +567,7 @@
                     place += 1
                     continue
                 if not self._has_room(q, e) or q.density <= 0 and self._fleet_fill() > IDLE_FILL:
-                    blocked = max(blocked, q.density)
+                    blocked = q.density  # above any before it, else it was passed over
                     if not blocked or not self.settings.permits.priorities:
                         break
                     place += 1
