--- a/cottonhold/__main__.py
+++ b/cottonhold/__main__.py
@@ -11,16 +11,16 @@
 
 import uvloop
 
-from cottonhold import interface as io
-from cottonhold.node.bus import Bus
-from cottonhold.node.config import Config, ConfigError, load
-from cottonhold.node.counters import Counters
+from cottonhold.config.relay import Config, ConfigError, load
+from cottonhold.decide import interface as io
+from cottonhold.discovery.bus import Bus
 from cottonhold.node.driver import Driver
 from cottonhold.node.engines import Engines
 from cottonhold.node.gateway import Gateway
-from cottonhold.node.log import Log
 from cottonhold.node.mysql import Front
 from cottonhold.node.peers import Peers
+from cottonhold.observe.counters import Counters
+from cottonhold.observe.log import Log
 
 LEAVE_S = 0.8  # after SIGTERM new clients come for 0.4 s, and a request that came by 0.7 s is owed an answer
 CHECK_S = 0.02
--- a/cottonhold/adapter.py
+++ b/cottonhold/adapter.py
@@ -1,6 +1,6 @@
 """The simulator's wire on standard input and output, for many gateways in one process.
 
-Translates only; every decision is in cottonhold/scheduler.py. Runs as `python -m cottonhold.adapter`.
+Translates only; every decision is in cottonhold/decide/scheduler.py. Runs as `python -m cottonhold.adapter`.
 """
 
 from __future__ import annotations
@@ -10,9 +10,9 @@
 from collections.abc import Callable
 from typing import TextIO
 
-from cottonhold import interface as io
-from cottonhold.scheduler import Scheduler
-from cottonhold.settings import NUMBER, Json, WireError, read, read_settings, word
+from cottonhold.config.settings import NUMBER, Json, WireError, read, read_settings, word
+from cottonhold.decide import interface as io
+from cottonhold.decide.scheduler import Scheduler
 
 __all__ = ["read_probed", "read_settings", "run"]
 
--- a/cottonhold/node/config.py
+++ b/cottonhold/config/relay.py
@@ -8,10 +8,10 @@
 
 import orjson
 
-from cottonhold import interface as io
-from cottonhold.node.bus import Address, Change, Names, read_batch
-from cottonhold.node.counters import Counters
-from cottonhold.settings import NUMBER, Json, WireError, read, read_settings
+from cottonhold.config.settings import NUMBER, Json, WireError, read, read_settings
+from cottonhold.decide import interface as io
+from cottonhold.discovery.bus import Address, Change, Names, read_batch
+from cottonhold.observe.counters import Counters
 
 
 class ConfigError(Exception):
--- a/cottonhold/settings.py
+++ b/cottonhold/config/settings.py
@@ -4,7 +4,7 @@
 
 from typing import Any
 
-from cottonhold import interface as io
+from cottonhold.decide import interface as io
 
 Json = dict[str, Any]
 
--- /dev/null
+++ b/cottonhold/decide/__init__.py
@@ -0,0 +1,1 @@
+"""The decisions: placement, retries and refusals, free of I/O."""
--- a/cottonhold/scheduler.py
+++ b/cottonhold/decide/scheduler.py
@@ -1,9 +1,9 @@
 """The decisions of one query gateway in front of analytic query engines.
 
-Interface: cottonhold/interface.py (settings, events, actions). This file holds every decision.
+Interface: cottonhold/decide/interface.py (settings, events, actions). This file holds every decision.
 
 The mechanism is the worth-density plan of O4A and DO4A ("Online Approximation Scheme for Scheduling
-Heterogeneous Utility Jobs in Edge Computing"); docs/design.md tells what is kept and changed, and when.
+Heterogeneous Utility Jobs in Edge Computing"); docs/design/scheduler.md tells what is kept and changed.
 """
 
 from __future__ import annotations
@@ -18,10 +18,10 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
-from cottonhold import interface as io
-from cottonhold import state
-from cottonhold.interface import Effect, EngineState, Outcome
-from cottonhold.state import EngineView, Query
+from cottonhold.decide import interface as io
+from cottonhold.decide import state
+from cottonhold.decide.interface import Effect, EngineState, Outcome
+from cottonhold.decide.state import EngineView, Query
 
 EPSILON = 2.0  # speed slack; sets alpha = 3, so rounded densities pass from a factor of 4 on
 BETA = 0.2  # share of the slack that is reserved: tentative run time is 1.4 p
--- a/cottonhold/state.py
+++ b/cottonhold/decide/state.py
@@ -8,7 +8,7 @@
 from collections import deque
 from dataclasses import dataclass, field
 
-from cottonhold import interface as io
+from cottonhold.decide import interface as io
 
 FRESH_MS = 5.0  # so long what is left of the work out or held counts as it was: runs take far longer
 
--- a/cottonhold/node/bus.py
+++ b/cottonhold/discovery/bus.py
@@ -9,9 +9,9 @@
 import httptools
 import orjson
 
-from cottonhold import interface as io
-from cottonhold.node.counters import Counters
-from cottonhold.settings import NUMBER, WireError, read, word
+from cottonhold.config.settings import NUMBER, WireError, read, word
+from cottonhold.decide import interface as io
+from cottonhold.observe.counters import Counters
 
 HOLD_MS = 2000  # short, so that a silently cut link shows well within the 7 s after which news counts as told
 ANSWER_MS = 1000.0  # an answer later than this after the hold means that the link is dead
--- a/cottonhold/node/driver.py
+++ b/cottonhold/node/driver.py
@@ -11,13 +11,13 @@
 from collections.abc import Callable, Coroutine
 from typing import Any, Protocol
 
-from cottonhold import interface as io
-from cottonhold.node.bus import ANSWER_MS, HOLD_MS, Address, Bus
-from cottonhold.node.counters import Counters
+from cottonhold.config.settings import WireError
+from cottonhold.decide import interface as io
+from cottonhold.discovery.bus import ANSWER_MS, HOLD_MS, Address, Bus
 from cottonhold.node.engines import Connection
 from cottonhold.node.mysql import Front, Session
 from cottonhold.node.peers import Peers
-from cottonhold.settings import WireError
+from cottonhold.observe.counters import Counters
 
 CLIENT_BYTES, ENGINE_BYTES = 4096, 32768  # what one read takes
 DRAIN_BYTES = 256 * 1024  # what one read drops of a client that was told to go and still sends
--- a/cottonhold/node/engines.py
+++ b/cottonhold/node/engines.py
@@ -8,14 +8,14 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
-from cottonhold import interface as io
-from cottonhold.interface import EngineState, Outcome
-from cottonhold.node.bus import Address, Change
+from cottonhold.config.relay import Links
+from cottonhold.config.settings import REPORT
+from cottonhold.decide import interface as io
+from cottonhold.decide.interface import EngineState, Outcome
+from cottonhold.discovery.bus import Address, Change
 from cottonhold.node.clock import Clock, Timer
-from cottonhold.node.config import Links
-from cottonhold.node.counters import Counters
 from cottonhold.node.resp import RespError, RespReader, Rows, encode, read_count, read_fields, read_rows
-from cottonhold.settings import REPORT
+from cottonhold.observe.counters import Counters
 
 IDLE_MARGIN_MS = 2000.0  # so long before its idle limit a connection gets nothing new: it may just be closing
 SILENT_MS = 1000.0  # a connection silent for so long when its engine is told gone has lost what was out on it
--- a/cottonhold/node/gateway.py
+++ b/cottonhold/node/gateway.py
@@ -11,14 +11,14 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from cottonhold import interface as io
-from cottonhold.interface import Outcome
-from cottonhold.node.bus import Change
+from cottonhold.decide import interface as io
+from cottonhold.decide.interface import Outcome
+from cottonhold.decide.scheduler import Scheduler
+from cottonhold.discovery.bus import Change
 from cottonhold.node.clock import Clock
-from cottonhold.node.counters import Counters
 from cottonhold.node.engines import Attempt, Engines
 from cottonhold.node.resp import Rows
-from cottonhold.scheduler import Scheduler
+from cottonhold.observe.counters import Counters
 
 # Danger: in a burst one turn of the loop takes 100 ms. A request is read a turn late, its time-out is seen a
 # turn late, and the answer takes two more: it came after the client's limit and was lost. So the module is
--- a/cottonhold/node/mysql.py
+++ b/cottonhold/node/mysql.py
@@ -8,12 +8,12 @@
 from collections import deque
 from typing import Protocol
 
-from cottonhold import interface as io
+from cottonhold.decide import interface as io
 from cottonhold.node.clock import Clock
-from cottonhold.node.counters import Counters
 from cottonhold.node.gateway import DuplicateRef, Gateway, Request, Taken
 from cottonhold.node.resp import Rows
 from cottonhold.node.statement import FieldError, Statement, parse
+from cottonhold.observe.counters import Counters
 
 VERSION = b"8.0.0-cottonhold"
 USER, DATABASE = b"app", b"dw"
--- a/cottonhold/node/peers.py
+++ b/cottonhold/node/peers.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from cottonhold import interface as io
-from cottonhold.node.bus import Address
-from cottonhold.node.counters import Counters
+from cottonhold.decide import interface as io
+from cottonhold.discovery.bus import Address
+from cottonhold.observe.counters import Counters
 
 MOST_BYTES = 256
 
--- /dev/null
+++ b/cottonhold/observe/__init__.py
@@ -0,0 +1,1 @@
+"""What operators see: log lines and counts."""
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -13,14 +13,14 @@
 from collections.abc import Callable
 from fnmatch import fnmatchcase
 
-from cottonhold import interface as io
-from cottonhold.node.bus import Address, Change
-from cottonhold.node.config import Links
-from cottonhold.node.counters import Counters
+from cottonhold.config.relay import Links
+from cottonhold.decide import interface as io
+from cottonhold.discovery.bus import Address, Change
 from cottonhold.node.engines import Connection, Engines
 from cottonhold.node.gateway import Gateway
 from cottonhold.node.mysql import Front, Session
 from cottonhold.node.resp import RespReader, encode
+from cottonhold.observe.counters import Counters
 
 READ = io.QueryClass("lookup", aim=1000, deadline=5000, worth=1.0)
 LOAD = io.QueryClass("load", 3000, 25000, worth=6.0, effect=io.Effect.UNSAFE, in_order=True)
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -11,7 +11,7 @@
 import pytest
 
 from cottonhold import adapter
-from cottonhold.interface import Effect, Outcome, Probed, WhenShort
+from cottonhold.decide.interface import Effect, Outcome, Probed, WhenShort
 
 ROOT = Path(__file__).parent.parent
 PARAMS: dict[str, Any] = {
@@ -162,7 +162,7 @@
     def broken(*_: object) -> None:
         raise RuntimeError("broken on purpose")
 
-    monkeypatch.setattr("cottonhold.scheduler.Scheduler.step", broken)
+    monkeypatch.setattr("cottonhold.decide.scheduler.Scheduler.step", broken)
     _, out, _ = serve(tick(1), HELLO, TURN)
     assert out[0] == {
         "event_type": "GIVE_IN",
@@ -172,7 +172,7 @@
 
 
 def test_the_module_stays_within_its_size() -> None:
-    lines = (ROOT / "cottonhold" / "scheduler.py").read_text().splitlines()
+    lines = (ROOT / "cottonhold" / "decide" / "scheduler.py").read_text().splitlines()
     assert sum(1 for line in lines if line.strip()) <= 860
     assert max(map(len, lines)) <= 110
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from cottonhold.interface import Outcome
+from cottonhold.decide.interface import Outcome
 from cottonhold.node.engines import MOST_GIVEN_UP
 from cottonhold.node.mysql import MOST_PACKET, ROOM_STEP
 from tests.scenario import LOGIN, Client, World, packet
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -14,16 +14,16 @@
 import orjson
 import pytest
 
-from cottonhold import interface as io
-from cottonhold.node.bus import Address, Bus, Change, Names
-from cottonhold.node.config import ConfigError, load
-from cottonhold.node.counters import Counters
+from cottonhold.config.relay import ConfigError, load
+from cottonhold.config.settings import WireError
+from cottonhold.decide import interface as io
+from cottonhold.discovery.bus import Address, Bus, Change, Names
 from cottonhold.node.driver import Driver, Wire
-from cottonhold.node.log import BURST, Log
 from cottonhold.node.peers import Peers
 from cottonhold.node.resp import RespError, RespReader, encode
 from cottonhold.node.statement import parse, table_group
-from cottonhold.settings import WireError
+from cottonhold.observe.counters import Counters
+from cottonhold.observe.log import BURST, Log
 from tests.scenario import LOGIN, World, packet
 from tests.test_adapter import PARAMS
 
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -9,8 +9,8 @@
 import pytest
 
 from cottonhold import Scheduler
-from cottonhold import interface as io
-from cottonhold.scheduler import THREADS_PER_CORE
+from cottonhold.decide import interface as io
+from cottonhold.decide.scheduler import THREADS_PER_CORE
 
 ROOM = math.ceil(8 * THREADS_PER_CORE)  # threads that fill the one engine of 8 cores
 LOOKUP = io.QueryClass("lookup", aim=1000, deadline=5000, worth=1.0, late_worth=0.1)
--- a/tests/test_signals.py
+++ b/tests/test_signals.py
@@ -8,7 +8,7 @@
 import pytest
 
 from cottonhold import Scheduler
-from cottonhold import interface as io
+from cottonhold.decide import interface as io
 from tests.test_scheduler import LOOKUP, PERMITS, arrival, ended, engines, sends, settings
 
 ASKING = dataclasses.replace(PERMITS, probes=True, max_attempts=5)
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -9,7 +9,7 @@
 import pytest
 
 from cottonhold import Scheduler
-from cottonhold import interface as io
+from cottonhold.decide import interface as io
 from tests.test_scheduler import LOOKUP, PERMITS, RULES, answers, arrival, ended, engines, sends, settings
 
 REPORT = dataclasses.replace(LOOKUP, name="report", aim=4000.0, deadline=20000.0, worth=6.0, threads=2)
