--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,11 @@
-.PHONY: build test lint run
+.PHONY: build demo test lint run
 
 build:
 	sh -c "$$(sed -n 's/^build = "\(.*\)"$$/\1/p' deploy/balancer.toml)"
 
+demo:
+	bash deploy/demo.sh
+
 test:
 	bash .ci/run
 
--- /dev/null
+++ b/cottonhold/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line: parses, calls, prints."""
--- /dev/null
+++ b/cottonhold/cli/main.py
@@ -0,0 +1,92 @@
+"""`cottonhold`: the command line of other installations. Thin: each command parses, calls one part, and
+prints.
+
+Exit codes: 0 done, 1 it failed, 2 the configuration or the command can't be used.
+"""
+
+from __future__ import annotations
+
+import json
+import sys
+from pathlib import Path
+from typing import Annotated
+
+import typer
+
+from cottonhold.cli import emulate
+
+app = typer.Typer(
+    help="A dispatcher between clients and a fleet of query engines.",
+    no_args_is_help=True,
+    add_completion=False,
+    pretty_exceptions_enable=False,
+)
+app.add_typer(emulate.app, name="emulate")
+FileArgument = Annotated[Path, typer.Argument(help="A Jsonnet template, or plain JSON.", metavar="FILE")]
+
+
+@app.command()
+def serve(
+    config: Annotated[
+        Path | None, typer.Option("--config", help="The configuration; without it RELAY_CONFIG counts.")
+    ] = None,
+) -> None:
+    """Run one dispatcher until SIGTERM; SIGHUP reloads."""
+    if config is None:
+        from cottonhold.__main__ import serve as serve_relay
+
+        raise typer.Exit(serve_relay())
+    from cottonhold.node.installation import serve as serve_installation
+
+    raise typer.Exit(serve_installation(config))
+
+
+@app.command()
+def check(file: FileArgument) -> None:
+    """Check a configuration: one line a problem, and code 2 if there are any."""
+    from cottonhold.config.installation import Unusable, read
+
+    try:
+        installation = read(file)
+    except Unusable as error:
+        for problem in error.problems:
+            print(problem)
+        raise typer.Exit(2) from None
+    sources = ", ".join(name for name, _ in installation.sources)
+    classes = ", ".join(c.name for c in installation.file.classes)
+    print(f"{file}: good: {installation.file.name}, sources {sources}, classes {classes}")
+
+
+@app.command()
+def show(
+    file: FileArgument,
+    defaults: Annotated[bool, typer.Option("--defaults", help="With every default filled in.")] = False,
+) -> None:
+    """Print a configuration's evaluated values, tokens hidden."""
+    import msgspec
+
+    from cottonhold.config.installation import Unusable, read, values
+
+    try:
+        shown = msgspec.to_builtins(read(file).file) if defaults else values(file)
+    except Unusable as error:
+        for problem in error.problems:
+            print(problem, file=sys.stderr)
+        raise typer.Exit(2) from None
+    print(json.dumps(_hide(shown), indent=2, ensure_ascii=False))
+
+
+def _hide(value: object) -> object:
+    """Sections without what is named like a secret; the names of secret files may be seen."""
+    if isinstance(value, dict):
+        return {key: "(hidden)" if key == "token" and inner else _hide(inner) for key, inner in value.items()}
+    return [_hide(inner) for inner in value] if isinstance(value, list | tuple) else value
+
+
+def main() -> None:
+    """The console script."""
+    app()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/cottonhold/config/installation.py
@@ -0,0 +1,304 @@
+"""The configuration of another installation: template -> values -> sections -> what the program's parts
+take.
+"""
+
+from __future__ import annotations
+
+import secrets
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from cottonhold.config import contradictions, schema
+from cottonhold.config.decode import decode
+from cottonhold.config.locate import lines_of
+from cottonhold.config.problems import Problem, path_text
+from cottonhold.config.relay import Config, Links
+from cottonhold.config.template import evaluate
+from cottonhold.decide import interface as io
+from cottonhold.discovery.bus import SOURCE
+from cottonhold.discovery.consul.checks import Reading
+from cottonhold.discovery.consul.registration import RegistrationSettings
+from cottonhold.discovery.consul.watch import WatchSettings
+from cottonhold.discovery.model import Address, Guard, Names, Observation, Report, Verdict
+
+MOST_SECRET = 4096
+
+
+class Unusable(Exception):
+    """A configuration with problems, all of them."""
+
+    def __init__(self, problems: list[Problem]) -> None:
+        super().__init__("\n".join(map(str, problems)))
+        self.problems = problems
+
+
+@dataclass(slots=True, frozen=True)
+class Watched:
+    """A Consul source: what is watched, how its entries are read, and how its server is checked."""
+
+    settings: WatchSettings
+    reading: Reading
+    guard: Guard
+    tls: schema.Tls | None
+
+
+@dataclass(slots=True, frozen=True)
+class Installation:
+    """All that `serve` needs. `sources` are in the order of their precedence; `secrets` are never to be
+    printed.
+    """
+
+    file: schema.File
+    config: Config
+    sources: tuple[tuple[str, Guard], ...]
+    watched: tuple[Watched, ...]
+    known: tuple[Observation, ...]
+    registration: RegistrationSettings | None
+    registration_tls: schema.Tls | None
+    secrets: tuple[str, ...]
+
+
+def read(path: Path) -> Installation:
+    """The configuration in a file. Raises Unusable with every problem found."""
+    value, problems = evaluate(path)
+    if problems:
+        raise Unusable(problems)
+    lines = lines_of(path.read_text(encoding="utf-8"))
+
+    def report(where: tuple[str | int, ...], why: str) -> None:
+        line = lines.get(where, 0)
+        above = where[:-1]
+        while not line and above and "is missing" in why:  # what isn't there has the line of what lacks it
+            line, above = lines.get(above, 0), above[:-1]
+        problems.append(Problem(str(path), path_text(where), why, line))
+
+    file: schema.File | None = decode(value, schema.File, report)
+    if file is not None:
+        contradictions.check(file, report)
+        installation = _build(file, path.resolve().parent, report)
+        if not problems:
+            return installation
+    raise Unusable(sorted(problems, key=lambda p: (p.line == 0, p.line, p.path)))
+
+
+def values(path: Path) -> Any:
+    """The evaluated values of a file, for `show`. Raises Unusable."""
+    value, problems = evaluate(path)
+    if problems:
+        raise Unusable(problems)
+    return value
+
+
+def _build(file: schema.File, folder: Path, report: contradictions.Report) -> Installation:
+    names = Names(file.zones, tuple(m.name for m in file.machine_types))
+    watched: list[Watched] = []
+    sources: list[tuple[str, Guard]] = []
+    bus: Address | None = None
+    for i, source in enumerate(file.sources):
+        if isinstance(source, schema.ConsulSource):
+            watched.append(_watched(source, folder, ("sources", i), report))
+            sources.append((source.name, watched[-1].guard))
+        else:
+            bus = _address(source.address)
+            sources.append((SOURCE, Guard(trusted=True)))
+    if not sources:
+        sources.append(("known", Guard(trusted=True)))
+    seed = secrets.randbits(64) if file.seed is None else file.seed
+    peers = file.peers
+    config = Config(
+        name=file.name,
+        listen=_address(file.listen),
+        seed=seed,
+        sockets=file.sockets,
+        peer_listen=_address(peers.listen) if peers else None,
+        peers=tuple(_address(a) for a in peers.all) if peers else (),
+        peers_all=None,
+        bus=bus,
+        offset=0,
+        known=(),
+        names=names,
+        settings=_settings(file),
+        links=Links(file.links.idle_ms, file.links.connect_ms, file.links.streams),
+    )
+    registration, tls = None, None
+    if file.register is not None:
+        registration = _registration(file, file.register, folder, report)
+        tls = _tls(file.register.tls, folder, ("register",), report)
+    tokens = [w.settings.token for w in watched] + ([registration.token] if registration else [])
+    return Installation(
+        file=file,
+        config=config,
+        sources=tuple(sources),
+        watched=tuple(watched),
+        known=tuple(_known(k, names) for k in file.known),
+        registration=registration,
+        registration_tls=tls,
+        secrets=tuple(sorted({token for token in tokens if token})),
+    )
+
+
+def _watched(
+    source: schema.ConsulSource, folder: Path, path: tuple[str | int, ...], report: contradictions.Report
+) -> Watched:
+    guard = source.guard
+    return Watched(
+        settings=WatchSettings(
+            name=source.name,
+            addresses=tuple(_address(a) for a in source.addresses),
+            service=source.service,
+            datacenter=source.datacenter,
+            filter=source.filter,
+            tag=source.tag,
+            consistency=source.consistency,
+            token=source.token or _secret(source.token_file, folder, (*path, "token_file"), report),
+            wait=source.wait_ms,
+            first=source.first_byte_ms,
+            rest=source.rest_ms,
+            pause=source.pause_ms,
+            pause_most=source.pause_most_ms,
+            gap=source.gap_ms,
+            stale_most=source.stale_most_ms,
+            most_bytes=source.most_bytes,
+        ),
+        reading=Reading(
+            warning=Verdict(source.warning),
+            unchecked=Verdict(source.unchecked),
+            by_node=source.id_from == "node/service",
+            zone=source.zone,
+        ),
+        guard=Guard(
+            floor=guard.floor,
+            quiet=guard.quiet_ms,
+            quiet_most=guard.quiet_most_ms,
+            flap_half=guard.flap_half_ms,
+            jitter=guard.jitter,
+        ),
+        tls=_tls(source.tls, folder, path, report),
+    )
+
+
+def _registration(
+    file: schema.File, register: schema.Register, folder: Path, report: contradictions.Report
+) -> RegistrationSettings:
+    return RegistrationSettings(
+        agent=_address(register.agent),
+        id=register.id or file.name,
+        service=register.service,
+        address=_address(register.address or file.listen),
+        tags=register.tags,
+        meta=register.meta,
+        token=register.token or _secret(register.token_file, folder, ("register", "token_file"), report),
+        ttl=register.ttl_ms,
+        lag=register.lag_ms,
+        forget=register.forget_ms,
+    )
+
+
+def _address(text: str) -> Address:
+    host, _, port = text.rpartition(":")
+    return Address(host.strip("[]"), int(port))
+
+
+def _known(known: schema.Known, names: Names) -> Observation:
+    return Observation(
+        known.id,
+        Verdict.IN,
+        "known from the configuration",
+        _address(known.address),
+        zone=names.zone(known.zone),
+        model=names.model(known.machine_type),
+        size=known.size,
+    )
+
+
+def _secret(name: str, folder: Path, path: tuple[str | int, ...], report: contradictions.Report) -> str:
+    if not name:
+        return ""
+    try:
+        with (folder / name).open(encoding="ascii") as file:
+            text = file.read(MOST_SECRET).strip()
+    except (OSError, UnicodeDecodeError) as error:
+        report(path, f"can't be read: {getattr(error, 'strerror', None) or 'not plain text'}")
+        return ""
+    if not text or any(ord(c) < 33 for c in text):
+        report(path, "holds no token, or more than one word")
+    return text
+
+
+def _tls(
+    tls: schema.Tls | None, folder: Path, path: tuple[str | int, ...], report: contradictions.Report
+) -> schema.Tls | None:
+    """The section with whole paths; files that aren't there are problems now, not at the first connection."""
+    if tls is None:
+        return None
+    found = {}
+    for field in ("ca_file", "cert_file", "key_file"):
+        name = getattr(tls, field)
+        found[field] = str(folder / name) if name else ""
+        if name and not (folder / name).is_file():
+            report((*path, "tls", field), f"there is no file '{name}'")
+    return schema.Tls(**found, server_name=tls.server_name)
+
+
+EFFECTS = {"safe": io.Effect.SAFE, "keyed": io.Effect.KEYED, "unsafe": io.Effect.UNSAFE}
+
+
+def _settings(file: schema.File) -> io.Settings:
+    """The decision module's settings."""
+    types = [m.name for m in file.machine_types]
+    permits, rules = file.permits, file.rules
+    return io.Settings(
+        classes=tuple(
+            io.QueryClass(
+                name=c.name,
+                aim=c.aim_ms,
+                deadline=c.deadline_ms,
+                worth=c.worth,
+                late_worth=c.late_worth,
+                aim_stretch=c.aim_stretch,
+                effect=EFFECTS[c.effect],
+                group=io.Group(c.group),
+                window=c.window_ms,
+                in_order=c.in_order,
+                zones=None
+                if c.zones is None
+                else tuple(file.zones.index(z) for z in c.zones if z in file.zones),
+                models=None
+                if c.machine_types is None
+                else tuple(types.index(m) for m in c.machine_types if m in types),
+                threads=c.threads,
+                loads=c.loads,
+                waits=c.waits,
+            )
+            for c in file.classes
+        ),
+        models=tuple(io.Model(m.cores, m.memory_mb) for m in file.machine_types) or (io.Model(),),
+        permits=io.Permits(
+            cancel=permits.cancel,
+            priorities=permits.priorities,
+            probes=permits.probes,
+            peers=file.peers is not None,
+            retry_after=permits.cooldown_most_ms > 0,
+            max_retry_after=permits.cooldown_most_ms,
+            max_attempts=permits.attempts,
+        ),
+        rules=io.Rules(
+            answer_slack=rules.answer_slack_ms,
+            drain_grace=rules.drain_grace_ms,
+            cold_from=rules.cold_from,
+            warm_within=rules.warm_within_ms,
+            overload_factor=rules.overload_factor,
+            tip_after=rules.tip_after_ms,
+            key_quiet=rules.key_quiet_ms,
+        ),
+        me=file.number,
+        gateways=file.dispatchers,
+        report_fields=file.report_fields,
+        cost_told=True,
+    )
+
+
+def known_report(installation: Installation) -> Report:
+    """The known engines as the one answer of an installation without sources."""
+    return Report(installation.sources[0][0], 0, installation.known, whole=True)
--- a/cottonhold/discovery/consul/answers.py
+++ b/cottonhold/discovery/consul/answers.py
@@ -45,12 +45,19 @@
     def __init__(self, names: Names, reading: Reading, malformed: Malformed) -> None:
         self.names, self.reading, self.malformed = names, reading, malformed
         self.digests: dict[bytes, str] = {}  # of the last answer's entries, and whose they are
+        self.last = b""  # the digest of the last answer that was read without fault
         self.decoded = 0  # entries decoded so far: what the cost of a change is measured by
 
     def read(self, body: bytes) -> Differences:
         """Take a health answer in. Raises WireError for a body that can't be used; then nothing has
         changed.
         """
+        # Danger: an index that hasn't moved doesn't prove that nothing changed: a server that lost its data
+        # told an empty list under the index of the full one, and the full one was then passed over as old
+        # news. The bytes are the proof.
+        last = xxhash.xxh3_128_digest(body)
+        if last == self.last:
+            return Differences((), ())
         digests: dict[bytes, str] = {}
         observations: list[Observation] = []
         unreadable = 0
@@ -77,12 +84,12 @@
                 digests.update((digest, id) for digest, id in self.digests.items() if id not in listed)
             else:
                 absent = gone
-        self.digests = digests
+        self.digests, self.last = digests, last if not unreadable else b""
         return Differences(tuple(_newest(observations)), absent)
 
     def forget(self) -> None:
         """The next answer is read whole, as after a change of what entries mean."""
-        self.digests = {}
+        self.digests, self.last = {}, b""
 
     def _cut(self, body: bytes) -> list[msgspec.Raw]:
         try:
--- a/cottonhold/discovery/consul/registration.py
+++ b/cottonhold/discovery/consul/registration.py
@@ -67,6 +67,10 @@
         if self.phase is not Phase.LEFT:
             self.phase, self.failures = Phase.LEAVING, 0
 
+    def over(self) -> bool:
+        """Whether nothing more is to be done."""
+        return self.phase is Phase.LEFT
+
     def call(self, lag_ms: float, open_requests: int) -> Call:
         """The next call, with how late the loop ran at worst since the last one."""
         s = self.settings
--- a/cottonhold/discovery/consul/watch.py
+++ b/cottonhold/discovery/consul/watch.py
@@ -129,8 +129,6 @@
             return []
         self.at_leader = False
         index = max(index, 1)
-        if self.index and index == self.told:
-            return [Report(s.name, index)]  # the wait is over and nothing has changed
         differences = self.answers.read(answer.body)
         self.dropped -= {o.id for o in differences.observations}
         self.dropped |= set(differences.absent)
--- /dev/null
+++ b/cottonhold/emulator/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of this project: models of what it serves, on loopback, with scripted faults."""
--- /dev/null
+++ b/cottonhold/emulator/consul/__init__.py
@@ -0,0 +1,1 @@
+"""A stand-in for Consul, from its published HTTP API."""
--- /dev/null
+++ b/cottonhold/emulator/engine.py
@@ -0,0 +1,158 @@
+"""A stand-in engine: speaks the engines' protocol, answers each query with one row, and counts what it
+ran.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import sys
+import time
+from typing import Any
+
+from cottonhold.node.resp import RespError, RespReader, encode
+
+TTL_S = 3.0
+
+
+class StandInEngine:
+    """One engine. `runs` counts executions by id; `arrivals` holds when each request came
+    (time.monotonic).
+    """
+
+    def __init__(self, id: str, work_ms: float = 5.0) -> None:
+        self.id, self.work_s = id, work_ms / 1000
+        self.runs: dict[str, int] = {}
+        self.arrivals: list[float] = []
+        self.probes = 0
+        self.out = 0
+        self.server: asyncio.Server | None = None
+        self.tasks: set[asyncio.Task[Any]] = set()
+
+    async def start(self, host: str = "127.0.0.1", port: int = 0) -> int:
+        """Listen; returns the port."""
+        self.server = await asyncio.start_server(self._serve, host, port)
+        return int(self.server.sockets[0].getsockname()[1])
+
+    async def stop(self) -> None:
+        """End as a process that dies: its connections break."""
+        if self.server is not None:
+            self.server.close()
+        for task in list(self.tasks):
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+    def _hold(self, task: asyncio.Task[Any]) -> None:
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self._hold(task)
+        words = RespReader()
+        open_here: dict[bytes, asyncio.TimerHandle] = {}
+        try:
+            while data := await reader.read(65536):
+                for request in words.feed(data):
+                    self._take(request, writer, open_here)
+                while words.partial() and (more := words.feed(b"")):
+                    for request in more:
+                        self._take(request, writer, open_here)
+        except (OSError, RespError, asyncio.CancelledError):
+            pass
+        finally:
+            for timer in open_here.values():
+                timer.cancel()
+            writer.close()
+
+    def _take(
+        self, words: list[bytes], writer: asyncio.StreamWriter, open_here: dict[bytes, asyncio.TimerHandle]
+    ) -> None:
+        verb, ref = words[0], words[1]
+        if verb == b"GET":
+            self.arrivals.append(time.monotonic())
+            self.runs[ref.decode()] = self.runs.get(ref.decode(), 0) + 1
+            self.out += 1
+            loop = asyncio.get_running_loop()
+            open_here[ref] = loop.call_later(self.work_s, self._done, ref, writer, open_here)
+        elif verb in (b"PING", b"LOAD"):
+            self.probes += 1
+            writer.write(encode(ref, b"green", f"gauges=inflight:{self.out};util:0.1".encode(), b""))
+        elif verb == b"DROP" and (timer := open_here.pop(ref, None)):
+            timer.cancel()
+            self.out -= 1
+
+    def _done(
+        self, ref: bytes, writer: asyncio.StreamWriter, open_here: dict[bytes, asyncio.TimerHandle]
+    ) -> None:
+        open_here.pop(ref, None)
+        self.out -= 1
+        if not writer.is_closing():
+            fields = f"count=1,ticks={self.work_s * 1000:.0f},footprint=1".encode()
+            writer.write(encode(ref, b"served", fields, b"%b\t%b\tok\n" % (self.id.encode(), ref)))
+
+
+async def _register(agent: str, id: str, service: str, address: tuple[str, int]) -> None:
+    """Register at an agent with a TTL check and keep it passing."""
+    host, _, port = agent.rpartition(":")
+    started = str(int(time.time() * 1000))
+    body = {
+        "ID": id,
+        "Name": service,
+        "Address": address[0],
+        "Port": address[1],
+        "Meta": {"started_at_ms": started},
+        "Check": {"CheckID": f"ttl:{id}", "TTL": f"{TTL_S:g}s", "Status": "passing"},
+    }
+    await _put(host, int(port), "/v1/agent/service/register", body)
+    while True:
+        await asyncio.sleep(TTL_S / 3)
+        if await _put(host, int(port), f"/v1/agent/check/update/ttl:{id}", {"Status": "passing"}) != 200:
+            await _put(host, int(port), "/v1/agent/service/register", body)
+
+
+async def _put(host: str, port: int, path: str, body: dict[str, Any]) -> int:
+    """The status of a PUT; 0 if there was no answer."""
+    data = json.dumps(body).encode()
+    try:
+        reader, writer = await asyncio.open_connection(host, port)
+        head = f"PUT {path} HTTP/1.1\r\nHost: {host}\r\nContent-Length: {len(data)}\r\n\r\n"
+        writer.write(head.encode() + data)
+        line = await reader.readline()
+        writer.close()
+        return int(line.split()[1])
+    except (OSError, ValueError, IndexError):
+        return 0
+
+
+def run(listen: str, id: str, consul: str, service: str, work_ms: float) -> int:
+    """Serve until SIGTERM."""
+    host, _, port = listen.rpartition(":")
+
+    async def main() -> None:
+        engine, ended = StandInEngine(id, work_ms), asyncio.Event()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, ended.set)
+        at = await engine.start(host, int(port))
+        print(f"engine {id} ({os.getpid()}) listens at {host}:{at}", flush=True)
+        entry = asyncio.create_task(_register(consul, id, service, (host, at))) if consul else None
+        await ended.wait()
+        if entry is not None:
+            entry.cancel()
+            agent, _, agent_port = consul.rpartition(":")
+            await _put(agent, int(agent_port), f"/v1/agent/service/deregister/{id}", {})
+        await engine.stop()
+        print(
+            f"engine {id} ran {sum(engine.runs.values())} queries, {len(engine.runs)} of them once",
+            flush=True,
+        )
+
+    try:
+        asyncio.run(main())
+    except OSError as error:
+        print(f"{listen}: {error}", file=sys.stderr)
+        return 1
+    return 0
--- /dev/null
+++ b/cottonhold/node/installation.py
@@ -0,0 +1,211 @@
+"""A dispatcher of another installation: the platform's one, with Consul, a structured log and a file that
+reloads.
+
+Imported only by `cottonhold serve`; the platform's `run` never comes here.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import sys
+from collections.abc import Awaitable, Iterable
+from pathlib import Path
+
+import uvloop
+
+from cottonhold.config import schema
+from cottonhold.config.installation import Installation, Unusable, Watched, known_report, read
+from cottonhold.discovery.consul.answers import Answers
+from cottonhold.discovery.consul.registration import Registration
+from cottonhold.discovery.consul.watch import Watch
+from cottonhold.discovery.model import Event, Publish
+from cottonhold.node import consul
+from cottonhold.node.dispatcher import Dispatcher
+from cottonhold.node.http import Tls
+from cottonhold.observe.counters import Counters
+from cottonhold.observe.structured import StructuredLog
+
+FIRST_ANSWER_S = (
+    10.0  # without a known list: so long a source may take before it is said that nobody is known
+)
+RELOADED = ("sources", "known", "log", "register")  # what a reload takes over; the rest needs a restart
+
+
+def tls_of(section: schema.Tls | None) -> Tls | None:
+    """The rim's form of a TLS section."""
+    if section is None:
+        return None
+    return Tls(section.ca_file, section.cert_file, section.key_file, section.server_name)
+
+
+class ServedInstallation(Dispatcher):
+    """One dispatcher with its Consul sources."""
+
+    def __init__(
+        self, path: Path, installation: Installation, log: StructuredLog, loop: asyncio.AbstractEventLoop
+    ) -> None:
+        super().__init__(installation.config, Counters(), loop, log, installation.sources)
+        self.path, self.installation, self.structured = path, installation, log
+        self.watches: dict[str, tuple[Watched, Watch, asyncio.Task[None]]] = {}
+        self.entry: consul.Entry | None = None
+
+    # --- sources ---
+
+    def follow(self) -> None:
+        """Serve the known engines, follow all sources, and register."""
+        if self.installation.known:
+            if self.installation.file.sources:
+                self.believe_known()
+            else:
+                self.believe([known_report(self.installation)])
+        super().follow()
+        for watched in self.installation.watched:
+            self._watch(watched)
+        if self.installation.registration is not None:
+            self.entry = consul.Entry(
+                self.driver,
+                Registration(self.installation.registration),
+                tls_of(self.installation.registration_tls),
+                lambda: self.gateway.open,
+                self.log.note,
+            )
+            self.driver.spawn(self.entry.keep())
+        self.driver.loop.call_later(FIRST_ANSWER_S, self._report_silence)
+
+    def believe_known(self) -> None:
+        """The list from the file stands for the answer that no source has given yet."""
+        now = self.driver.clock.now()
+        for action in self.belief.seed_known(now, self.installation.known):
+            if isinstance(action, Publish):
+                self.gateway.change_list(action.change)
+
+    def _watch(self, watched: Watched) -> None:
+        settings = watched.settings
+        answers = Answers(self.config.names, watched.reading, lambda why: self._malformed(settings.name, why))
+        watch = Watch(settings, answers, self.config.seed)
+        work = consul.follow(self.driver, watch, tls_of(watched.tls), self.believe, self.counters)
+        self.watches[settings.name] = (watched, watch, self.driver.spawn(work))
+
+    def _malformed(self, source: str, why: str) -> None:
+        self.counters.add("consul_malformed")
+        self.log.note("entry_malformed", source=source, why=why)
+
+    def believe(self, events: Iterable[Event]) -> None:
+        """As the dispatcher does; a task that ends late may tell of a source that a reload took out."""
+        known = [event for event in events if event.source in self.belief.views]
+        super().believe(known)
+
+    def confirm(self, source: str) -> None:
+        """Ask the catalogue before the next health call."""
+        if source in self.watches:
+            self.watches[source][1].confirm()
+
+    def _report_silence(self) -> None:
+        """Danger: a dispatcher that knows nobody refuses everything, and nobody would know why."""
+        for name, view in self.belief.views.items():
+            if view.answers == 0:
+                self.log.note(
+                    "source_unheard",
+                    source=name,
+                    after_s=FIRST_ANSWER_S,
+                    engines_known=len(self.belief.standing),
+                )
+
+    def leave(self) -> Iterable[Awaitable[object]]:
+        """The entry goes first, so that fronts which read Consul send their clients elsewhere."""
+        return () if self.entry is None else (asyncio.wait_for(self.entry.leave(), 3.0),)
+
+    # --- reload ---
+
+    def reload(self) -> None:
+        """Read the file again. A bad one is one line a problem and changes nothing."""
+        try:
+            new = read(self.path)
+        except Unusable as error:
+            self.counters.add("reloads_failed")
+            for problem in error.problems:
+                self.log.note("reload_refused", problem=str(problem))
+            return
+        self.counters.add("reloads")
+        old, self.installation = self.installation, new
+        log = new.file.log
+        self.structured.reset(log.format, log.per_second, log.burst, new.secrets)
+        later = [
+            field
+            for field in schema.File.__struct_fields__
+            if field not in RELOADED and getattr(old.file, field) != getattr(new.file, field)
+        ]
+        self.log.note("reloaded", restart_needed_for=",".join(later) or "nothing")
+        self._reload_sources(new)
+        self._reload_entry(old, new)
+
+    def _reload_sources(self, new: Installation) -> None:
+        for name, (watched, watch, task) in list(self.watches.items()):
+            kept = next((w for w in new.watched if w.settings.name == name), None)
+            if kept is None:
+                task.cancel()
+                del self.watches[name]
+            elif kept != watched:
+                task.cancel()
+                self._watch(kept)
+                # What was read stays known, so that the first answer of the new watch is compared with it.
+                if kept.reading == watched.reading:
+                    self.watches[name][1].answers.digests = watch.answers.digests
+        now = self.driver.clock.now()
+        for action in self.belief.reload(now, new.sources):
+            if isinstance(action, Publish):
+                self.gateway.change_list(action.change)
+        for watched in new.watched:
+            if watched.settings.name not in self.watches:
+                self._watch(watched)
+        if self.following is not None:
+            self.following.cancel()
+            self.following = None
+        if new.config.bus is not None:
+            self.bus.host = new.config.bus.host
+            self.following = self.driver.spawn(self.driver.follow(self.bus, new.config.bus))
+
+    def _reload_entry(self, old: Installation, new: Installation) -> None:
+        """A token may change in place; another entry needs a restart, since clients hold its address."""
+        if self.entry is None or new.registration is None or old.registration is None:
+            return
+        same = (new.registration.id, new.registration.agent) == (old.registration.id, old.registration.agent)
+        if same:
+            self.entry.registration.settings = new.registration
+
+
+def serve(path: Path) -> int:
+    """Run one dispatcher by its file; 2 if the file can't be used, 1 if its address can't."""
+    try:
+        installation = read(path)
+    except Unusable as error:
+        print(error, file=sys.stderr)
+        return 2
+    settings = installation.file.log
+    log = StructuredLog(
+        settings.format,
+        settings.per_second,
+        settings.burst,
+        installation.secrets,
+        name=installation.file.name,
+    )
+
+    async def main() -> None:
+        loop = asyncio.get_running_loop()
+        dispatcher = ServedInstallation(path, installation, log, loop)
+        dispatcher.handle_signals(loop)
+        log.note("start", listen=installation.file.listen, sources=len(installation.sources))
+        gc.collect()
+        gc.freeze()  # as the platform's program does
+        try:
+            await dispatcher.run()
+        finally:
+            dispatcher.print_counters()
+
+    try:
+        uvloop.run(main())
+    except OSError as error:
+        print(f"cottonhold: {installation.file.name}: {error}", file=sys.stderr)
+        return 1
+    return 0
--- /dev/null
+++ b/tests/config/test_installation.py
@@ -0,0 +1,231 @@
+"""Configuration files: every problem at once, each with its line; nothing loaded from outside."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+
+import pytest
+from typer.testing import CliRunner
+
+from cottonhold.cli.main import app
+from cottonhold.config.installation import Unusable, read
+from cottonhold.config.locate import lines_of
+from cottonhold.discovery.model import Address, Verdict
+
+GOOD = """
+local base = { aim_ms: 1000, deadline_ms: 5000 };
+{
+  name: 'n1',
+  listen: '127.0.0.1:3306',
+  seed: 7,
+  zones: ['z1', 'z2'],
+  machine_types: [{ name: 'std', cores: 8, memory_mb: 100 }],
+  classes: [
+    base { name: 'lookup', effect: 'safe' },
+    base { name: 'load', loads: true, in_order: true },
+  ],
+  sources: [
+    { kind: 'consul', name: 'dc1', addresses: ['127.0.0.1:1', '[::1]:8500'], service: 'engine', zone: 'z1' },
+  ],
+}
+"""
+
+
+def write(folder: Path, text: str, name: str = "c.jsonnet") -> Path:
+    path = folder / name
+    path.write_text(text)
+    return path
+
+
+def problems(path: Path) -> list[str]:
+    with pytest.raises(Unusable) as caught:
+        read(path)
+    return [str(p).replace(str(path), "F") for p in caught.value.problems]
+
+
+def test_a_good_file_becomes_what_the_parts_take(tmp_path: Path) -> None:
+    got = read(write(tmp_path, GOOD))
+    assert got.config.listen == Address("127.0.0.1", 3306) and got.config.seed == 7
+    assert [c.name for c in got.config.settings.classes] == ["lookup", "load"]
+    assert got.watched[0].settings.addresses[1] == Address("::1", 8500)
+    assert got.sources[0][0] == "dc1" and not got.sources[0][1].trusted
+    assert got.watched[0].reading.zone == "z1" and got.watched[0].reading.warning is Verdict.IN
+
+
+# What is changed in the good file, and the lines that come of it: the deliberately bad files.
+BAD: list[tuple[str, str, list[str]]] = [
+    ("name: 'n1'", "name: ''", ["F:4: name: Expected a text matching regex"]),
+    ("name: 'n1',", "", ["F: name: is missing"]),
+    ("listen: '127.0.0.1:3306'", "listen: '127.0.0.1'", ["F:5: listen: Expected a text matching regex"]),
+    ("listen: '127.0.0.1:3306'", "listen: '127.0.0.1:0'", ["F:5: listen: '127.0.0.1:0' names no port"]),
+    ("seed: 7", "seed: 'x'", ["F:6: seed: Expected 'int"]),
+    ("seed: 7", "sead: 7", ["F:6: sead: unknown field; is it 'seed'?"]),
+    ("zones: ['z1', 'z2']", "zones: ['z1', 'z1']", ["F:7: zones[1]: 'z1' is there already, as zones[0]"]),
+    ("zones: ['z1', 'z2']", "zones: ['z2']", ["F:14: sources[0].zone: 'z1' isn't in zones"]),
+    ("cores: 8", "cores: -1", ["F:8: machine_types[0].cores: Expected 'int' >= 0"]),
+    (
+        "effect: 'safe'",
+        "effect: 'maybe'",
+        ["F:10: classes[0].effect: must be one of 'safe', 'keyed', 'unsafe'"],
+    ),
+    ("effect: 'safe'", "effect: 'keyed'", ["F:10: classes[0].window_ms: is missing: a keyed class repeats"]),
+    (
+        "effect: 'safe'",
+        "window_ms: 5",
+        ["F:10: classes[0].window_ms: has no meaning where effect is 'unsafe'"],
+    ),
+    ("loads: true", "loads: true, effect: 'safe'", ["F:11: classes[1].effect: a load must not be 'safe'"]),
+    ("name: 'load'", "name: 'lookup'", ["F:11: classes[1]: 'lookup' is there already"]),
+    ("effect: 'safe'", "zones: ['z9']", ["F:10: classes[0].zones: 'z9' isn't in zones"]),
+    (
+        "effect: 'safe'",
+        "machine_types: ['x']",
+        ["F:10: classes[0].machine_types: 'x' isn't in machine_types"],
+    ),
+    ("effect: 'safe'", "deadline_ms: 10", ["F:10: classes[0].deadline_ms: 10 is shorter than aim_ms"]),
+    ("kind: 'consul'", "kind: 'etcd'", ["F:14: sources[0].kind: must be one of 'bus', 'consul', is 'etcd'"]),
+    ("kind: 'consul',", "", ["F:14: sources[0].kind: must be one of 'bus', 'consul', is missing"]),
+    ("service: 'engine'", "service: ''", ["F:14: sources[0].service: Expected a text of length >= 1"]),
+    ("service: 'engine'", "service: 'e', token: 'a b'", ["F:14: sources[0].token: holds a blank"]),
+    (
+        "service: 'engine'",
+        "service: 'e', token_file: 'none'",
+        ["F:14: sources[0].token_file: can't be read: No"],
+    ),
+    (
+        "service: 'engine'",
+        "service: 'e', token: 'a', token_file: 'good.token'",
+        ["F:14: sources[0].token_file: is given beside token"],
+    ),
+    (
+        "service: 'engine'",
+        "service: 'e', wait_ms: 1e9",
+        ["F:14: sources[0].wait_ms: Expected 'float' <= 600000"],
+    ),
+    (
+        "service: 'engine'",
+        "service: 'e', guard: { floor: 1 }",
+        ["F:14: sources[0].guard.floor: Expected 'float' <"],
+    ),
+    (
+        "service: 'engine'",
+        "service: 'e', guard: { quiet_ms: 9, quiet_most_ms: 8 }",
+        ["F:14: sources[0].guard.quiet_most_ms: is shorter than quiet_ms"],
+    ),
+    (
+        "service: 'engine'",
+        "service: 'e', tls: { ca_file: 'x' }",
+        ["F:14: sources[0].tls.ca_file: there is no file"],
+    ),
+    (
+        "service: 'engine'",
+        "service: 'e', tls: { key_file: 'good.token' }",
+        ["F:14: sources[0].tls.cert_file: is missing, though there is a key_file"],
+    ),
+    ("sources: [", "sources: [], unused:: [", ["F:13: sources: no source and no known engine"]),
+    (
+        "sources: [",
+        "sources: [{ kind: 'bus', address: 'h:1' }, { kind: 'bus', name: 'b', address: 'h:2' },",
+        ["F:13: sources[1]: only one event bus"],
+    ),
+    (
+        "sources: [",
+        "rules: { drain_grace_ms: 501 }, sources: [",
+        ["F:13: rules.drain_grace_ms: Expected 'float' <= 500"],
+    ),
+    ("sources: [", "number: 1, sources: [", ["F:13: number: is 1, but numbers count from 0 and there are 1"]),
+    (
+        "sources: [",
+        "known: [{ id: 'e', address: '127.0.0.1:3306' }], sources: [",
+        ["F:13: known[0].address: '127.0.0.1:3306' is where this dispatcher itself listens"],
+    ),
+    (
+        "sources: [",
+        "register: { agent: 'h:1', lag_ms: 7000 }, sources: [",
+        ["F:13: register.lag_ms: isn't shorter"],
+    ),
+    (
+        "sources: [",
+        "peers: { listen: 'h:1', all: ['h:2'] }, sources: [",
+        ["F:13: peers.listen: isn't peers.all[0]"],
+    ),
+    (
+        "sources: [",
+        "log: { format: 'xml' }, sources: [",
+        ["F:13: log.format: must be one of 'logfmt', 'json'"],
+    ),
+    ("name: 'n1'", "name: n1", ["F:4: Unknown variable: n1"]),
+    ("name: 'n1'", "name: error 'stop'", ["F:4: stop"]),
+    ("name: 'n1'", "name: import 'none.libsonnet'", ['F:4: couldn\'t open import "none.libsonnet"']),
+]
+
+
+@pytest.mark.parametrize(
+    "old, new, wanted", BAD, ids=[f"{i}-{new[:24]}" for i, (_, new, _) in enumerate(BAD)]
+)
+def test_a_bad_file_is_refused_with_its_line(tmp_path: Path, old: str, new: str, wanted: list[str]) -> None:
+    (tmp_path / "good.token").write_text("t")
+    assert old in GOOD
+    got = problems(write(tmp_path, GOOD.replace(old, new, 1)))
+    assert len(got) == len(wanted), got
+    for line, begin in zip(got, wanted, strict=True):
+        assert line.startswith(begin)
+
+
+def test_all_problems_come_at_once_in_the_order_of_their_lines(tmp_path: Path) -> None:
+    text = GOOD.replace("seed: 7", "seed: -1").replace("cores: 8", "coers: 8").replace("'safe'", "'no'")
+    got = problems(write(tmp_path, text))
+    assert [line.split(": ")[0] for line in got] == ["F:6", "F:8", "F:10"]
+
+
+def test_imports_stay_inside_the_folder(tmp_path: Path) -> None:
+    (tmp_path / "secret.libsonnet").write_text("{ hidden: 'treasure' }")
+    inside = tmp_path / "site"
+    inside.mkdir()
+    (inside / "part.libsonnet").write_text("{ seed: 9 }")
+    assert (
+        read(write(inside, GOOD.replace("{\n  name", "(import 'part.libsonnet') + {\n  name", 1))).config.seed
+        == 7
+    )
+    for target in ("../secret.libsonnet", str(tmp_path / "secret.libsonnet")):
+        for verb in ("import", "importstr"):
+            (line,) = problems(write(inside, GOOD.replace("'n1'", f"{verb} '{target}'")))
+            assert "lies outside the folder" in line and "treasure" not in line
+
+
+def test_a_template_without_end_is_an_error(tmp_path: Path) -> None:
+    (line,) = problems(write(tmp_path, "local f(x) = f(x + 1) + 1; f(0)"))
+    assert "max stack frames exceeded" in line.lower()
+
+
+def test_a_file_that_is_not_there_is_named(tmp_path: Path) -> None:
+    assert problems(tmp_path / "none") == ["F: can't be read: No such file or directory"]
+
+
+@pytest.mark.parametrize(
+    "text, path, line",
+    [
+        ("{\n a: 1,\n 'b': {\n  c: [1,\n   { d: 2 }] } }", ("b", "c", 1, "d"), 5),
+        ("local x = { a: 1 };\n// { a: 2 }\n/* {\n*/ x {\n a+: 3 }", ("a",), 5),
+        ("{ a: |||\n  text: { b: 1 }\n|||,\n b: 2 }", ("b",), 4),
+        ("{ a: [x for x in [\n{ b: 1 }]] }", ("a", 0, "b"), 0),
+        ("f({ a: 1 })", ("a",), 0),
+    ],
+)
+def test_where_a_field_is_written(text: str, path: tuple[str | int, ...], line: int) -> None:
+    assert lines_of(text).get(path, 0) == line
+
+
+def test_check_and_show_hide_tokens_and_end_with_their_codes(tmp_path: Path) -> None:
+    path = write(tmp_path, GOOD.replace("service: 'engine'", "service: 'engine', token: 'hush-hush'"))
+    run = CliRunner().invoke
+    good = run(app, ["check", str(path)])
+    assert good.exit_code == 0 and "good: n1, sources dc1, classes lookup, load" in good.output
+    for more in ([], ["--defaults"]):
+        shown = run(app, ["show", str(path), *more])
+        assert shown.exit_code == 0 and "hush" not in shown.output
+        assert json.loads(shown.output)["sources"][0]["token"] == "(hidden)"
+    bad = run(app, ["check", str(write(tmp_path, "{", "bad.jsonnet"))])
+    assert bad.exit_code == 2 and bad.output.count("\n") == 1 and "bad.jsonnet:1" in bad.output
+    assert run(app, ["serve", "--config", str(tmp_path / "none")]).exit_code == 2
--- /dev/null
+++ b/tests/discovery/test_consul_parts.py
@@ -0,0 +1,405 @@
+"""Consul's protocol without sockets: the table of states, answers, exchanges, the watch and the own entry."""
+
+from __future__ import annotations
+
+import gzip
+import json
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from cottonhold.config.settings import WireError
+from cottonhold.discovery.consul.answers import Answers
+from cottonhold.discovery.consul.checks import Reading
+from cottonhold.discovery.consul.exchange import Answer, Call, Exchange
+from cottonhold.discovery.consul.registration import Phase, Registration, RegistrationSettings
+from cottonhold.discovery.consul.watch import Watch, WatchSettings
+from cottonhold.discovery.model import Address, Lost, Names, Report, Verdict
+
+NAMES = Names(("z0", "z1"), ("std", "big"))
+SERF = {"CheckID": "serfHealth", "Status": "passing", "Output": "Agent alive"}
+
+
+def entry(id: str = "e1", *checks: dict[str, Any], service: dict[str, Any] | None = None, **meta: str) -> Any:
+    own = {"CheckID": f"check:{id}", "Status": "passing", "Output": "ok", "ServiceID": id}
+    return {
+        "Node": {"Node": "node-1", "Address": "10.0.0.1", "Datacenter": "z1"},
+        "Service": {"ID": id, "Port": 1000, "CreateIndex": 5, "Meta": meta, **(service or {})},
+        "Checks": [SERF, *(checks or [own])],
+    }
+
+
+def body(*entries: Any) -> bytes:
+    return json.dumps(entries).encode()
+
+
+def answers(reading: Reading | None = None) -> tuple[Answers, list[str]]:
+    malformed: list[str] = []
+    return Answers(NAMES, reading or Reading(), malformed.append), malformed
+
+
+def check(status: str, id: str = "check:e1", service: str = "e1", **more: str) -> dict[str, str]:
+    return {"CheckID": id, "Status": status, "ServiceID": service, "Output": "words", **more}
+
+
+@pytest.mark.parametrize(
+    "checks, reading, verdict, reason",
+    [
+        ([check("passing")], {}, Verdict.IN, "passing"),
+        ([check("warning")], {}, Verdict.IN, "check check:e1 is warning: words"),
+        ([check("warning")], {"warning": Verdict.TROUBLED}, Verdict.TROUBLED, "check check:e1 is warning"),
+        ([check("critical")], {}, Verdict.TROUBLED, "check check:e1 is critical: words"),
+        ([check("odd")], {}, Verdict.TROUBLED, "check check:e1 is 'odd', which isn't known"),
+        (
+            [check("passing"), check("critical", "serfHealth", "")],
+            {},
+            Verdict.TROUBLED,
+            "the node has failed",
+        ),
+        ([check("passing", "x", "other")], {}, Verdict.IN, "no check of its own"),
+        (
+            [check("passing", "x", "")],
+            {"unchecked": Verdict.TROUBLED},
+            Verdict.TROUBLED,
+            "no check of its own",
+        ),
+        (
+            [check("critical"), check("critical", "_service_maintenance:e1", notes="", Notes="disk swap")],
+            {},
+            Verdict.DRAINED,
+            "service maintenance: disk swap",
+        ),
+        (
+            [check("passing"), check("critical", "_node_maintenance", "")],
+            {},
+            Verdict.DRAINED,
+            "node maintenance: words",
+        ),
+    ],
+)
+def test_the_table_of_states(
+    checks: list[Any], reading: dict[str, Any], verdict: Verdict, reason: str
+) -> None:
+    reader, _ = answers(Reading(**reading))
+    (got,) = reader.read(body(entry("e1", *checks))).observations
+    assert got.verdict is verdict and got.reason.startswith(reason)
+
+
+def test_an_entry_becomes_an_observation() -> None:
+    reader, malformed = answers()
+    service = {"Address": "10.0.0.7", "Weights": {"Passing": 4, "Warning": 2}}
+    meta = {"machine_type": "big", "cell": "3", "started_at_ms": "1700000000000"}
+    got = reader.read(
+        body(entry(service=service, **meta), entry("e2", cell="x", started_at_ms="nan"))
+    ).observations
+    first, second = got
+    assert first.address == Address("10.0.0.7", 1000) and (first.zone, first.model, first.cell) == (1, 1, 3)
+    assert (first.size, first.started_at, first.process) == (4.0, 1.7e12, "1700000000000")
+    assert second.address == Address("10.0.0.1", 1000) and (second.cell, second.process) == (0, "")
+    assert not malformed
+
+
+def test_only_what_has_changed_is_decoded_and_told() -> None:
+    reader, _ = answers()
+    many = [entry(f"e{i}") for i in range(1000)]
+    assert len(reader.read(body(*many)).observations) == 1000
+    many[7] = entry("e7", check("critical", service="e7"))
+    del many[500]
+    got = reader.read(body(*reversed(many)))
+    assert [o.id for o in got.observations] == ["e7"] and got.absent == ("e500",)
+    assert reader.decoded == 1001
+
+
+@pytest.mark.parametrize(
+    "spoil", [{"Service": {"ID": "e1"}}, 7, {**entry(), "Checks": None}, entry(service={"Port": 0})]
+)
+def test_an_entry_that_cannot_be_read_is_counted_and_its_engine_is_not_absent(spoil: Any) -> None:
+    reader, malformed = answers()
+    reader.read(body(entry("e1"), entry("e2")))
+    got = reader.read(body(spoil, entry("e2")))
+    assert (got.observations, got.absent, len(malformed)) == ((), (), 1)
+    assert reader.read(body(entry("e2"))).absent == ("e1",)
+
+
+@pytest.mark.parametrize("bad", [b"", b"{}", b"[", b'[{"Node":\xff}]', b"7"])
+def test_an_answer_that_cannot_be_read_changes_nothing(bad: bytes) -> None:
+    reader, _ = answers()
+    reader.read(body(entry("e1")))
+    with pytest.raises(WireError):
+        reader.read(bad)
+    assert reader.read(body(entry("e1"))).observations == ()
+
+
+def test_while_an_engine_moves_the_later_registration_counts() -> None:
+    reader, _ = answers()
+    old, new = entry(), entry(service={"CreateIndex": 9, "Address": "10.0.0.9"})
+    for order in ((old, new), (new, old)):
+        reader.forget()
+        (got,) = reader.read(body(*order)).observations
+        assert got.address == Address("10.0.0.9", 1000)
+    by_node, _ = answers(Reading(by_node=True))
+    assert by_node.read(body(old)).observations[0].id == "node-1/e1"
+
+
+# --- exchanges ---
+
+
+def response(data: bytes, *headers: str, status: str = "200 OK") -> bytes:
+    lines = [f"HTTP/1.1 {status}", *(headers or [f"Content-Length: {len(data)}"]), "", ""]
+    return "\r\n".join(lines).encode() + data
+
+
+def chunked(data: bytes) -> bytes:
+    parts = [data[i : i + 7] for i in range(0, len(data), 7)]
+    return b"".join(b"%x\r\n%b\r\n" % (len(p), p) for p in parts) + b"0\r\n\r\n"
+
+
+@pytest.mark.parametrize("size", [1, 3, 10_000])
+@pytest.mark.parametrize(
+    "wire",
+    [
+        response(b"some text"),
+        response(chunked(b"some text"), "Transfer-Encoding: chunked"),
+        response(
+            chunked(gzip.compress(b"some text")), "Transfer-Encoding: chunked", "Content-Encoding: gzip"
+        ),
+    ],
+)
+def test_an_answer_comes_whole_however_it_is_cut(wire: bytes, size: int) -> None:
+    exchange = Exchange(1000)
+    got = [exchange.receive(wire[i : i + size]) for i in range(0, len(wire), size)]
+    assert got[-1] is not None and got[-1].body == b"some text" and not any(got[:-1]) and exchange.keep
+
+
+BOMB = gzip.compress(b"0" * 1_000_000)
+
+
+@pytest.mark.parametrize(
+    "wire, why",
+    [
+        (b"garbage\r\n\r\n", "can't be read"),
+        (response(b"x" * 1001), "more than 1000 bytes"),
+        (response(BOMB, f"Content-Length: {len(BOMB)}", "Content-Encoding: gzip"), "more than 1000 bytes"),
+        (response(b"12345", "Content-Length: 5", "Content-Encoding: gzip"), "compressed body can't be read"),
+        (response(b"12345", "Content-Length: 5", "Content-Encoding: br"), "wasn't asked for"),
+        (response(gzip.compress(b"abc")[:-9], "Content-Length: 14", "Content-Encoding: gzip"), "cut short"),
+        (response(b"", *[f"X-{i}: 1" for i in range(200)]), "too many headers"),
+        (response(b"a") + response(b"b"), "can't be read|more bytes"),
+    ],
+)
+def test_an_answer_that_makes_no_sense_is_refused(wire: bytes, why: str) -> None:
+    exchange = Exchange(1000)
+    with pytest.raises(WireError, match=why):
+        exchange.receive(wire)
+        exchange.receive(b"more")
+
+
+@settings(max_examples=200, deadline=None, derandomize=True)
+@given(st.binary(max_size=300), st.booleans())
+def test_any_bytes_are_an_answer_an_error_or_not_enough(data: bytes, with_head: bool) -> None:
+    exchange = Exchange(1000)
+    try:
+        exchange.receive(b"HTTP/1.1 200 OK\r\nContent-Encoding: gzip\r\n" + data if with_head else data)
+    except WireError:
+        pass
+
+
+def test_no_header_can_smuggle_a_line() -> None:
+    with pytest.raises(WireError):
+        Call("GET", "/", {"X-Consul-Token": "a\r\nX: b"}).encode("h")
+
+
+# --- the watch ---
+
+AGENTS = (Address("10.0.0.1", 8500), Address("10.0.0.2", 8500))
+
+
+def watch(**more: Any) -> Watch:
+    return Watch(WatchSettings("dc1", AGENTS, "engine", **more), answers()[0], 1)
+
+
+def ok(data: bytes, index: int | str = 7, **headers: str) -> Answer:
+    named = {k.replace("_", "-"): v for k, v in headers.items()}
+    return Answer(200, {"x-consul-index": str(index), **named}, data)
+
+
+def test_the_first_call_does_not_block_and_the_next_does() -> None:
+    w = watch(datacenter="z1", filter='Service.Meta.a == "b"', tag="t", token="secret", wait=8000.0)
+    first = w.call()
+    assert first.target == "/v1/health/service/engine?dc=z1&filter=Service.Meta.a+%3D%3D+%22b%22&tag=t&stale"
+    assert first.headers == {"X-Consul-Token": "secret"} and first.first_ms == 1000
+    (report,) = w.answered(ok(body(entry())))
+    assert isinstance(report, Report) and [o.id for o in report.observations] == ["e1"]
+    second = w.call()
+    assert (
+        "index=7&wait=8000ms" in second.target and second.first_ms == 9500
+    )  # the wait, a sixteenth, a second
+
+
+def test_after_the_wait_the_same_answer_tells_only_that_all_is_as_it_was() -> None:
+    w = watch()
+    w.answered(ok(body(entry())))
+    assert w.answered(ok(body(entry()))) == [Report("dc1", 7)] and w.answers.decoded == 1
+
+
+def test_a_full_list_after_an_empty_one_under_the_same_index_is_read() -> None:
+    """Found against the stand-in: the index alone was taken as proof that nothing had changed."""
+    w = watch()
+    w.answered(ok(body(entry())))
+    assert w.answered(ok(b"[]")) == [Report("dc1", 7, absent=("e1",))]
+    (report,) = w.answered(ok(body(entry())))
+    assert isinstance(report, Report) and [o.id for o in report.observations] == ["e1"]
+
+
+@pytest.mark.parametrize("index, following", [("3", ""), ("0", ""), ("9", "index=9")])
+def test_an_index_that_goes_backwards_starts_anew(index: str, following: str) -> None:
+    w = watch()
+    w.answered(ok(body(entry())))
+    w.answered(ok(body(entry()), index))
+    assert ("index=" in w.call().target) is bool(following) and following in w.call().target
+
+
+def test_an_index_of_0_counts_as_1() -> None:
+    w = watch()
+    w.answered(ok(body(entry()), 0))
+    assert "index=1&" in w.call().target
+
+
+@pytest.mark.parametrize("bad", [{"x-consul-index": "x"}, {}, {"x-consul-index": "-1"}])
+def test_an_answer_without_a_usable_index_is_a_failure(bad: dict[str, str]) -> None:
+    (event,) = watch().answered(Answer(200, bad, body(entry())))
+    assert isinstance(event, Lost) and "X-Consul-Index" in event.why
+
+
+@pytest.mark.parametrize("headers", [{"x_consul_knownleader": "false"}, {"x_consul_lastcontact": "5000"}])
+def test_an_answer_from_the_past_is_asked_for_again_at_the_leader(headers: dict[str, str]) -> None:
+    w = watch()
+    assert w.answered(ok(b"[]", **headers)) == [] and "stale" not in w.call().target
+    (event,) = w.answered(ok(b"[]", **headers))
+    assert isinstance(event, Lost)
+    assert w.call().target.endswith("?stale")
+
+
+def test_after_a_failure_the_next_agent_is_asked_and_pauses_grow_once_all_have_failed() -> None:
+    w = watch(pause=100.0, pause_most=400.0)
+    w.answered(ok(body(entry())))
+    pauses, asked = [], []
+    for _ in range(10):
+        asked.append(w.address)
+        w.failed("refused")
+        pauses.append(w.pause_ms)
+        assert "index" not in w.call().target
+    assert asked[:4] == [*AGENTS, *AGENTS]
+    for i, most in enumerate([100, 100, 200, 200, 400, 400, 400, 400]):
+        assert most / 2 <= pauses[i] <= most
+    w.answered(ok(body(entry())))
+    assert w.pause_ms == 20.0
+
+
+@pytest.mark.parametrize(
+    "status, headers, least, most",
+    [
+        (403, {}, 1000, 1000),
+        (429, {"retry-after": "3"}, 3000, 3000),
+        (429, {"retry-after": "99"}, 5000, 5000),
+        (500, {}, 25, 50),
+    ],
+)
+def test_refusals_are_losses_with_a_pause(
+    status: int, headers: dict[str, str], least: float, most: float
+) -> None:
+    w = watch()
+    (event,) = w.answered(Answer(status, headers, b"Permission\ndenied"))
+    assert event == Lost("dc1", f"10.0.0.1:8500: status {status}: Permission denied")
+    assert least <= w.pause_ms <= most
+
+
+def test_an_absence_is_confirmed_at_the_leader_and_an_empty_catalogue_proves_nothing() -> None:
+    w = watch()
+    w.answered(ok(body(entry("e1"), entry("e2"))))
+    w.answered(ok(b"[]", 8))
+    w.confirm()
+    assert w.call().target == "/v1/catalog/service/engine?consistent"
+    assert w.answered(Answer(200, {}, b"[]")) == []
+    assert "health" in w.call().target
+    w.confirm()
+    listed = json.dumps([{"Node": "n", "ServiceID": "e2"}]).encode()
+    assert w.answered(Answer(200, {}, listed)) == [Report("dc1", 8, absent=("e1",), confirmed=True)]
+    w.answered(ok(body(entry("e2", check("passing"))), 9))
+    w.confirm()
+    assert "health" in w.call().target  # nothing is missing any more
+
+
+# --- the own entry ---
+
+
+def registration(**more: Any) -> Registration:
+    settings = RegistrationSettings(
+        AGENTS[0], "n 1", "cottonhold", Address("10.1.0.1", 3306), token="t", **more
+    )
+    return Registration(settings)
+
+
+GOOD = Answer(200, {}, b"")
+
+
+def test_the_entry_is_made_kept_and_removed() -> None:
+    r = registration()
+    made = r.call(0, 0)
+    assert made.target == "/v1/agent/service/register?replace-existing-checks=true"
+    wanted = json.loads(made.body)
+    assert (wanted["ID"], wanted["Port"], wanted["Check"]["TTL"]) == ("n 1", 3306, "6000ms")
+    r.answered(GOOD)
+    beat = r.call(12, 3)
+    assert beat.target == "/v1/agent/check/update/service%3An%201" and r.pause_ms == 2000
+    assert json.loads(beat.body) == {
+        "Status": "passing",
+        "Output": "loop at most 12 ms late; 3 requests open",
+    }
+    r.answered(GOOD)
+    r.leave()
+    assert r.call(0, 0).target == "/v1/agent/service/deregister/n%201"
+    r.answered(GOOD)
+    assert r.phase is Phase.LEFT
+
+
+def test_a_lagging_loop_is_critical_until_it_has_been_calm() -> None:
+    r = registration()
+    r.call(0, 0)
+    r.answered(GOOD)
+    states = []
+    for lag in (0, 800, 10, 10, 10):
+        states.append(json.loads(r.call(lag, 0).body)["Status"])
+        r.answered(GOOD)
+    assert states == ["passing", "critical", "critical", "passing", "passing"]
+
+
+@pytest.mark.parametrize("status", [404, 500])
+def test_an_agent_that_forgot_the_entry_gets_it_anew_at_once(status: int) -> None:
+    r = registration()
+    r.call(0, 0)
+    r.answered(GOOD)
+    r.call(0, 0)
+    r.answered(Answer(status, {}, b'Unknown check ID "service:n 1"'))
+    assert r.phase is Phase.ABSENT and r.pause_ms == 0
+    assert "register" in r.call(0, 0).target
+    r.answered(GOOD)
+    assert r.registered == 2
+
+
+def test_failures_back_off_to_the_beat_and_a_leave_gives_up_in_the_end() -> None:
+    r = registration()
+    pauses = []
+    for _ in range(8):
+        r.call(0, 0)
+        r.failed("refused")
+        pauses.append(r.pause_ms)
+    assert pauses[:3] == [100, 200, 400] and pauses[-1] == 2000
+    r.leave()
+    for _ in range(3):
+        assert not r.over()
+        r.call(0, 0)
+        r.failed("refused")
+    assert r.over()
--- /dev/null
+++ b/tests/discovery/test_consul_service.py
@@ -0,0 +1,536 @@
+"""A real dispatcher on real sockets against the stand-in Consul and stand-in engines, all in one loop.
+
+Each test waits for a state, not for a time: how fast the machine is decides nothing.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import ssl
+import subprocess
+import sys
+from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine
+from contextlib import asynccontextmanager
+from io import StringIO
+from pathlib import Path
+from typing import Any
+
+import pytest
+import trustme
+import uvloop
+
+from cottonhold.config.installation import read
+from cottonhold.decide.interface import EngineState
+from cottonhold.emulator.consul.script import parse
+from cottonhold.emulator.consul.server import Server
+from cottonhold.emulator.engine import StandInEngine
+from cottonhold.node.installation import ServedInstallation
+from cottonhold.observe.structured import StructuredLog
+from tests.scenario import LOGIN, packet
+
+LIVE, DRAINING = EngineState.LIVE, EngineState.DRAINING
+BASE: dict[str, Any] = {
+    "name": "n1",
+    "listen": "127.0.0.1:0",
+    "seed": 3,
+    "machine_types": [{"name": "std", "cores": 8, "memory_mb": 16384}],
+    "classes": [
+        {"name": "lookup", "aim_ms": 5000, "deadline_ms": 20000, "effect": "safe"},
+        {"name": "load", "aim_ms": 5000, "deadline_ms": 20000, "effect": "unsafe", "loads": True},
+    ],
+    "log": {"per_second": 1000, "burst": 1000},
+}
+SOURCE: dict[str, Any] = {
+    "kind": "consul",
+    "name": "dc1",
+    "service": "engine",
+    "wait_ms": 1000,
+    "gap_ms": 1,
+    "pause_ms": 5,
+    "pause_most_ms": 50,
+    "guard": {"quiet_ms": 30, "jitter": 0},
+}
+
+
+class Site:
+    """Stand-ins and one dispatcher."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder, self.path = folder, folder / "site.json"
+        self.servers: list[Server] = []
+        self.engines: dict[str, StandInEngine] = {}
+        self.addresses: dict[str, str] = {}
+        self.node: ServedInstallation
+        self.log = StringIO()
+        self.sessions: list[tuple[asyncio.StreamReader, asyncio.StreamWriter]] = []
+
+    async def consul(self, token: str = "", host: str = "127.0.0.1", context: Any = None) -> str:
+        server = Server(token)
+        self.servers.append(server)
+        port = await server.start(host, 0, context)
+        return f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
+
+    async def engine(self, id: str, work_ms: float = 1.0) -> str:
+        self.engines[id] = made = StandInEngine(id, work_ms)
+        self.addresses[id] = f"127.0.0.1:{await made.start()}"
+        return self.addresses[id]
+
+    async def engines_in(self, server: int, *ids: str, work_ms: float = 1.0) -> None:
+        for id in ids:
+            if id not in self.engines:
+                await self.engine(id, work_ms)
+            self.servers[server].add_engine(id, self.addresses[id])
+
+    def write(self, sources: list[dict[str, Any]], **more: Any) -> None:
+        # Port 0 is refused by the checks, as it must be; the test's own listener is put in afterwards.
+        listen = {"listen": "127.0.0.1:2"}
+        self.path.write_text(json.dumps({**BASE, **listen, "sources": sources, **more}))
+
+    async def start(self, *sources: dict[str, Any], **more: Any) -> None:
+        self.write(list(sources), **more)
+        installation = read(self.path)
+        settings = installation.file.log
+        log = StructuredLog("logfmt", settings.per_second, settings.burst, installation.secrets, self.log)
+        self.node = ServedInstallation(self.path, installation, log, asyncio.get_running_loop())
+        driver = self.node.driver
+        self.listener = driver.listen(self.node.config.listen.__class__("127.0.0.1", 0))
+        driver.spawn(driver.accept(self.listener, self.node.front))
+        self.node.follow()
+
+    def states(self) -> dict[str, EngineState]:
+        return {id: place.info.state for id, place in sorted(self.node.engines.places.items())}
+
+    def live(self) -> list[str]:
+        return [id for id, state in self.states().items() if state is LIVE]
+
+    def script(self, text: str, server: int = 0) -> None:
+        for step in parse(text):
+            self.servers[server].carry_out(step)
+
+    async def until(self, holds: Callable[[], object], what: str) -> None:
+        for _ in range(3000):
+            if holds():
+                return
+            await asyncio.sleep(0.01)
+        raise AssertionError(f"{what}: {self.states()}\n{self.log.getvalue()}")
+
+    async def query(self, ref: int, kind: str = "lookup") -> bytes:
+        """One query on a session of its own: the bytes of the answer's last packet but one."""
+        reader, writer = await asyncio.open_connection(*self.listener.getsockname())
+        self.sessions.append((reader, writer))
+        sql = f"/* service={kind},ref={ref:016x},allow=15000 */ SELECT a FROM sales_{ref % 9}.t"
+        writer.write(packet(1, LOGIN) + packet(0, b"\x03" + sql.encode()))
+        got = b""
+        for _ in range(30):  # greeting, OK, then the answer up to its second EOF or an error
+            head = await reader.readexactly(4)
+            body = await reader.readexactly(int.from_bytes(head[:3], "little"))
+            if body[:1] == b"\xff" or (body[:1] == b"\xfe" and got[:1] not in (b"", b"\x00", b"\x03")):
+                return body if body[:1] == b"\xff" else got
+            got = body if body[:1] != b"\xfe" else got
+            if body[:1] == b"\xfe":
+                got = b"\x03"
+        raise AssertionError("no end")
+
+    def events(self, name: str) -> list[str]:
+        return [line for line in self.log.getvalue().splitlines() if f"event={name} " in line]
+
+
+@asynccontextmanager
+async def site(folder: Path) -> AsyncIterator[Site]:
+    made = Site(folder)
+    try:
+        yield made
+    finally:
+        for _, writer in made.sessions:
+            writer.close()
+        for task in list(made.node.driver.tasks):
+            task.cancel()
+        await asyncio.gather(*made.node.driver.tasks, return_exceptions=True)
+        made.listener.close()
+        for server in made.servers:
+            await server.stop()
+        for engine in made.engines.values():
+            await engine.stop()
+
+
+Scenario = Callable[[Site], Coroutine[Any, Any, None]]
+
+
+def play(folder: Path, scenario: Scenario) -> None:
+    async def main() -> None:
+        async with site(folder) as made:
+            await asyncio.wait_for(scenario(made), 60)
+
+    uvloop.run(main())
+
+
+async def serving(s: Site, *ids: str, **more: Any) -> None:
+    address = await s.consul()
+    await s.engines_in(0, *ids)
+    await s.start({**SOURCE, "addresses": [address]}, **more)
+    await s.until(lambda: s.live() == list(ids), "all engines known")
+
+
+def test_queries_run_on_what_consul_lists_and_follow_its_changes(tmp_path: Path) -> None:
+    async def scenario(s: Site) -> None:
+        await serving(s, "e1", "e2", "e3")
+        assert b"e" in await s.query(1)
+        s.script("0 critical e1\n0 maintenance e2 on")
+        await s.until(lambda: s.live() == ["e3"], "two out")
+        for ref in range(2, 12):
+            assert b"e3" in await s.query(ref)
+        s.script("0 passing e1\n0 maintenance e2 off\n0 deregister e3")
+        await s.until(lambda: s.live() == ["e1", "e2"], "two back and one gone")
+        assert s.node.engines.places["e1"].info.started_at > 0  # back as cold: nothing proves the old process
+
+    play(tmp_path, scenario)
+
+
+FAULTS = [
+    "hang 60",
+    "cut 60",
+    "empty 60",
+    "garbage 60",
+    "status 500 60",
+    "status 429 60",
+    "noleader 60",
+    "drip 60",
+    "truncate 60",
+]
+
+
+@pytest.mark.parametrize("fault", FAULTS)
+def test_no_fault_of_consul_empties_the_list_and_news_comes_after_it(tmp_path: Path, fault: str) -> None:
+    async def scenario(s: Site) -> None:
+        await serving(s, "e1", "e2", "e3", "e4")
+        server = s.servers[0]
+        answered = len(server.calls)
+        s.script(f"0 fault {fault}\n0 critical e4")
+        await s.until(
+            lambda: len(server.calls) > answered + 1 or "hang" in fault or "drip" in fault, "asked again"
+        )
+        for ref in range(5):
+            assert b"e" in await s.query(ref)
+        assert len(s.live()) >= 3
+        server.faults.clear()
+        if fault.startswith("hang"):
+            await server.stop()  # its connections die, and another agent takes its place
+            s.servers.append(Server())
+            s.servers[1].catalog.services, s.servers[1].catalog.checks = (
+                server.catalog.services,
+                server.catalog.checks,
+            )
+            s.servers[1].catalog.indexes = server.catalog.indexes
+            await s.servers[1].start("127.0.0.1", s.node.installation.watched[0].settings.addresses[0].port)
+        await s.until(lambda: s.live() == ["e1", "e2", "e3"], "the news after the fault")
+
+    play(tmp_path, scenario)
+
+
+@pytest.mark.parametrize("fault", ["gzip 60", "chunked 60", "backwards 60"])
+def test_answers_in_other_forms_are_understood(tmp_path: Path, fault: str) -> None:
+    async def scenario(s: Site) -> None:
+        await serving(s, "e1", "e2", "e3")
+        s.script(f"0 fault {fault}\n0 critical e1")
+        await s.until(lambda: s.live() == ["e2", "e3"], "the change")
+        s.script("0 passing e1")
+        await s.until(lambda: len(s.live()) == 3, "the return")
+
+    play(tmp_path, scenario)
+
+
+def test_all_critical_within_one_answer_keeps_the_last_list(tmp_path: Path) -> None:
+    async def scenario(s: Site) -> None:
+        await serving(s, "e1", "e2", "e3", "e4")
+        s.script("\n".join(f"0 critical e{i}" for i in (1, 2, 3, 4)))
+        await s.until(lambda: s.events("floor_holds"), "the floor")
+        assert len(s.live()) >= 2 and b"e" in await s.query(1)
+
+    play(tmp_path, scenario)
+
+
+def test_flapping_ten_times_lets_the_engine_in_a_few_times_only(tmp_path: Path) -> None:
+    async def scenario(s: Site) -> None:
+        source = {**SOURCE, "guard": {"quiet_ms": 200, "jitter": 0}}
+        address = await s.consul()
+        await s.engines_in(0, "e1", "e2", "e3")
+        await s.start({**source, "addresses": [address]})
+        await s.until(lambda: len(s.live()) == 3, "all engines known")
+        for _ in range(10):
+            s.script("0 critical e1")
+            await s.until(lambda: s.states()["e1"] is DRAINING, "out at once")
+            s.script("0 passing e1")
+            index = s.servers[0].catalog.service_index("engine")
+            await s.until(lambda at=index: s.node.belief.views["dc1"].index >= at, "the news")  # type: ignore[misc]
+        assert len(s.events("engine_in")) <= 3
+
+    play(tmp_path, scenario)
+
+
+def test_a_drain_lets_a_load_finish_that_runs_there_and_sends_nothing_new(tmp_path: Path) -> None:
+    async def scenario(s: Site) -> None:
+        address = await s.consul()
+        await s.engines_in(0, "e1", work_ms=1500)
+        await s.start({**SOURCE, "addresses": [address]})
+        await s.until(lambda: s.live() == ["e1"], "one engine")
+        load = asyncio.ensure_future(s.query(1, "load"))
+        await s.until(lambda: s.engines["e1"].out == 1, "the load runs")
+        s.script("0 maintenance e1 on")
+        await s.until(lambda: not s.live(), "drained")
+        await s.engines_in(0, "e2")
+        await s.until(lambda: s.live() == ["e2"], "the other engine")
+        assert b"e2" in await s.query(2, "load")
+        assert b"e1" in await load
+        assert s.engines["e1"].runs == {f"{1:016x}": 1} and s.engines["e2"].runs == {f"{2:016x}": 1}
+
+    play(tmp_path, scenario)
+
+
+def test_deregistered_and_registered_anew_under_its_id_at_a_new_address(tmp_path: Path) -> None:
+    async def scenario(s: Site) -> None:
+        await serving(s, "e1", "e2")
+        old = s.addresses["e1"]
+        new = await s.engine("e1")
+        assert new != old
+        s.script(f"0 deregister e1\n0 register e1 {new}")
+        await s.until(
+            lambda: str(s.node.engines.places["e1"].address) == new and "e1" in s.live(), "the new one"
+        )
+        assert s.node.engines.places["e1"].info.started_at > 0
+
+    play(tmp_path, scenario)
+
+
+def test_two_sources_that_disagree(tmp_path: Path) -> None:
+    async def scenario(s: Site) -> None:
+        addresses = [await s.consul(), await s.consul()]
+        await s.engines_in(0, "e1", "e2", "e3")
+        await s.engines_in(1, "e2", "e3", "e4")
+        sources = [{**SOURCE, "name": f"dc{i}", "addresses": [a]} for i, a in enumerate(addresses)]
+        await s.start(*sources)
+        await s.until(lambda: len(s.live()) == 4, "both lists")
+        s.script("0 critical e2", server=1)
+        await s.until(lambda: s.live() == ["e1", "e3", "e4"], "the cautious word")
+        s.script("0 deregister e3", server=0)
+        await s.until(
+            lambda: "e3" in s.live() and "e3" not in s.node.belief.views["dc0"].claims, "the other's word"
+        )
+
+    play(tmp_path, scenario)
+
+
+def test_unreachable_at_start_the_known_list_serves_and_the_log_says_so(tmp_path: Path) -> None:
+    async def scenario(s: Site) -> None:
+        address = await s.engine("e1")
+        await s.start({**SOURCE, "addresses": ["127.0.0.1:1"]}, known=[{"id": "e1", "address": address}])
+        assert b"e1" in await s.query(1)
+        await s.until(lambda: s.events("source_lost"), "the log line")
+        assert "engines_kept=1" in s.events("source_lost")[0]
+        s.node._report_silence()
+        assert "engines_known=1" in s.events("source_unheard")[0]
+
+    play(tmp_path, scenario)
+
+
+def test_unreachable_in_service_then_another_agent_and_back(tmp_path: Path) -> None:
+    async def scenario(s: Site) -> None:
+        addresses = [await s.consul(), await s.consul()]
+        await s.engines_in(0, "e1", "e2")
+        s.servers[1].catalog.services, s.servers[1].catalog.checks = (
+            s.servers[0].catalog.services,
+            s.servers[0].catalog.checks,
+        )
+        await s.start({**SOURCE, "addresses": addresses})
+        await s.until(lambda: len(s.live()) == 2, "both engines")
+        await s.servers[0].stop()
+        s.script("0 critical e1", server=1)
+        await s.until(lambda: s.live() == ["e2"], "news by the second agent")
+        await s.servers[1].stop()
+        await s.until(lambda: s.node.counters.counts["consul_failures"] > 8, "many tries")
+        assert s.live() == ["e2"] and b"e2" in await s.query(1)
+
+    play(tmp_path, scenario)
+
+
+def test_a_token_revoked_in_service_keeps_the_list_and_a_reload_brings_the_new_one(tmp_path: Path) -> None:
+    async def scenario(s: Site) -> None:
+        address = await s.consul(token="first-token")
+        await s.engines_in(0, "e1", "e2")
+        (tmp_path / "token").write_text("first-token\n")
+        source = {**SOURCE, "addresses": [address], "token_file": "token"}
+        await s.start(source)
+        await s.until(lambda: len(s.live()) == 2, "both engines")
+        s.servers[0].token = "second-token"
+        s.script("0 critical e1")  # wakes the watcher; its answer to that one call may still be good
+        await s.until(lambda: s.events("source_lost"), "the refusal")
+        assert "status 403" in s.log.getvalue() and s.live()
+        (tmp_path / "token").write_text("second-token")
+        s.node.reload()
+        await s.until(lambda: s.events("source_back") and s.live() == ["e2"], "back with the new token")
+        assert "first-token" not in s.log.getvalue() and "second-token" not in s.log.getvalue()
+
+    play(tmp_path, scenario)
+
+
+def test_a_reload_takes_sources_in_and_out_and_a_bad_file_changes_nothing(tmp_path: Path) -> None:
+    async def scenario(s: Site) -> None:
+        addresses = [await s.consul(), await s.consul()]
+        await s.engines_in(0, "e1", "e2")
+        await s.engines_in(1, "e3", "e4")
+        sources = [{**SOURCE, "name": f"dc{i}", "addresses": [a]} for i, a in enumerate(addresses)]
+        await s.start(sources[0])
+        await s.until(lambda: len(s.live()) == 2, "the first source")
+        s.path.write_text("{")
+        s.node.reload()
+        assert s.events("reload_refused") and len(s.live()) == 2
+        s.write(sources, number=0, dispatchers=2)
+        s.node.reload()
+        assert "restart_needed_for=dispatchers" in s.events("reloaded")[0]
+        await s.until(lambda: len(s.live()) == 4, "the second source beside it")
+        s.write(sources[1:])
+        s.node.reload()
+        assert s.live() == ["e3", "e4"]
+
+    play(tmp_path, scenario)
+
+
+def test_an_answer_of_20_mb_is_taken_and_one_past_the_limit_refused(tmp_path: Path) -> None:
+    async def scenario(s: Site) -> None:
+        await serving(s, "e1", "e2")
+        server = s.servers[0]
+        for i in range(200):
+            server.add_engine(f"big{i}", f"127.0.0.2:{1000 + i}", pad="x" * 100_000)
+        await s.until(lambda: len(s.live()) == 202, "20 MB")
+        assert s.node.counters.counts["consul_bytes"] > 20_000_000
+        s.write(
+            [
+                {
+                    **SOURCE,
+                    "addresses": [str(s.node.installation.watched[0].settings.addresses[0])],
+                    "most_bytes": 1_000_000,
+                }
+            ]
+        )
+        s.node.reload()
+        await s.until(lambda: s.events("source_lost"), "the refusal")
+        assert "more than 1000000 bytes" in s.events("source_lost")[0] and len(s.live()) == 202
+
+    play(tmp_path, scenario)
+
+
+def test_https_with_an_authority_of_its_own_a_client_certificate_and_ipv6(tmp_path: Path) -> None:
+    async def scenario(s: Site) -> None:
+        authority = trustme.CA()
+        ours, theirs = authority.issue_cert("::1", "consul.test"), authority.issue_cert("n1.test")
+        context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+        ours.configure_cert(context)
+        authority.configure_trust(context)
+        context.verify_mode = ssl.CERT_REQUIRED
+        authority.cert_pem.write_to_path(str(tmp_path / "ca.pem"))
+        theirs.cert_chain_pems[0].write_to_path(str(tmp_path / "cert.pem"))
+        theirs.private_key_pem.write_to_path(str(tmp_path / "key.pem"))
+        address = await s.consul(host="::1", context=context)
+        await s.engines_in(0, "e1", "e2")
+        tls = {
+            "ca_file": "ca.pem",
+            "cert_file": "cert.pem",
+            "key_file": "key.pem",
+            "server_name": "consul.test",
+        }
+        await s.start({**SOURCE, "addresses": [address], "tls": tls})
+        await s.until(lambda: len(s.live()) == 2, "both engines by HTTPS")
+        s.script("0 critical e1")
+        await s.until(lambda: s.live() == ["e2"], "a change by HTTPS")
+        s.write(
+            [{**SOURCE, "addresses": [address], "tls": {"ca_file": "ca.pem", "server_name": "other.test"}}]
+        )
+        s.node.reload()
+        await s.until(lambda: s.events("source_lost"), "a server under another name")
+        assert "ertificate" in s.events("source_lost")[0] and s.live() == ["e2"]
+
+    play(tmp_path, scenario)
+
+
+def test_the_own_entry_survives_an_agent_that_forgets_and_goes_with_the_dispatcher(tmp_path: Path) -> None:
+    async def scenario(s: Site) -> None:
+        address = await s.consul()
+        await s.engines_in(0, "e1")
+        register = {"agent": address, "ttl_ms": 1000, "lag_ms": 900, "address": "127.0.0.1:1"}
+        await s.start({**SOURCE, "addresses": [address]}, register=register)
+        catalog = s.servers[0].catalog
+
+        def there() -> bool:
+            return ("agent-1", "n1") in catalog.services
+
+        await s.until(there, "registered")
+        catalog.drop_service("agent-1", "n1")
+        await s.until(there, "registered anew")
+        leaving: list[Awaitable[object]] = list(s.node.leave())
+        await asyncio.gather(*leaving)
+        assert not there() and s.node.entry is not None and s.node.entry.registration.over()
+
+    play(tmp_path, scenario)
+
+
+def free_port() -> int:
+    import socket
+
+    with socket.create_server(("127.0.0.1", 0)) as spare:
+        return int(spare.getsockname()[1])
+
+
+def test_the_console_program_serves_reloads_and_leaves_in_order(tmp_path: Path) -> None:
+    """The whole program as operators run it: stand-ins, `serve --config`, SIGHUP, SIGTERM."""
+    program = [sys.executable, "-m", "cottonhold.cli.main"]
+    environ = {**os.environ, "PYTHONUNBUFFERED": "1"}
+    started: list[subprocess.Popen[str]] = []
+
+    def start(*words: str) -> subprocess.Popen[str]:
+        started.append(
+            subprocess.Popen(
+                [*program, *words], env=environ, text=True, stdout=subprocess.PIPE, stderr=subprocess.STDOUT
+            )
+        )
+        return started[-1]
+
+    def line(process: subprocess.Popen[str], word: str) -> str:
+        assert process.stdout is not None
+        for text in process.stdout:
+            if word in text:
+                return text
+        raise AssertionError(f"'{word}' never came")
+
+    try:
+        consul = start("emulate", "consul", "--listen", "127.0.0.1:0")
+        agent = line(consul, "listens at").split()[-1]
+        engine = start("emulate", "engine", "--id", "e1", "--consul", agent)
+        line(engine, "listens at")
+        path = tmp_path / "site.jsonnet"
+        config = {
+            **BASE,
+            "listen": f"127.0.0.1:{free_port()}",
+            "sources": [{**SOURCE, "addresses": [agent]}],
+            "register": {"agent": agent},
+        }
+        path.write_text(json.dumps(config))
+        node = start("serve", "--config", str(path))
+        line(node, "phase=there")
+        path.write_text("{ name: 1 }")
+        node.send_signal(signal.SIGHUP)
+        assert "name: Expected a text" in line(node, "reload_refused")
+        path.write_text(json.dumps({**config, "log": {"format": "json"}}))
+        node.send_signal(signal.SIGHUP)
+        assert json.loads(line(node, "reloaded"))["restart_needed_for"] == "nothing"
+        node.send_signal(signal.SIGTERM)
+        assert json.loads(line(node, "left"))["phase"] == "left"
+        assert "reloads=1 reloads_failed=1" in line(node, "counters")
+        assert node.wait(30) == 0
+        engine.send_signal(signal.SIGTERM)
+        assert "ran 0 queries" in line(engine, "ran") and engine.wait(30) == 0
+    finally:
+        for process in started:
+            process.kill()
+            process.wait()
