Tell refutations at once and ping twice, so that loss kills fewer members wrongly

Cause: one direct ping a probe, and a refutation that only rode on the next pings and came after the suspicion's end.

Change: the direct ping goes out again beside the indirect ones; a refutation is told to three members at once. News to spread is kept by how often it was sent, so that a datagram costs what it takes and not all there is.

--- a/cottonhold/membership/swim.py
+++ b/cottonhold/membership/swim.py
@@ -35,6 +35,9 @@
     member_id,
 )
 
+LEAST_UPDATE = 25  # bytes of the shortest update
+MOST_TRIED = 16  # updates tried for a datagram among those sent as often: it holds nine at most
+
 
 @dataclass(slots=True, frozen=True)
 class SwimSettings:
@@ -167,7 +170,9 @@
         self.seeds = [seed for seed in seeds if seed != address]
         self.members: dict[int, Member] = {}
         self.ring: list[int] = []  # whom to probe next, last first
-        self.queue: dict[int, tuple[int, bytes]] = {}  # by member: how often it was sent, and the update
+        # News to spread, by how often it was sent: taking the least sent must not cost a look at all of it.
+        self.news: list[dict[int, bytes]] = []
+        self.sent: dict[int, int] = {}  # by member: which of them holds its news
         self.probe: Probe | None = None
         # By own sequence: for whom, their sequence, where they are, and until when.
         self.relays: dict[int, tuple[int, int, Address, float]] = {}
@@ -297,6 +302,9 @@
         probe.asked = len(helpers) or -1
         for helper in helpers:
             self._send(Kind.PING_REQ, probe.sequence, helper.address, probe.target)
+        target = self.members.get(probe.target)
+        if target is not None:  # what was lost once is seldom lost twice
+            self._send(Kind.PING, probe.sequence, target.address, target.id)
 
     def _missed(self, probe: Probe) -> None:
         """No answer, direct or indirect: the target is suspect, and this instance doubts itself a little.
@@ -409,6 +417,10 @@
         self._count("refuted")
         self._doubt_self(1)
         self._spread(self._self_update())
+        # Danger: left to ride on the next ping alone, a refutation came after the suspicion's end where much
+        # is lost. So some members are told at once.
+        for member in self._pick(self.settings.helpers, lambda m: m.status is Status.ALIVE):
+            self._send(Kind.SYNC_REPLY, 0, member.address, 0)
 
     def _self_update(self) -> Update:
         return Update(Status.ALIVE, self.id, self.incarnation, 0, self.address, self.name)
@@ -479,7 +491,16 @@
 
     def _spread(self, update: Update) -> None:
         """News of a member takes the place of older news of it."""
-        self.queue[update.member] = (0, encode_update(update))
+        old = self.sent.get(update.member)
+        if old is not None:
+            del self.news[old][update.member]
+        self._file(update.member, encode_update(update), 0)
+
+    def _file(self, member: int, data: bytes, times: int) -> None:
+        while len(self.news) <= times:
+            self.news.append({})
+        self.news[times][member] = data
+        self.sent[member] = times
 
     def _take_updates(self, room: int, towards: int) -> bytes:
         """What rides along: a suspect's own suspicion first, then what was sent least often."""
@@ -489,17 +510,19 @@
         if suspect is not None and suspect.status is not Status.ALIVE:
             data = encode_update(Update(suspect.status, suspect.id, suspect.incarnation, self.id))
             parts, room = [data], room - len(data)
-        for id in sorted(self.queue, key=lambda id: self.queue[id][0]):
-            sent, data = self.queue[id]
-            if len(data) <= room:
-                parts.append(data)
-                room -= len(data)
-                self.queue[id] = (sent + 1, data)
-                if sent + 1 >= most:
-                    del self.queue[id]
-            if room < 25:
+        taken: list[tuple[int, bytes, int]] = []
+        for times, news in enumerate(self.news):
+            for id, data in itertools.islice(news.items(), MOST_TRIED):
+                if len(data) <= room:
+                    taken.append((id, data, times))
+                    room -= len(data)
+            if room < LEAST_UPDATE:
                 break
-        return b"".join(parts)
+        for id, data, times in taken:
+            del self.news[times][id], self.sent[id]
+            if times + 1 < most:
+                self._file(id, data, times + 1)
+        return b"".join([*parts, *(data for _, data, _ in taken)])
 
     def _send(
         self, kind: Kind, sequence: int, address: Address, subject: int, towards: int | None = None
