Start both programs by one piece of code, and drop dead state in membership

Cause: read again, the change held the start-up twice (__main__ and node/installation), a Rendezvous.set_members that nothing called beside Duties.members, relay fields that nothing read with a comment that was not true, a docstring of View.lose that promised more than it does, and an exchange that encoded a whole table to send a part of it.

Change: run_program and Dispatcher.live in node/dispatcher.py serve both; table rows are made as they are sent; the rest is gone or says what is so. Behaviour stays; no test changed.

--- a/cottonhold/__main__.py
+++ b/cottonhold/__main__.py
@@ -7,15 +7,11 @@
 from __future__ import annotations
 
 import argparse
-import asyncio
-import gc
 import os
 import sys
 
-import uvloop
-
 from cottonhold.config.relay import ConfigError, load
-from cottonhold.node.dispatcher import Dispatcher
+from cottonhold.node.dispatcher import Dispatcher, run_program
 from cottonhold.observe.counters import Counters
 from cottonhold.observe.log import Log
 
@@ -28,24 +24,7 @@
     except ConfigError as error:
         print(f"cottonhold: configuration: {error}", file=sys.stderr)
         return 2
-
-    async def main() -> None:
-        loop = asyncio.get_running_loop()
-        dispatcher = Dispatcher(config, counters, loop, Log())
-        dispatcher.handle_signals(loop)
-        gc.collect()
-        gc.freeze()  # what lives as long as the program need not be looked through again and again
-        try:
-            await dispatcher.run()
-        finally:
-            dispatcher.print_counters()
-
-    try:
-        uvloop.run(main())
-    except OSError as error:
-        print(f"cottonhold: {config.name}: {error}", file=sys.stderr)
-        return 1
-    return 0
+    return run_program(config.name, lambda loop: Dispatcher(config, counters, loop, Log()))
 
 
 def main() -> int:
--- a/cottonhold/discovery/view.py
+++ b/cottonhold/discovery/view.py
@@ -94,9 +94,7 @@
         self._fall(now, falls, report.index, report.confirmed)
 
     def lose(self, now: float, event: Lost) -> None:
-        """The source can't be reached: say so once, and then at each doubling of the time; keep
-        everything.
-        """
+        """The source can't be reached: say so once, and again if the reason changes; keep everything."""
         if self.lost_since == math.inf:
             self.lost_since = now
             self._remark("source_lost", why=event.why, engines_kept=len(self.claims), index=self.index)
--- a/cottonhold/membership/rendezvous.py
+++ b/cottonhold/membership/rendezvous.py
@@ -12,7 +12,6 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterable
 
 import xxhash
 
@@ -66,16 +65,6 @@
             self._assign(subject)
         return held
 
-    def set_members(self, members: Iterable[tuple[int, float]]) -> set[str]:
-        """Exactly these members; returns the subjects that have another holder now."""
-        wanted = dict(members)
-        before = {subject: entry[1] for subject, entry in self.holders.items()}
-        for member in [m for m in self.members if m not in wanted]:
-            self.drop_member(member)
-        for member, weight in wanted.items():
-            self.add_member(member, weight)
-        return {subject for subject, holder in before.items() if self.holders[subject][1] != holder}
-
     def add_subject(self, subject: str) -> bool:
         """A subject comes; false if it was there."""
         if subject in self.holders:
--- a/cottonhold/membership/swim.py
+++ b/cottonhold/membership/swim.py
@@ -19,7 +19,7 @@
 import itertools
 import math
 import random
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable, Iterator, Sequence
 from dataclasses import dataclass, field
 
 from cottonhold.discovery.model import Address
@@ -174,8 +174,8 @@
         self.news: list[dict[int, bytes]] = []
         self.sent: dict[int, int] = {}  # by member: which of them holds its news
         self.probe: Probe | None = None
-        # By own sequence: for whom, their sequence, where they are, and until when.
-        self.relays: dict[int, tuple[int, int, Address, float]] = {}
+        # By own sequence: the asker's sequence, and where the asker is.
+        self.relays: dict[int, tuple[int, Address]] = {}
         self.sequence = itertools.count(self.draw.getrandbits(16))
         self.suspicions: list[tuple[float, int]] = []  # a heap of ends, checked again when due
         self.awareness = 0
@@ -361,9 +361,8 @@
         if target is None:
             return
         sequence = next(self.sequence) & 0xFFFFFFFF
-        until = self.now + self.settings.timeout
-        self.relays[sequence] = (message.sender, message.sequence, address, until)
-        while len(self.relays) > 64:  # bounded: each lives for one time-out only
+        self.relays[sequence] = (message.sequence, address)
+        while len(self.relays) > 64:  # one that never is answered goes when newer ones come
             del self.relays[next(iter(self.relays))]
         self._send(Kind.PING, sequence, target.address, target.id)
         # The asker learns at once that its own way here works; an ack follows if the target answers.
@@ -377,7 +376,7 @@
             return
         relay = self.relays.pop(message.sequence, None)
         if relay is not None:
-            _, sequence, address, _ = relay
+            sequence, address = relay
             self._send(Kind.ACK, sequence, address, message.subject)
 
     def say(self, kind: Kind, sequence: int, subject: int, member: int) -> Send | None:
@@ -555,14 +554,8 @@
 
     def _send_table(self, address: Address, kind: Kind) -> None:
         """This instance and a part of the table, going round, so that a large one comes across by and by."""
-        rows = [encode_update(self._self_update())]
-        # The receiver's own row comes first: if it is believed dead here, it learns so and can refute.
-        rows += [encode_update(self._row(m)) for m in self.members.values() if m.address == address][:2]
-        others = sorted(self.members)
-        for i in range(len(others)):
-            rows.append(encode_update(self._row(self.members[others[(self.cursor + i) % len(others)]])))
         datagrams, part, room, used = 0, list[bytes](), self.codec.room(), 0
-        for row in rows:
+        for row in self._table(address):
             if used + len(row) > room:
                 self._send_part(address, kind, part)
                 datagrams, part, used = datagrams + 1, [], 0
@@ -575,6 +568,16 @@
         if part:
             self._send_part(address, kind, part)
 
+    def _table(self, address: Address) -> Iterator[bytes]:
+        """Rows for a receiver, made as they are sent: most of a large table waits for the next exchange."""
+        yield encode_update(self._self_update())
+        # The receiver's own row comes first: if it is believed dead here, it learns so and can refute.
+        for member in [m for m in self.members.values() if m.address == address][:2]:
+            yield encode_update(self._row(member))
+        others, begin = sorted(self.members), self.cursor
+        for i in range(len(others)):
+            yield encode_update(self._row(self.members[others[(begin + i) % len(others)]]))
+
     def _send_part(self, address: Address, kind: Kind, part: list[bytes]) -> None:
         message = Message(kind, self.id, next(self.sequence) & 0xFFFFFFFF)
         self.actions.append(Send(self.codec.encode(message, b"".join(part)), address))
--- a/cottonhold/node/dispatcher.py
+++ b/cottonhold/node/dispatcher.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import os
 import signal
 import sys
-from collections.abc import Awaitable, Iterable, Sequence
+from collections.abc import Awaitable, Callable, Iterable, Sequence
 from typing import Protocol
 
+import uvloop
+
 from cottonhold.config.relay import Config, ConfigError, load
 from cottonhold.decide import interface as io
 from cottonhold.discovery.belief import Belief
@@ -156,6 +159,16 @@
         """Counters, whatever the log's rate."""
         print(self.counters.line(), file=sys.stderr, flush=True)
 
+    async def live(self) -> None:
+        """A program's life as this dispatcher: signals, serving, and the counters at the end."""
+        self.handle_signals(self.driver.loop)
+        gc.collect()
+        gc.freeze()  # what lives as long as the program need not be looked through again and again
+        try:
+            await self.run()
+        finally:
+            self.print_counters()
+
     def handle_signals(self, loop: asyncio.AbstractEventLoop) -> None:
         """SIGTERM and SIGINT end it, SIGHUP reloads, SIGUSR1 prints the counters."""
         loop.set_exception_handler(lambda _, context: self.log.say(f"loop: {context}"))
@@ -163,3 +176,17 @@
         loop.add_signal_handler(signal.SIGINT, self.stop.set)
         loop.add_signal_handler(signal.SIGHUP, self.reload)
         loop.add_signal_handler(signal.SIGUSR1, self.print_counters)
+
+
+def run_program(name: str, make: Callable[[asyncio.AbstractEventLoop], Dispatcher]) -> int:
+    """Run the dispatcher that `make` gives until told to stop; 1 if its address can't be had, else 0."""
+
+    async def main() -> None:
+        await make(asyncio.get_running_loop()).live()
+
+    try:
+        uvloop.run(main())
+    except OSError as error:
+        print(f"cottonhold: {name}: {error}", file=sys.stderr)
+        return 1
+    return 0
--- a/cottonhold/node/installation.py
+++ b/cottonhold/node/installation.py
@@ -7,14 +7,11 @@
 from __future__ import annotations
 
 import asyncio
-import gc
 import sys
 from collections.abc import Awaitable, Iterable
 from pathlib import Path
 from typing import Any
 
-import uvloop
-
 from cottonhold.config import schema
 from cottonhold.config.installation import Installation, Unusable, Watched, known_report, read
 from cottonhold.decide import interface as io
@@ -23,7 +20,7 @@
 from cottonhold.discovery.consul.watch import Watch
 from cottonhold.discovery.model import Address, Change, Event, Publish
 from cottonhold.node import consul, status
-from cottonhold.node.dispatcher import Dispatcher
+from cottonhold.node.dispatcher import Dispatcher, run_program
 from cottonhold.node.http import Tls
 from cottonhold.node.membership import MembershipRim, make_instance
 from cottonhold.observe.counters import Counters
@@ -230,21 +227,8 @@
         name=installation.file.name,
     )
 
-    async def main() -> None:
-        loop = asyncio.get_running_loop()
-        dispatcher = ServedInstallation(path, installation, log, loop)
-        dispatcher.handle_signals(loop)
+    def make(loop: asyncio.AbstractEventLoop) -> ServedInstallation:
         log.note("start", listen=installation.file.listen, sources=len(installation.sources))
-        gc.collect()
-        gc.freeze()  # as the platform's program does
-        try:
-            await dispatcher.run()
-        finally:
-            dispatcher.print_counters()
+        return ServedInstallation(path, installation, log, loop)
 
-    try:
-        uvloop.run(main())
-    except OSError as error:
-        print(f"cottonhold: {installation.file.name}: {error}", file=sys.stderr)
-        return 1
-    return 0
+    return run_program(installation.file.name, make)
