Divide a cold engine's budget among those that draw on it, and let long queries in

Refused: lookups held at the survivors until worthless (_replan).

Cause, _cold_fill and _cold_barred: the budget was divided by 40, but each dispatcher draws on 8 of 30 engines, so only 11 of 40 ever used their part; and a class was let in only where its usual cost less the shortest one's lay under the part's burst (99 ms of work): never a report or a load, two thirds of the work. Loads stood at cold homes until warm.

Change: the part is the share among the gateways whose window holds the engine, others keep off; where a part is less than a query, they take turns by the clock with one, spread evenly, so that the sum stays within the budget. The old test of the sum now gives each gateway its number, and costs are the told ones until a class has been seen. A cold home is passed over for one that may take the load.

--- a/cottonhold/decide/scheduler.py
+++ b/cottonhold/decide/scheduler.py
@@ -57,6 +57,7 @@
 TRICKLE_MS = 150.0  # gap between the safe queries that all gateways together send to a suspect engine
 DOUBT_MS = 10000.0  # without a new bad sign a suspicion ends: at a small share the trickle never tests it
 TRICKLE_GOOD = 3  # served queries in a row that end a suspicion of death or silence
+GOLDEN = (math.sqrt(5) - 1) / 2  # its multiples spread evenly, however many: turns come up in few at a time
 COLD_MARGIN = 0.5  # of a cold engine's budget: true speed, cost estimates and shares are all guesses
 REPLAN_MS = 250.0  # held queries are planned anew so often
 HEARTBEAT_MS = 100.0  # sweep while something is held, out or suspect
@@ -98,6 +99,7 @@
         self.recent: deque[tuple[float, int]] = deque(maxlen=MIX)
         self.ring, self.homes = list[EngineView](), dict[int, list[EngineView]]()
         self.live, self.near, self.blind = list[EngineView](), list[EngineView](), 1.0
+        self.mine, self.reach = set[str](), self.share  # whom it draws on, and its part of what each is sent
         self.full_room = self.full_memory = self.own_room = 1.0
         self.line, self.line_ahead = dict[float, state.Smooth](), dict[float, float]()
         self.fleet, self.reads, self.unseen = state.Rate(), [0.0, 0.0], list[tuple[float, Query]]()
@@ -194,7 +196,11 @@
             e.rank = rank
         first = round(self.settings.me * len(ranked) / self.settings.gateways)
         count = math.ceil(CANDIDATES * max(1.0, len(ranked) * self.share))
-        self.near = [e for e in ranked[first:] + ranked[:first] if not e.suspect][:count]
+        turned = ranked[first:] + ranked[:first]
+        self.near = [e for e in turned if not e.suspect][:count]
+        last = self.near[-1].rank if self.near else -1
+        self.mine = {e.id for e in turned[: (last - first) % len(ranked) + 1]} if self.near else set[str]()
+        self.reach = min(1.0, sum(not e.suspect for e in ranked) / max(len(self.near), 1) * self.share)
         least = min((e.cores for e in self.live), default=1.0)
         self.ring = [e for e in ranked for _ in range(round(e.cores / least))] if len(ranked) > 1 else []
         self.homes.clear()
@@ -441,7 +447,7 @@
         if q.cls.loads or q.cls.waits:
             homes = self._homes(q.tables)
             if q.cls.loads and (pool := [e for e in homes if e.id not in q.tried and self._fits(q, e)]):
-                return pool
+                return [e for e in pool if not self._cold_barred(q, e)] or pool
             # Danger: readers kept off all homes at all times left homes of much read tables half idle,
             # and waited in line elsewhere till they were refused. So they keep off while a load is there.
             bars = homes if not q.cls.loads else []
@@ -576,8 +582,6 @@
                 if not barred:
                     q.leave_plan()
                     self._send(q, e)
-                elif barred == "cold engine":
-                    break
                 else:
                     place += 1
 
@@ -600,7 +604,7 @@
         self.pool.add_out(q, e)
         self.recent.appendleft((q.density, q.lane))
         q.warm = e.read(q.tables, WARM_TABLES)
-        e.allowance -= self._usual_cost(q.kind)
+        e.allowance -= self._usual_cost(q)
         if q.cls.loads:
             e.locks[q.tables] = max(e.locks.get(q.tables, 0.0), now + q.p)
             if permits.peers:
@@ -617,9 +621,9 @@
         first = math.ceil((e.rank - max(len(self.near), CANDIDATES) + 1) * wide)
         return sorted({m % n for m in range(first, math.floor(e.rank * wide) + 1)} - {self.settings.me})
 
-    def _usual_cost(self, kind: int) -> float:
-        """The usual work of a class: what rule 4 counts for each of its queries."""
-        return self.classes[kind].cost or self.settings.classes[kind].aim / 4
+    def _usual_cost(self, q: Query) -> float:
+        """The usual work of its class: what rule 4 counts for each query."""
+        return self.classes[q.kind].cost or q.cost
 
     # --- outcomes ---
 
@@ -851,27 +855,27 @@
         return ""
 
     def _cold_barred(self, q: Query, e: EngineView) -> bool:
-        # Danger: a just started engine falls over for good if all gateways send too much. Allowances fill at
-        # each one's share from a random start of up to a short query, so they add up to the budget at any
-        # share. Also held for an engine seen to fail before the list tells; may hurt one only cut off.
-        if self.now >= e.cold_until:
-            return False
+        # Danger: a just started engine falls over for good if all gateways send too much. So what they send
+        # adds up to the budget at any share: the gateways that draw on it divide it, and where a part is less
+        # than a query, they take turns with one. Else long ones, too big for any part, kept off all cold
+        # engines. Also held for an engine seen to fail before the list tells; may hurt one only cut off.
+        if self.now >= e.cold_until or e.id not in self.mine:
+            return self.now < e.cold_until
         fill, waited = self._cold_fill(e), self.now - e.allowance_at
         e.allowance_at = self.now
         e.allowance = min(fill * self.settings.rules.tip_after, e.allowance + fill * waited)
-        return e.allowance < self._usual_cost(q.kind) - min(map(self._usual_cost, range(len(self.classes))))
+        turn = self.settings.me + math.floor(self.now / self.settings.rules.tip_after)
+        return e.allowance < (e.code / 2**32 + turn * GOLDEN) % 1 * self._usual_cost(q)
 
     def _cold_fill(self, e: EngineView) -> float:
         """This gateway's part of the work a cold engine may be sent; half of it may come as one burst."""
         rules = self.settings.rules
-        return COLD_MARGIN * rules.overload_factor * rules.cold_from * e.cores * self.share / 2
+        return COLD_MARGIN * rules.overload_factor * rules.cold_from * e.cores * self.reach / 2
 
     def _chill(self, e: EngineView, until: float) -> None:
         """The engine may have started: hold it to the cold budget."""
         if self.now >= e.cold_until:
-            burst = self._cold_fill(e) * self.settings.rules.tip_after
-            short = min(map(self._usual_cost, range(len(self.classes))))
-            e.allowance, e.allowance_at = burst - self.random.random() * short, self.now
+            e.allowance, e.allowance_at = self._cold_fill(e) * self.settings.rules.tip_after, self.now
         e.cold_until = max(e.cold_until, until)
 
     def _sweep(self) -> None:
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -24,7 +24,7 @@
 def test_what_all_gateways_send_to_a_cold_engine_stays_within_its_limit(gateways: int) -> None:
     """Found at full size: one query of each gateway at once, or a few long reports, tip a cold engine."""
     setup = settings(classes=(LOOKUP, REPORT), gateways=gateways)
-    crowd = [Scheduler(setup, seed) for seed in range(gateways)]
+    crowd = [Scheduler(dataclasses.replace(setup, me=seed), seed) for seed in range(gateways)]
     cold = io.EngineList((io.Engine("cold", started_at=900.0),), whole=True)
     for s in crowd:
         s.step(1000.0, [cold])
@@ -44,6 +44,26 @@
     assert sent and worst <= limit
 
 
+def test_cold_engines_get_a_fair_part_of_their_budget_where_each_gateway_draws_on_a_few() -> None:
+    """Found on the fleet's days: divided among all though few draw on it, and kept from every report."""
+    setup = settings(classes=(LOOKUP, REPORT), gateways=40)
+    crowd = [Scheduler(dataclasses.replace(setup, me=n), n) for n in range(40)]
+    cold = tuple(io.Engine(f"e{i:02}", started_at=900.0) for i in range(30))
+    work: dict[str, dict[int, float]] = {e.id: {0: 0.0, 1: 0.0} for e in cold}
+    for n, s in enumerate(crowd):
+        s.step(1000.0, [io.EngineList(cold, whole=True)])
+        for t in range(1000, 5000, 200):
+            kind = t // 200 % 2
+            events = [arrival(f"q{t}", due=t + 20000.0, cost=(200.0, 2800.0)[kind], query_class=kind)]
+            for name, engine in sends(s.step(float(t + n), events)):
+                cost = s.queries[name].told
+                work[engine][s.queries[name].kind] += cost
+                s.step(float(t + n), [ended(name, io.Outcome.OK, engine=engine, final=True, cost=cost)])
+    most = RULES.overload_factor * RULES.cold_from * MODEL.cores * 4000 * len(cold)
+    by_kind = [sum(w[kind] for w in work.values()) for kind in (0, 1)]
+    assert sum(by_kind) > most / 8 and by_kind[1] > by_kind[0]
+
+
 def test_own_report_does_not_hide_the_fleet_from_a_lookup_at_a_small_share() -> None:
     """Found on a mid-size day: a report out over a room of 0.1 thread made every finish worthless."""
     s = Scheduler(settings(classes=(LOOKUP, REPORT), gateways=200), 1)
