Tell peers that share engines what is out there, so that forty fill them as one

Half of the engines stood idle; the full ones did 0 to 20% of their cores' work with 25 to 50 queries in hand. When the cold time of replaced engines ended, 11 dispatchers sent 200 to 300% of their cores' work within 4 s, each unaware of the others, and those never came back.

Cause: _tentative and _has_room know what this dispatcher has out; at 8 queries a second over 8 engines the rest shows only in load reports that come with an answer, seconds late, and never from an engine that has stopped answering. Memory ran over with the threads (the site's engines trim grants: what lacks memory spills and works several times longer), which nothing saw at all.

Ruled out: dearer probes as the remedy. Told loads replace them.

Change: one message (5 bytes and 9 an engine) carries the traffic, told before by itself, and threads, memory and planned time on each engine that the peer draws on too, in a gap that follows from the price and the traffic. What peers told counts in the finish, for pressure and for room; memory binds on each engine. Probes are as many as their price allows. To make room went the guesses that this replaces: the line of others from own plans, own last sends as a sample of what others run.

--- a/cottonhold/config/settings.py
+++ b/cottonhold/config/settings.py
@@ -90,6 +90,7 @@
 def read_settings(params: Json) -> io.Settings:
     """The settings of a first message."""
     caps, domain = read(params, "caps", dict), read(params, "domain", dict, {})
+    costs = read(params, "costs", dict, {})
     report = read(params, "report", dict, {})
     cores, memory = read(domain, "size_cores", list, []), read(domain, "ram_of_kind_mb", list, [])
     names = read(params, "models", list, [])
@@ -112,6 +113,10 @@
         classes=tuple(read_class(c, domain, i) for i, c in enumerate(read(params, "classes", list))),
         models=models,
         permits=permits,
+        prices=io.Prices(
+            probe=read(costs, "probe", NUMBER, 0.0),
+            peer=read(costs, "peer", NUMBER, 0.0),
+        ),
         rules=read_rules(read(params, "obligations", dict)),
         tenants=tuple(
             io.Tenant(read(t, "name", str, ""), read(t, "quota_per_s", NUMBER, 0.0))
--- a/cottonhold/decide/interface.py
+++ b/cottonhold/decide/interface.py
@@ -116,6 +116,14 @@
     ask_list: bool = False
 
 
+@dataclass(slots=True, frozen=True)
+class Prices:
+    """What is taken off the day's result: for probes a query taken, and for bytes to peers a 256 of them."""
+
+    probe: float = 0.0
+    peer: float = 0.0
+
+
 @dataclass(slots=True, frozen=True)
 class Rules:
     """Figures of the rules; a None turns the rule off."""
@@ -141,6 +149,7 @@
     models: tuple[Model, ...] = (Model(),)
     tenants: tuple[Tenant, ...] = ()
     permits: Permits = Permits()
+    prices: Prices = Prices()
     rules: Rules = Rules()
     me: int = 0
     gateways: int = 1
@@ -162,6 +171,8 @@
             ("gateways", self.gateways >= 1),
             ("tick", self.tick > 0),
             ("max_grant_share", 0 < self.max_grant_share <= 1),
+            ("prices.probe", self.prices.probe >= 0),
+            ("prices.peer", self.prices.peer >= 0),
             ("note_period", self.note_period >= 0),
             ("permits.max_attempts", self.permits.max_attempts >= 1),
             ("rules.cold_from", 0 < rules.cold_from <= 1),
--- a/cottonhold/decide/scheduler.py
+++ b/cottonhold/decide/scheduler.py
@@ -14,7 +14,6 @@
 import math
 import random
 import struct
-from collections import deque
 from collections.abc import Callable, Iterable
 from typing import Any
 
@@ -26,7 +25,6 @@
 EPSILON = 2.0  # speed slack; sets alpha = 3, so rounded densities pass from a factor of 4 on
 BETA = 0.2  # share of the slack that is reserved: tentative run time is 1.4 p
 ALPHA = 2 + 2 / EPSILON  # passing margin of Algorithm 1
-MIX = 16  # own last sends that stand for what the other gateways run on an engine
 REDRAWN = 2  # engines drawn anew for a held query where engines are rarely heard of: more is only CPU
 HOMES = 0.4  # share of the engines that take the loads on a set of tables: the others serve its readers
 HOME_PRICE = 0.1  # of its aim: so much sooner a reader must end at a home, where a load may come
@@ -66,9 +64,11 @@
 GRANT_PAGE = 2.0  # grant over need where unused memory stays free to others
 GRANT_TIGHT = 1.3  # grant over need where granted memory is taken from others
 TRAFFIC_MS = 3000.0  # memory of traffic rates, and of own plans that stand for the other gateways'
-PROBES_PER_QUERY = 0.3  # own probes for each own query: at their usual price some tenths of a point
-PEER_MS = 3000.0  # gap between messages on traffic shares
-PEERS_TOLD = 4  # random peers told of traffic, remembered ten gaps: all-to-all grows with the square
+PROBES_PER_QUERY = 0.3  # own probes for each own query, at most
+PROBE_PRICE = 0.003  # of the result that probes may cost: where they are dear fewer are sent
+PEER_PRICE = 0.003  # of the result that messages on loads may cost: their gap follows from it
+PEER_MS, PEER_MOST_MS = 250.0, 3000.0  # the shortest gap, and the longest, that of an idle gateway
+PEER_GAPS = 3.5  # gaps after which a silent peer is taken to have nothing out
 PATIENCE_ALIKE = 0.02  # of the time that most clients leave a first try: ticks and the way here scatter it
 REPEATS_MOST = 1.5  # repeats for each query turned away: clients of other gateways come too
 PATIENCE_VOTES = 40  # majority vote on it, at most: where clients differ too much, none counts as a repeat
@@ -77,7 +77,7 @@
 PROOF = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT)  # the attempt never ran
 MAYBE_RUNNING = (Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED)  # may run on unseen
 UNHEARD = ("silent", "deaf")  # suspicions of engines that take work and say nothing
-STATUS, LOAD = 1, 2  # kinds of peer message
+LOAD, LOADS = 2, 3  # kinds of peer message
 
 
 class Scheduler:
@@ -96,18 +96,19 @@
         self.share = 1.0 / settings.gateways
         self.active: dict[str, EngineView] = {}  # engines that hold or run something of ours
         self.doubted: dict[str, EngineView] = {}
-        self.recent: deque[tuple[float, int]] = deque(maxlen=MIX)
         self.ring, self.homes = list[EngineView](), dict[int, list[EngineView]]()
         self.live, self.near, self.blind = list[EngineView](), list[EngineView](), 1.0
         self.mine, self.reach = set[str](), self.share  # whom it draws on, and its part of what each is sent
         self.full_room = self.full_memory = self.own_room = 1.0
-        self.line, self.line_ahead = dict[float, state.Smooth](), dict[float, float]()
         self.fleet, self.reads, self.unseen = state.Rate(), [0.0, 0.0], list[tuple[float, Query]]()
         self.util, self.best, self.slack = 1.0, 0.0, HEARTBEAT_MS + 2 * settings.tick
-        self.line_at, self.probes, self.pool_rest, self.pool = -math.inf, 0.0, 0.0, state.Pool()
-        self.started, self.changed, self.serial = False, False, itertools.count()
+        self.probes, self.pool_rest, self.pool = 0.0, 0.0, state.Pool()
+        self.probe_part = min(PROBES_PER_QUERY, PROBE_PRICE / max(settings.prices.probe, 1e-9))
+        self.gap, self.heard_at, self.heard = PEER_MOST_MS, -math.inf, False
+        self.next_peer = 0.0 if settings.permits.peers and settings.gateways > 1 else math.inf
+        self.changed, self.serial = False, itertools.count()
         self.now = self.next_replan = self.next_ask = 0.0  # the list is asked for in the first step
-        self.next_beat = self.next_peer = self.wake_at = math.inf
+        self.next_beat = self.wake_at = math.inf
         self.actions: list[io.Action] = []
         self.handlers: dict[type, Callable[[Any], None]] = {
             io.Arrival: self._on_arrival, io.AttemptEnded: self._on_ended, io.Note: self._on_note,
@@ -118,10 +119,6 @@
     def step(self, now: float, events: Iterable[io.Event]) -> list[io.Action]:
         """Take in what happened by now and decide; the one entry point."""
         self.now, self.actions = now, []
-        if not self.started:
-            self.started = True
-            if self.settings.permits.peers and self.settings.gateways > 1:
-                self.next_peer = now + PEER_MS * self.random.random()
         if now >= self.wake_at - self.settings.tick / 2:
             self.wake_at = math.inf
         self.changed = False
@@ -179,9 +176,10 @@
     def _count_room(self) -> None:
         """Live engines, weighted in the draw by the cores they have now, and their thread and memory room."""
         self.live = [e for e in self.engines.values() if e.info.state is EngineState.LIVE]
-        # Danger: engines fill unevenly by chance, what other gateways sent there is hardly seen, and one that
-        # pages jams. So memory is left free for chance the more, the rarer this gateway hears of each engine.
+        # Danger: engines fill unevenly by chance, what others sent is hardly seen, one that pages jams. So
+        # memory is left free for chance the more, the rarer this gateway hears of each engine.
         heard = 1000 * len(self.live) / max(self.traffic.per_s(self.now), 1e-3)  # so often of each engine
+        self.heard = self.now - self.heard_at < PEER_GAPS * self.gap
         self.blind = (1 - self.share) * (1 - math.exp(-heard / REPORT_FRESH_MS))
         for e in self.live:
             cold = min(1.0, max(0.0, e.cold_until - self.now) / self.settings.rules.warm_within)
@@ -208,9 +206,11 @@
         self.full_memory = sum(e.memory_room for e in self.live) or math.inf
         self.own_room, own_memory = self.full_room * self.share, self.full_memory * self.share
         # Own held work is drained by the own part of its engine, of the whole fleet where engines are unseen.
+        # Where peers tell of theirs, it is drained by the whole engine.
+        part = 1.0 if self.heard else self.share
         for e in self.live:
-            e.own_room = max(e.room * self.share, self.blind * min(e.room, self.own_room))
-            e.own_memory = max(e.memory_room * self.share, self.blind * min(e.memory_room, own_memory))
+            e.own_room = max(e.room * part, self.blind * min(e.room, self.own_room))
+            e.own_memory = max(e.memory_room * part, self.blind * min(e.memory_room, own_memory))
 
     def _on_entry(self, info: io.Engine) -> None:
         """A new start time means a restart: what was learned of the old process is void."""
@@ -258,7 +258,9 @@
         report = e.report if self.now - e.report_at < REPORT_FRESH_MS else {}
         if report.get("util", 0.0) > PRESSED_UTIL or report.get("queue", 0.0) > 0:
             return True
-        used = max(e.threads_out / e.own_room, e.memory_out / e.own_memory) + self.blind * self._fleet_fill()
+        o = e.sum_told(self.now)
+        used = max((e.threads_out + o.threads) / e.own_room, (e.memory_out + o.memory) / e.own_memory)
+        used += 0.0 if self.heard else self.blind * self._fleet_fill()
         # Danger: late reports told of 17 queries where 54 were out, and engines filled to twice their room.
         # One that holds fewer than this gateway alone has out there denies nothing.
         late = report.get("inflight", math.inf) * OUTDATED < len(e.out)
@@ -268,6 +270,11 @@
         most = 1 / THREADS_PER_CORE if self.settings.when_short is io.WhenShort.PAGE else PRESSED_UTIL
         return report.get("inflight", report.get("util", self.util) / most * e.cores) > e.cores
 
+    def _not_passed(self, density: float) -> float:
+        """Part of the work out on the fleet that holds such a query back, as own work out shows."""
+        above = self.pool.sound.held_by(density, ALPHA)[0]
+        return PASSED + (1 - PASSED) * (above + 1) / (max(above, self.pool.threads) + 1)
+
     def _fleet_fill(self) -> float:
         """Part of the fleet in use: the mean reported, or own work out over the own share if that is more."""
         filled = max(self.pool.threads / self.full_room, self.pool.memory / self.full_memory)
@@ -398,7 +405,10 @@
         start = self.now + (1 + BETA * EPSILON) * p
         density = self._density(q, p, start)
         passing = density if self.settings.permits.priorities else 0.0
-        start += e.ahead(self.now, LEFT_LEAST, passing, ALPHA, PASSED) + self._others_line(density)
+        start += e.ahead(self.now, LEFT_LEAST, passing, ALPHA, PASSED)
+        o = e.sum_told(self.now)
+        wide = max(1 / e.room, o.memory / max(o.threads, 1) / e.memory_room)
+        start += o.area * wide * self._not_passed(passing)
         if e.locks and (q.cls.waits or q.cls.loads):  # it stands still behind a load that holds its tables
             start += max(0.0, e.locks.get(q.tables, 0.0) - self.now)
         if q.cls.loads and e.line:  # loads on the same tables run one at a time, all gateways' in turn
@@ -424,21 +434,6 @@
                 best_finish, best_place, best = finish, place, u
         return best_finish + e.errors * (best_finish - self.now) * 3, best_place, best, p
 
-    def _others_line(self, density: float) -> float:
-        """Time until what such a query does not pass has left the others' plans; own plans show it."""
-        # Danger: counted whole, the line of held reports made lookups, which pass them, look late for good.
-        if self.now - self.line_at >= state.FRESH_MS or self.now < self.line_at:
-            self.line_at, levels = self.now, dict.fromkeys(self.line, 0.0)
-            self.line_ahead.clear()
-            for q in (q for e in self.active.values() for q in e.plan):
-                part = max(q.area / self.full_room, q.p * q.memory / self.full_memory)
-                levels[q.density] = levels.get(q.density, 0.0) + part / self.share
-            for level, seen in levels.items():
-                self.line.setdefault(level, state.Smooth(at=self.now)).follow(self.now, TRAFFIC_MS, seen)
-        if density not in self.line_ahead:
-            self.line_ahead[density] = sum(s.value for at, s in self.line.items() if density <= ALPHA * at)
-        return self.blind * self.line_ahead[density]
-
     # --- placement (Algorithm 3) ---
 
     def _candidates(self, q: Query, k: int = CANDIDATES) -> list[EngineView]:
@@ -505,9 +500,6 @@
             other.finish += q.area / e.own_room
         passed = [o.lane for o in e.plan[place:]]
         passed += e.levels.lanes_below(q.density, ALPHA)
-        # Danger: at a small share the engine runs what others sent, and short queries starve among it unseen.
-        mix = itertools.islice(self.recent, round(MIX * self.blind))
-        passed += [lane for density, lane in mix if q.density > ALPHA * density]
         q.lane = min(3, 1 + max(passed)) if passed and self.settings.permits.priorities else 1
         self.active[e.id], self.changed = e, True
         e.hold(place, q)
@@ -540,12 +532,15 @@
         binds = {io.WhenShort.WAIT: 0.0, io.WhenShort.SHRINK: self.util, io.WhenShort.PAGE: 1.0}[short]
         # Danger: a lookup waited for room until reports of seconds ended, and was refused as too late, though
         # the engine would have let it pass them. So what q passes holds it back in part only.
-        density = q.density if self.settings.permits.priorities else 0.0
+        density, o = q.density if self.settings.permits.priorities else 0.0, e.sum_told(self.now)
         above, needed, _ = e.levels.held_by(density, ALPHA)
         wide = above + (e.threads_out - above) * PASSED + q.cls.threads
         needed += (e.memory_out - needed) * PASSED + q.memory
-        own = max(wide / e.room, needed / e.memory_room)
-        if pressed and e.out and own > self.share:
+        part = self._not_passed(density)
+        wide, needed = (wide + o.threads * part) / e.room, (needed + o.memory * part) / e.memory_room
+        # Danger: each of forty saw its own few out and let more in, till memory ran over and all spilled.
+        full = max(needed, wide * pressed) > 1 if self.heard else pressed and max(wide, needed) > self.share
+        if full and (e.out or o.threads):
             return False
         # Danger: one query of each gateway on each engine floods the fleet; paging shows only in the jam. So
         # the share is of the whole fleet; any spare above it adds up. What q passes does not hold it back.
@@ -602,13 +597,13 @@
         q.out, q.sent_at, q.seen_at, q.run_at, q.done, q.engine = True, now, now, now, 0.0, e
         q.cancelled = q.waits = False
         self.pool.add_out(q, e)
-        self.recent.appendleft((q.density, q.lane))
         q.warm = e.read(q.tables, WARM_TABLES)
-        e.allowance -= self._usual_cost(q)
+        e.allowance -= self.classes[q.kind].cost or q.cost
         if q.cls.loads:
             e.locks[q.tables] = max(e.locks.get(q.tables, 0.0), now + q.p)
             if permits.peers:
-                self._tell(struct.pack(">BIHf", LOAD, e.code, q.tables & 0xFFFF, q.p), self._users(e))
+                data = struct.pack(">BIHf", LOAD, e.code, q.tables & 0xFFFF, q.p)
+                self.actions += [io.Tell(data, peer) for peer in self._users(e)]
 
     def _count(self, window: state.Window) -> None:
         # Danger: where no budget is set nothing asks for these sums, so nothing was forgotten: both grew.
@@ -621,10 +616,6 @@
         first = math.ceil((e.rank - max(len(self.near), CANDIDATES) + 1) * wide)
         return sorted({m % n for m in range(first, math.floor(e.rank * wide) + 1)} - {self.settings.me})
 
-    def _usual_cost(self, q: Query) -> float:
-        """The usual work of its class: what rule 4 counts for each query."""
-        return self.classes[q.kind].cost or q.cost
-
     # --- outcomes ---
 
     def _on_arrival(self, event: io.Arrival) -> None:
@@ -635,7 +626,7 @@
         self.queries[q.id] = q
         self._count(self.taken)
         self.traffic.add(self.now)
-        self.probes = min(self.probes + PROBES_PER_QUERY, CANDIDATES)
+        self.probes = min(self.probes + self.probe_part, CANDIDATES)
         # Danger: where only probes tell load, or answers are rare, load is a guess. A probe fills in where
         # the report is oldest, within what is left over from doubts; may hurt where probes cost more.
         if self.settings.permits.probes and self.probes >= 2 and self.near:
@@ -796,14 +787,16 @@
     def _on_peer(self, event: io.PeerMessage) -> None:
         """Peers tell their traffic, for shares, and their loads, for stalls; anything else is skipped."""
         data = event.data
-        if len(data) == 5 and data[0] == STATUS and math.isfinite(rate := struct.unpack(">Bf", data)[1]):
-            self.peers.heard[event.peer] = (self.now, max(rate, 0.0))
-        elif len(data) == 11 and data[0] == LOAD:
+        if len(data) == 11 and data[0] == LOAD:
             _, code, tables, length = struct.unpack(">BIHf", data)
             for e in self.live:
                 if e.code == code and math.isfinite(length):  # an absurd one must not bar the tables for good
                     length = min(length, max(c.deadline for c in self.settings.classes))
                     e.locks[tables] = max(e.locks.get(tables, 0.0), self.now + length)
+        elif data[:1] == bytes([LOADS]) and (told := state.read_loads(self.now, data)):
+            self.heard_at, self.peers.heard[event.peer] = self.now, (self.now, told[0])
+            for e in self.live:
+                e.hear(event.peer, told[1].get(e.code), self.now + PEER_GAPS * self.gap)
 
     def _probe(self, e: EngineView) -> None:
         """Ask an engine for a word, within what own traffic allows: each probe has its price."""
@@ -865,7 +858,8 @@
         e.allowance_at = self.now
         e.allowance = min(fill * self.settings.rules.tip_after, e.allowance + fill * waited)
         turn = self.settings.me + math.floor(self.now / self.settings.rules.tip_after)
-        return e.allowance < (e.code / 2**32 + turn * GOLDEN) % 1 * self._usual_cost(q)
+        # What counts for each query is the usual work of its class.
+        return e.allowance < (e.code / 2**32 + turn * GOLDEN) % 1 * (self.classes[q.kind].cost or q.cost)
 
     def _cold_fill(self, e: EngineView) -> float:
         """This gateway's part of the work a cold engine may be sent; half of it may come as one burst."""
@@ -900,16 +894,20 @@
             self._count_room()
             self._replan()
 
-    def _tell(self, data: bytes, peers: Iterable[int]) -> None:
-        self.actions += [io.Tell(data, peer) for peer in peers]
-
     def _tell_peers(self) -> None:
-        """This gateway's traffic to a few random peers; its share is judged against those heard of."""
+        """This gateway's traffic, for shares, and what it has on engines, to those that draw on them too."""
         now, own, settings = self.now, self.traffic.per_s(self.now), self.settings
-        self.next_peer = now + PEER_MS
-        others = [m for m in range(settings.gateways) if m != settings.me]
-        self._tell(struct.pack(">Bf", STATUS, own), self.random.sample(others, min(PEERS_TOLD, len(others))))
-        if total := self.peers.mean(own, now - 10 * PEER_MS) * settings.gateways:
+        lists = dict[int, list[EngineView]]()
+        for e in (e for e in self.live if e.id in self.mine or e.id in self.active):
+            e.ahead(now, LEFT_LEAST, 0.0, ALPHA, PASSED)
+            for peer in self._users(e):
+                lists.setdefault(peer, []).extend([e] if e.out or e.plan else [])
+        told = {peer: state.pack_loads(LOADS, own, engines) for peer, engines in lists.items()}
+        self.actions += [io.Tell(data, peer) for peer, data in told.items()]
+        price = settings.prices.peer * sum(map(len, told.values())) / 256 / PEER_PRICE
+        self.gap = min(max(PEER_MS, 1000 * price / max(own, 0.1)), PEER_MOST_MS)
+        self.next_peer = now + self.gap * (0.5 + 0.5 * self.random.random())  # not in step with all others
+        if total := self.peers.mean(own, now - 10 * PEER_MOST_MS) * settings.gateways:
             self.share = min(1.0, max(own / total, 0.2 / settings.gateways))
 
     def _rescue(self, e: EngineView) -> None:
--- a/cottonhold/decide/state.py
+++ b/cottonhold/decide/state.py
@@ -4,6 +4,7 @@
 
 import heapq
 import math
+import struct
 import zlib
 from collections import deque
 from dataclasses import dataclass, field
@@ -121,6 +122,8 @@
     line: dict[int, float] = field(default_factory=dict)
     code: int = 0
     rank: int = 0
+    told: dict[int, Told] = field(default_factory=dict)  # what each peer has there
+    others: Told = field(default_factory=lambda: Told(-math.inf, 0, 0.0, 0.0))  # their sum, for FRESH_MS
 
     def __post_init__(self) -> None:
         """A short code for the id, the same at every gateway."""
@@ -159,6 +162,22 @@
             area, space = area + more * part, space + memory * part
         return max(area / self.own_room, space / self.own_memory)
 
+    def hear(self, peer: int, told: Told | None, until: float) -> None:
+        """Take in what a peer has here, or that it has nothing; it is forgotten if not told again by then."""
+        self.told.pop(peer, None)
+        if told is not None:
+            told.until = until
+            self.told[peer] = told
+
+    def sum_told(self, now: float) -> Told:
+        """What the peers that told of it have out here, and what is left of it."""
+        if now - self.others.at >= FRESH_MS:
+            self.told = {peer: t for peer, t in self.told.items() if t.until > now}
+            told = self.told.values()
+            left = sum(max(t.area - t.threads * (now - t.at), 0.0) for t in told)
+            self.others = Told(now, sum(t.threads for t in told), sum(t.memory for t in told), left)
+        return self.others
+
     def _add_left(self, q: Query, part: float) -> None:
         """Count a part of a query's run as left, by density; a negative part takes it back."""
         area, space = self.left.get(q.density, (0.0, 0.0))
@@ -354,6 +373,42 @@
         return sum(rates) / len(rates)
 
 
+@dataclass(slots=True)
+class Told:
+    """What a peer has on an engine, and when it told of it: threads and memory out, planned thread time."""
+
+    at: float
+    threads: int
+    memory: float
+    area: float
+    until: float = math.inf
+
+
+HEAD = struct.Struct(">Bf")  # kind and the peer's traffic
+LOADS = struct.Struct(">IBHH")  # an engine's code, threads, memory and planned thread time of a peer there
+MEMORY_UNIT, AREA_UNIT = 16.0, 32.0  # of one step on the wire, in MB and in milliseconds
+MOST_LOADS = 28  # entries of a message, which has 256 bytes at most
+
+
+def pack_loads(kind: int, traffic: float, engines: list[EngineView]) -> bytes:
+    """This gateway's traffic and what it has on these engines, as a message to a peer."""
+    data = HEAD.pack(kind, traffic)
+    for e in engines[:MOST_LOADS]:
+        area = e.held_area + sum(area for area, _ in e.left.values())
+        steps = min(int(max(e.memory_out, 0.0) / MEMORY_UNIT), 65535), min(int(area / AREA_UNIT), 65535)
+        data += LOADS.pack(e.code, min(e.threads_out, 255), *steps)
+    return data
+
+
+def read_loads(now: float, data: bytes) -> tuple[float, dict[int, Told]] | None:
+    """A peer's traffic and its loads by engine code; None for a message that makes no sense."""
+    if len(data) % LOADS.size != HEAD.size or not math.isfinite(traffic := HEAD.unpack_from(data)[1]):
+        return None
+    rows = LOADS.iter_unpack(data[HEAD.size :])
+    loads = {code: Told(now, n, memory * MEMORY_UNIT, area * AREA_UNIT) for code, n, memory, area in rows}
+    return max(traffic, 0.0), loads
+
+
 @dataclass(slots=True)
 class Traffic:
     """An exponentially forgotten count of arrivals."""
