Count own sends since peers were told once for each of them as well

At that moment all dispatchers held queries; what they had told was up to a second old, so each saw the engine empty and poured in its own line.

Cause: EngineView.sum_told knew what the peers had told, not what they sent since; and all do the same at the same time.

Change: own sends since the last word to the peers, unless they have ended, count as many times more as there are other gateways that draw on the engine. A single query goes out as before; a line goes out as the word goes round.

--- a/cottonhold/decide/scheduler.py
+++ b/cottonhold/decide/scheduler.py
@@ -27,7 +27,6 @@
 ALPHA = 2 + 2 / EPSILON  # passing margin of Algorithm 1
 REDRAWN = 2  # engines drawn anew for a held query where engines are rarely heard of: more is only CPU
 HOMES = 0.4  # share of the engines that take the loads on a set of tables: the others serve its readers
-HOME_PRICE = 0.1  # of its aim: so much sooner a reader must end at a home, where a load may come
 CANDIDATES = 8  # engines compared for each query; the paper sees no more gain from 10 on
 THREADS_PER_CORE = 2.0  # thread room, the design page's start; lower leaves cores idle while threads read
 PASSED = 0.25  # of the work out that a query passes counts: one priority above gets four times the cores
@@ -104,7 +103,7 @@
         self.util, self.best, self.slack = 1.0, 0.0, HEARTBEAT_MS + 2 * settings.tick
         self.probes, self.pool_rest, self.pool = 0.0, 0.0, state.Pool()
         self.probe_part = min(PROBES_PER_QUERY, PROBE_PRICE / max(settings.prices.probe, 1e-9))
-        self.gap, self.heard_at, self.heard = PEER_MOST_MS, -math.inf, False
+        self.gap, self.heard_at, self.heard, self.alike = PEER_MOST_MS, -math.inf, False, 0.0
         self.next_peer = 0.0 if settings.permits.peers and settings.gateways > 1 else math.inf
         self.changed, self.serial = False, itertools.count()
         self.now = self.next_replan = self.next_ask = 0.0  # the list is asked for in the first step
@@ -198,7 +197,7 @@
         self.near = [e for e in turned if not e.suspect][:count]
         last = self.near[-1].rank if self.near else -1
         self.mine = {e.id for e in turned[: (last - first) % len(ranked) + 1]} if self.near else set[str]()
-        self.reach = min(1.0, sum(not e.suspect for e in ranked) / max(len(self.near), 1) * self.share)
+        self.reach = min(1.0, sum(not e.suspect for e in ranked) / max(len(self.near), 1) * self.share) or 1.0
         least = min((e.cores for e in self.live), default=1.0)
         self.ring = [e for e in ranked for _ in range(round(e.cores / least))] if len(ranked) > 1 else []
         self.homes.clear()
@@ -207,7 +206,7 @@
         self.own_room, own_memory = self.full_room * self.share, self.full_memory * self.share
         # Own held work is drained by the own part of its engine, of the whole fleet where engines are unseen.
         # Where peers tell of theirs, it is drained by the whole engine.
-        part = 1.0 if self.heard else self.share
+        part, self.alike = 1.0 if self.heard else self.share, (1 / self.reach - 1) * self.heard
         for e in self.live:
             e.own_room = max(e.room * part, self.blind * min(e.room, self.own_room))
             e.own_memory = max(e.memory_room * part, self.blind * min(e.memory_room, own_memory))
@@ -258,7 +257,7 @@
         report = e.report if self.now - e.report_at < REPORT_FRESH_MS else {}
         if report.get("util", 0.0) > PRESSED_UTIL or report.get("queue", 0.0) > 0:
             return True
-        o = e.sum_told(self.now)
+        o = e.sum_told(self.now, self.alike)
         used = max((e.threads_out + o.threads) / e.own_room, (e.memory_out + o.memory) / e.own_memory)
         used += 0.0 if self.heard else self.blind * self._fleet_fill()
         # Danger: late reports told of 17 queries where 54 were out, and engines filled to twice their room.
@@ -406,15 +405,13 @@
         density = self._density(q, p, start)
         passing = density if self.settings.permits.priorities else 0.0
         start += e.ahead(self.now, LEFT_LEAST, passing, ALPHA, PASSED)
-        o = e.sum_told(self.now)
+        o = e.sum_told(self.now, self.alike)
         wide = max(1 / e.room, o.memory / max(o.threads, 1) / e.memory_room)
         start += o.area * wide * self._not_passed(passing)
         if e.locks and (q.cls.waits or q.cls.loads):  # it stands still behind a load that holds its tables
             start += max(0.0, e.locks.get(q.tables, 0.0) - self.now)
         if q.cls.loads and e.line:  # loads on the same tables run one at a time, all gateways' in turn
             start += e.line.get(q.tables, 0.0) / self.share
-        if q.cls.waits and not q.cls.loads and e in self._homes(q.tables):
-            start += HOME_PRICE * q.cls.aim
         area, space = e.held_area, e.held_space
         best_finish = start + max(area / room, space / memory)
         best_place, best = len(e.plan), self._density(q, p, best_finish)
@@ -532,7 +529,7 @@
         binds = {io.WhenShort.WAIT: 0.0, io.WhenShort.SHRINK: self.util, io.WhenShort.PAGE: 1.0}[short]
         # Danger: a lookup waited for room until reports of seconds ended, and was refused as too late, though
         # the engine would have let it pass them. So what q passes holds it back in part only.
-        density, o = q.density if self.settings.permits.priorities else 0.0, e.sum_told(self.now)
+        density, o = q.density if self.settings.permits.priorities else 0.0, e.sum_told(self.now, self.alike)
         above, needed, _ = e.levels.held_by(density, ALPHA)
         wide = above + (e.threads_out - above) * PASSED + q.cls.threads
         needed += (e.memory_out - needed) * PASSED + q.memory
@@ -900,6 +897,7 @@
         lists = dict[int, list[EngineView]]()
         for e in (e for e in self.live if e.id in self.mine or e.id in self.active):
             e.ahead(now, LEFT_LEAST, 0.0, ALPHA, PASSED)
+            e.fresh = state.Told(now, 0, 0.0, 0.0)
             for peer in self._users(e):
                 lists.setdefault(peer, []).extend([e] if e.out or e.plan else [])
         told = {peer: state.pack_loads(LOADS, own, engines) for peer, engines in lists.items()}
--- a/cottonhold/decide/state.py
+++ b/cottonhold/decide/state.py
@@ -124,6 +124,7 @@
     rank: int = 0
     told: dict[int, Told] = field(default_factory=dict)  # what each peer has there
     others: Told = field(default_factory=lambda: Told(-math.inf, 0, 0.0, 0.0))  # their sum, for FRESH_MS
+    fresh: Told = field(default_factory=lambda: Told(-math.inf, 0, 0.0, 0.0))  # sent since they were told
 
     def __post_init__(self) -> None:
         """A short code for the id, the same at every gateway."""
@@ -169,14 +170,16 @@
             told.until = until
             self.told[peer] = told
 
-    def sum_told(self, now: float) -> Told:
-        """What the peers that told of it have out here, and what is left of it."""
+    def sum_told(self, now: float, alike: float) -> Told:
+        """What the peers that told of it have out here, and what is left of it. What was sent since is taken
+        to be that many times this gateway's own."""
         if now - self.others.at >= FRESH_MS:
             self.told = {peer: t for peer, t in self.told.items() if t.until > now}
             told = self.told.values()
             left = sum(max(t.area - t.threads * (now - t.at), 0.0) for t in told)
             self.others = Told(now, sum(t.threads for t in told), sum(t.memory for t in told), left)
-        return self.others
+        o, f = self.others, self.fresh
+        return Told(now, o.threads + f.threads * alike, o.memory + f.memory * alike, o.area + f.area * alike)
 
     def _add_left(self, q: Query, part: float) -> None:
         """Count a part of a query's run as left, by density; a negative part takes it back."""
@@ -203,6 +206,7 @@
         self.levels.add(q)
         self._add_left(q, 1.0)
         self.threads_out, self.memory_out = self.threads_out + q.cls.threads, self.memory_out + q.memory
+        self.fresh.count(q, 1)
 
     def drop_out(self, q: Query, least: float) -> bool:
         """The attempt that was out here has ended; false if none was."""
@@ -213,6 +217,8 @@
             self.loading[q.tables] -= 1
         self._add_left(q, -q.left(max(self.ahead_at, q.sent_at), least))
         self.threads_out, self.memory_out = self.threads_out - q.cls.threads, self.memory_out - q.memory
+        if q.sent_at >= self.fresh.at:
+            self.fresh.count(q, -1)
         return True
 
 
@@ -378,11 +384,16 @@
     """What a peer has on an engine, and when it told of it: threads and memory out, planned thread time."""
 
     at: float
-    threads: int
+    threads: float
     memory: float
     area: float
     until: float = math.inf
 
+    def count(self, q: Query, times: int) -> None:
+        """Add a query, or take it back."""
+        self.threads, self.memory = self.threads + times * q.cls.threads, self.memory + times * q.memory
+        self.area += times * q.area
+
 
 HEAD = struct.Struct(">Bf")  # kind and the peer's traffic
 LOADS = struct.Struct(">IBHH")  # an engine's code, threads, memory and planned thread time of a peer there
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -349,3 +349,17 @@
     s.step(400.0, [ended(name, io.Outcome.TIMEOUT, engine=engine, final=True)])
     after = s.step(405.0, [arrival("next", due=20000.0, cost=6000.0, query_class=1)])
     assert [q for q, _ in sends(after)] == wanted
+
+
+def test_what_was_sent_since_peers_were_told_stands_for_theirs() -> None:
+    """Found on join+vast: engines done warming looked idle to eleven gateways, and got thrice their cores."""
+    s = Scheduler(settings(classes=(REPORT,), gateways=11, permits=TALKING), 1)
+    s.step(0.0, [engines("e1")])
+    heard(s, 5.0, 1, ("e1", 1, 0.0, 0.0))
+    s.step(6.0, [engines("e1")])
+    assert len([q for t in range(10, 100, 10) for q in sends(s.step(t, [arrival(f"r{t}", due=2e4)]))]) == 1
+    heard(s, 110.0, 1, ("e1", 1, 0.0, 0.0))
+    assert sends(s.step(120.0, [])) == []
+    s.next_peer = 0.0
+    s.step(130.0, [])
+    assert len(sends(s.step(140.0, [arrival("next", due=2e4)]))) == 1
