Send loads to homes that are heard of, and bound what passes on a full engine

Sends by place: 19 of 20 loads, and in the worst seconds one of 20 lookups, went to engines outside the own window of eight, of which nothing is heard.

Causes: _candidates took all homes of a load's tables, and those unheard of look empty; _has_room counted what a query passes as a quarter, however full the engine was.

Change: loads keep to homes in the own window where it holds any; threads and memory out in all bind at 1.25 times the room, also for what passes. Asking for list changes moved into the step, to make room.

--- a/cottonhold/decide/scheduler.py
+++ b/cottonhold/decide/scheduler.py
@@ -54,6 +54,7 @@
 TRICKLE_MS = 150.0  # gap between the safe queries that all gateways together send to a suspect engine
 DOUBT_MS = 10000.0  # without a new bad sign a suspicion ends: at a small share the trickle never tests it
 TRICKLE_GOOD = 3  # served queries in a row that end a suspicion of death or silence
+OVERFULL = 1.25  # times the room is too full also for what passes: work done falls steeply from there
 GOLDEN = (math.sqrt(5) - 1) / 2  # its multiples spread evenly, however many: turns come up in few at a time
 COLD_MARGIN = 0.5  # of a cold engine's budget: true speed, cost estimates and shares are all guesses
 REPLAN_MS = 250.0  # held queries are planned anew so often
@@ -130,8 +131,9 @@
             self._sweep()
         if now >= self.next_peer:
             self._tell_peers()
-        if now >= self.next_ask:
-            self._subscribe()
+        if now >= self.next_ask:  # list changes are asked for where they do not come by themselves
+            self.next_ask = math.inf
+            self.actions += [io.Subscribe(True)] if self.settings.permits.ask_list else []
         if self.changed:
             self._release()
         self._wake()
@@ -148,12 +150,6 @@
 
     # --- engine view ---
 
-    def _subscribe(self) -> None:
-        """Ask for list changes where they do not come by themselves."""
-        self.next_ask = math.inf
-        if self.settings.permits.ask_list:
-            self.actions.append(io.Subscribe(True))
-
     def _on_failed(self, event: io.ListFailed) -> None:
         self.next_ask = self.now + RETRY_AFTER_MS
 
@@ -204,8 +200,8 @@
         self.full_room = sum(e.room for e in self.live) or 1.0
         self.full_memory = sum(e.memory_room for e in self.live) or math.inf
         self.own_room, own_memory = self.full_room * self.share, self.full_memory * self.share
-        # Own held work is drained by the own part of its engine, of the whole fleet where engines are unseen.
-        # Where peers tell of theirs, it is drained by the whole engine.
+        # Own held work is drained by the own part of its engine, by all of it where peers tell of theirs, and
+        # by the own part of the whole fleet where engines are unseen.
         part, self.alike = 1.0 if self.heard else self.share, (1 / self.reach - 1) * self.heard
         for e in self.live:
             e.own_room = max(e.room * part, self.blind * min(e.room, self.own_room))
@@ -439,11 +435,12 @@
         if q.cls.loads or q.cls.waits:
             homes = self._homes(q.tables)
             if q.cls.loads and (pool := [e for e in homes if e.id not in q.tried and self._fits(q, e)]):
-                return [e for e in pool if not self._cold_barred(q, e)] or pool
+                # Danger: loads went to homes that this gateway hears nothing of, which looked empty to it.
+                known = [e for e in pool if e.id in self.mine] or pool
+                return [e for e in known if not self._cold_barred(q, e)] or known
             # Danger: readers kept off all homes at all times left homes of much read tables half idle,
             # and waited in line elsewhere till they were refused. So they keep off while a load is there.
-            bars = homes if not q.cls.loads else []
-            near = [e for e in near if e not in bars or not e.loads_on(q.tables, self.now)] or near
+            near = [e for e in near if e not in homes or not e.loads_on(q.tables, self.now)] or near
         drawn = heapq.nlargest(k, near, key=lambda e: self.random.random() ** (1 / e.room))
         if q.engine is not None and not q.attempts and q.engine not in drawn:
             drawn.append(q.engine)
@@ -536,7 +533,9 @@
         part = self._not_passed(density)
         wide, needed = (wide + o.threads * part) / e.room, (needed + o.memory * part) / e.memory_room
         # Danger: each of forty saw its own few out and let more in, till memory ran over and all spilled.
-        full = max(needed, wide * pressed) > 1 if self.heard else pressed and max(wide, needed) > self.share
+        over = max((e.threads_out + o.threads) / e.room, (e.memory_out + o.memory) / e.memory_room) / OVERFULL
+        limit = 1.0 if self.heard else self.share
+        full = over > 1 or pressed and wide > limit or (pressed or self.heard) and needed > limit
         if full and (e.out or o.threads):
             return False
         # Danger: one query of each gateway on each engine floods the fleet; paging shows only in the jam. So
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -363,3 +363,28 @@
     s.next_peer = 0.0
     s.step(130.0, [])
     assert len(sends(s.step(140.0, [arrival("next", due=2e4)]))) == 1
+
+
+@pytest.mark.parametrize("me", range(0, 40, 7))
+def test_loads_go_to_homes_that_this_gateway_hears_of(me: int) -> None:
+    """Found on disco+vast: 19 loads of 20 went to homes outside the own window, which looked empty."""
+    load = dataclasses.replace(REPORT, name="load", loads=True)
+    s = Scheduler(settings(classes=(load,), gateways=40, me=me), 1)
+    s.step(0.0, [fleet(30)])
+    for tables in range(6):
+        ((name, engine),) = sends(s.step(5.0 + tables, [arrival(f"l{tables}", due=2e4, tables=tables)]))
+        s.step(5.5 + tables, [ended(name, io.Outcome.OK, engine=engine, final=True)])
+        assert engine in s.mine or not s.mine & {e.id for e in s.homes[tables]}
+
+
+@pytest.mark.parametrize("threads, passes", [(18, True), (22, False)])
+def test_what_passes_finds_no_room_on_an_engine_far_over_it(threads: int, passes: bool) -> None:
+    """Found on disco+vast: lookups, which pass reports, were let in at 3 times the room, and work fell."""
+    s = Scheduler(settings(classes=(LOOKUP, REPORT), gateways=3, permits=TALKING), 1)
+    s.step(0.0, [engines("e1")])
+    held = [arrival(f"r{i}", due=2e4, cost=3000.0, query_class=1) for i in range(7)]
+    sent = sends(s.step(1.0, held))
+    s.next_peer = 0.0  # the peers are told of these now, and what they have follows
+    heard(s, 20.0, 1, ("e1", threads - 2 * len(sent), 0.0, 500.0))
+    s.step(21.0, [engines("e1")])
+    assert bool(sends(s.step(22.0, [arrival("a", cost=50.0)]))) == passes
