Hear operators' calls, and drain by closing each connection behind its answer

Ruled out: nothing to rule out, there was no listener for the calls.

The listener has SO_REUSEPORT and is emptied before it closes.

--- a/cottonhold/config/installation.py
+++ b/cottonhold/config/installation.py
@@ -113,6 +113,7 @@
         listen=_address(file.listen),
         seed=seed,
         sockets=file.sockets,
+        ops=None,
         peer_listen=_address(peers.listen) if peers else None,
         peers=tuple(_address(a) for a in peers.all) if peers else (),
         peers_all=None,
--- a/cottonhold/config/relay.py
+++ b/cottonhold/config/relay.py
@@ -36,6 +36,7 @@
     listen: Address
     seed: int
     sockets: int
+    ops: Address | None
     peer_listen: Address | None
     peers: tuple[Address, ...]
     peers_all: Address | None
@@ -64,11 +65,16 @@
 def decode(source: Json, environ: Mapping[str, str], counters: Counters) -> Config:
     """The configuration's JSON as typed values."""
 
-    def address(key: str) -> Address | None:
-        text = read(source, key, str, None)
-        return Address.parse(text) if text else None
+    def address(key: str, variable: str = "") -> Address | None:
+        text = read(source, key, str, None) or environ.get(variable)
+        try:
+            return Address.parse(text) if text else None
+        except WireError as error:
+            raise WireError(f"field '{key}': {error}") from error
 
-    listen = address("listen") or Address.parse(environ.get("RELAY_LISTEN", ""))
+    listen = address("listen", "RELAY_LISTEN")
+    if listen is None:
+        raise WireError("field 'listen' is missing")
     bus = address("bus")
     if bus is None:
         raise WireError("field 'bus' is missing")
@@ -81,6 +87,7 @@
         listen=listen,
         seed=int(read(source, "seed", str, "0"), 16),
         sockets=read(limits, "sockets", int, 1024),
+        ops=address("ops", "RELAY_OPS"),
         peer_listen=address("peer_listen"),
         peers=tuple(Address.parse(p) for p in read(source, "peers", list, [])),
         peers_all=address("peers_all"),
--- a/cottonhold/node/dispatcher.py
+++ b/cottonhold/node/dispatcher.py
@@ -18,14 +18,16 @@
 from cottonhold.discovery.bus import SOURCE, Bus
 from cottonhold.discovery.model import Address, Change, Confirm, Event, Guard, Publish, Remark
 from cottonhold.node.clock import Timer
+from cottonhold.node.descriptors import Descriptors
 from cottonhold.node.driver import Driver
 from cottonhold.node.engines import Engines
 from cottonhold.node.gateway import Gateway
+from cottonhold.node.life import LEAVE_MS, Life
 from cottonhold.node.mysql import Front
+from cottonhold.node.ops import Calls
 from cottonhold.node.peers import Peers
 from cottonhold.observe.counters import Counters
 
-LEAVE_S = 0.8  # after SIGTERM new clients come for 0.4 s, and a request that came by 0.7 s is owed an answer
 CHECK_S = 0.02
 BUS_ONLY = ((SOURCE, Guard(trusted=True)),)
 
@@ -56,10 +58,12 @@
         self.driver = Driver(loop, counters, say)
         self.driver.connect_s = config.links.connect_ms / 1000
         clock = self.driver.clock
-        self.engines = Engines(config.links, clock, counters, say, config.sockets)
+        self.life, parts = Life(), Descriptors.divide(config.sockets)
+        self.engines = Engines(config.links, clock, counters, say, parts.engines)
         self.engines.connect = self.driver.connect
         self.gateway = Gateway(config.settings, config.seed, clock, self.engines, counters, say)
-        self.front = Front(self.gateway, clock, counters, config.sockets)
+        self.front = Front(self.gateway, clock, counters, self.life, parts.clients)
+        self.calls = Calls(self.life, clock, counters, log.note, parts.calls)
         self.peers = Peers(config.peers, config.peers_all, counters)
         self.gateway.tell = self.tell
         self.belief = Belief(sources, config.seed)
@@ -121,18 +125,20 @@
         if config.peer_listen is not None:
             udp = driver.udp_socket(config.peer_listen)
             driver.hear_peers(udp, self.peers, self.gateway.push, self.hear_others)
-        listener = driver.listen(config.listen)
+        operators = driver.listen(config.ops) if config.ops is not None else None
+        listener = driver.listen(config.listen, shared=True)
         accepting = driver.spawn(driver.accept(listener, self.front))
         self.follow()
+        if operators is not None:
+            driver.spawn(driver.answer_calls(operators, self.calls))
         await self.stop.wait()
-        await asyncio.gather(asyncio.sleep(LEAVE_S), *self.leave(), return_exceptions=True)
+        self.life.leave(driver.clock.now())
+        await asyncio.gather(asyncio.sleep(LEAVE_MS / 1000), *self.leave(), return_exceptions=True)
         accepting.cancel()
         await asyncio.gather(accepting, return_exceptions=True)
+        driver.empty_queue(listener, self.front)
         listener.close()
-        self.front.leaving = True
-        for session in list(self.front.sessions.values()):
-            session.leave()
-        while self.gateway.open or any(s.output for s in self.front.sessions.values()):
+        while self.gateway.open or any(s.owes() for s in self.front.sessions.values()):
             await asyncio.sleep(CHECK_S)
         await asyncio.sleep(CHECK_S)  # the last answer's bytes are with the system now
 
--- a/cottonhold/node/driver.py
+++ b/cottonhold/node/driver.py
@@ -17,6 +17,7 @@
 from cottonhold.discovery.model import Address
 from cottonhold.node.engines import Connection
 from cottonhold.node.mysql import Front, Session
+from cottonhold.node.ops import Calls
 from cottonhold.node.peers import Peers
 from cottonhold.observe.counters import Counters
 
@@ -202,11 +203,16 @@
 
     # --- clients ---
 
-    def listen(self, address: Address) -> socket.socket:
-        """Listen at an address, and only there."""
+    def listen(self, address: Address, shared: bool = False) -> socket.socket:
+        """Listen at an address, and only there; a shared one also beside another process."""
         sock = tcp_socket(family(address))
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        sock.bind((address.host, address.port))
+        if shared:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+        try:
+            sock.bind((address.host, address.port))
+        except OSError as error:
+            raise OSError(error.errno, f"can't listen at {address}: {error.strerror}") from error
         sock.listen(BACKLOG)
         return sock
 
@@ -245,6 +251,30 @@
         session.line = wire = Wire(self, session, CLIENT_BYTES)
         wire.start(client)
 
+    def empty_queue(self, sock: socket.socket, front: Front) -> None:
+        """Take in all that wait at a listener.
+
+        Danger: what waits in the queue of a listener that closes is reset.
+        """
+        while (client := self._next_client(sock)) is not None:
+            self._admit(client, front.open())
+
+    # --- operators ---
+
+    async def answer_calls(self, sock: socket.socket, calls: Calls) -> None:
+        """Take in operators' calls until cancelled."""
+        while True:
+            try:
+                caller, _ = await self.loop.sock_accept(sock)
+            except OSError as error:
+                self.counters.add("ops_accept_failed")
+                self.say(f"operators' calls: {error}")
+                await asyncio.sleep(ACCEPT_PAUSE_S)
+                continue
+            call = calls.open()
+            call.line = wire = Wire(self, call, CLIENT_BYTES)
+            wire.start(caller)
+
     # --- engines ---
 
     def connect(self, address: Address, connection: Connection) -> Wire:
--- a/cottonhold/node/engines.py
+++ b/cottonhold/node/engines.py
@@ -26,7 +26,6 @@
 MOST_GIVEN_UP = 256  # ids remembered on a connection: each could only come again within its request's life
 MOST_NUMBER = 1e8  # of milliseconds or megabytes that an answer may tell
 WORDS = {b"served", b"overload", b"crashed", b"nobody", b"rows"}
-ENGINES_PART = 0.35  # of the descriptors: clients have half
 
 
 class Line(Protocol):
@@ -192,14 +191,14 @@
     """All engines; sends attempts, gives them up, and tells the gateway of their ends."""
 
     def __init__(
-        self, links: Links, clock: Clock, counters: Counters, say: Callable[[str], None], sockets: int
+        self, links: Links, clock: Clock, counters: Counters, say: Callable[[str], None], most: int
     ) -> None:
         self.links, self.clock, self.counters, self.say = links, clock, counters, say
         self.places: dict[str, Place] = {}
         self.connect: Connect
         self.listener: Listener
         self.tags = 0
-        self.most, self.open = max(int(sockets * ENGINES_PART), 8), 0
+        self.most, self.open = most, 0
         clock.call_in(CHECK_MS, self._check)
 
     # --- the list ---
--- a/cottonhold/node/mysql.py
+++ b/cottonhold/node/mysql.py
@@ -11,6 +11,7 @@
 from cottonhold.decide import interface as io
 from cottonhold.node.clock import Clock
 from cottonhold.node.gateway import DuplicateRef, Gateway, Request, Taken
+from cottonhold.node.life import Life
 from cottonhold.node.resp import Rows
 from cottonhold.node.statement import FieldError, Statement, parse
 from cottonhold.observe.counters import Counters
@@ -35,7 +36,7 @@
 SPARE_MS = 50.0  # where descriptors run short, one that has said nothing for so long makes room
 ROOM_STEP = 8  # so many connections are closed at once to make room
 MOST_COMMANDS = 16  # that wait on one connection: clients send one at a time
-CLIENTS_PART = 0.5  # of the descriptors; usual clients hold a third at most, engines need the rest
+SETTLE_MS = 100.0  # a connection that was heard so lately is not closed as idle: more may be on its way
 COLUMNS = (b"c1", b"c2", b"c3")
 KILL = re.compile(rb"\s*KILL\s+(QUERY\s+|CONNECTION\s+)?(\d+)\s*;?\s*\Z", re.IGNORECASE)
 
@@ -44,6 +45,7 @@
 DENIED: Error = (1045, b"28000")
 UNKNOWN_DB: Error = (1049, b"42000")
 UNKNOWN_COMMAND: Error = (1047, b"08S01")
+SHUTDOWN: Error = (1053, b"08S01")
 NO_THREAD: Error = (1094, b"HY000")
 FAILED: Error = (1105, b"HY000")
 TOO_LARGE: Error = (1153, b"08S01")
@@ -101,13 +103,11 @@
 class Front:
     """What all sessions share: the gateway, the classes' names, and the sessions by connection id."""
 
-    def __init__(self, gateway: Gateway, clock: Clock, counters: Counters, sockets: int) -> None:
-        self.gateway, self.clock, self.counters = gateway, clock, counters
+    def __init__(self, gateway: Gateway, clock: Clock, counters: Counters, life: Life, most: int) -> None:
+        self.gateway, self.clock, self.counters, self.life, self.most = gateway, clock, counters, life, most
         self.classes = {cls.name: i for i, cls in enumerate(gateway.settings.classes)}
         self.sessions: dict[int, Session] = {}
-        self.most = max(int(sockets * CLIENTS_PART), 8)
         self.last_id = 0
-        self.leaving = False
         clock.call_in(CHECK_MS, self._check)
 
     def _check(self) -> None:
@@ -252,13 +252,14 @@
                 self._login(payload)
                 continue
             self._command(payload[0] if payload else -1, payload[1:], at)
-        if self.front.leaving and self.request is None and not self.commands:
-            self._leave()
 
     def _command(self, command: int, argument: bytes, at: float) -> None:
         self.used = True
         if command == QUERY:
             self._query(argument, at)
+        elif command == PING and not self.front.life.ready():
+            self._error(SHUTDOWN, "this dispatcher is drained")
+            self._after_answer()
         elif command in (PING, RESET):
             self._packet(OK)
         elif command == INIT_DB:
@@ -273,6 +274,11 @@
         if kill := KILL.match(text):
             self._kill(int(kill[2]), (kill[1] or b"").strip().upper() == b"QUERY")
             return
+        if not self.front.life.takes(at):
+            self.front.counters.add("queries_turned_away")
+            self._error(REFUSED, "query refused, it did not run: this dispatcher is drained")
+            self._after_answer()
+            return
         try:
             self.request = self.front.gateway.take(self.front.taken(parse(text), at), self)
         except FieldError as error:
@@ -349,7 +355,9 @@
         if now - self.partial_at > PARTIAL_MS or not self.used and now - self.opened_at > LOGIN_MS:
             # Danger: such a client was kept for as long as it liked, in mid-packet for good.
             self._broken(ProtocolError(TIMED_OUT, "the client's packet did not come in time"))
-        elif now - self.idle_at(now) > IDLE_MS:
+        elif self.partial_at == math.inf and now - self.idle_at(now) > (
+            SETTLE_MS if self.front.life.ends_idle(now) else IDLE_MS
+        ):
             self._leave()
 
     def cut(self) -> None:
@@ -392,13 +400,12 @@
     def _after_answer(self) -> None:
         if self.commands:
             self.front.clock.call_soon(self._resume)
-        elif self.front.leaving:
+        elif self.front.life.ends_answered(self.front.clock.now()):
             self._leave()
 
-    def leave(self) -> None:
-        """The program ends: close once no request is open here."""
-        if self.request is None and not self.commands:
-            self._leave()
+    def owes(self) -> bool:
+        """Whether the program may not end yet: something is still to be answered, or to be written."""
+        return not self.closing or bool(self.output)
 
     def _leave(self) -> None:
         self.closing = True
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -16,8 +16,10 @@
 from cottonhold.config.relay import Links
 from cottonhold.decide import interface as io
 from cottonhold.discovery.model import Address, Change
+from cottonhold.node.descriptors import Descriptors
 from cottonhold.node.engines import Connection, Engines
 from cottonhold.node.gateway import Gateway
+from cottonhold.node.life import Life
 from cottonhold.node.mysql import Front, Session
 from cottonhold.node.resp import RespReader, encode
 from cottonhold.observe.counters import Counters
@@ -148,10 +150,11 @@
     def __init__(self, settings: io.Settings = SETTINGS, engines: str = "a b", sockets: int = 256) -> None:
         self.clock, self.counters, self.log = FakeClock(), Counters(), list[str]()
         links = Links(idle_ms=15000.0, connect_ms=250.0, streams=32)
-        self.engines = Engines(links, self.clock, self.counters, self.log.append, sockets)
+        self.life, parts = Life(), Descriptors.divide(sockets)
+        self.engines = Engines(links, self.clock, self.counters, self.log.append, parts.engines)
         self.engines.connect = self.connect
         self.gateway = Gateway(settings, 1, self.clock, self.engines, self.counters, self.log.append)
-        self.front = Front(self.gateway, self.clock, self.counters, sockets)
+        self.front = Front(self.gateway, self.clock, self.counters, self.life, parts.clients)
         self.lines: list[FakeLine] = []
         self.behaviour: dict[str, str] = {}
         self.clients: dict[str, Client] = {}
@@ -293,6 +296,12 @@
             self.met(self.unmet[0])
         self.change([self.names[int(number[1:]) - 1]], state)
 
+    def ops_drain(self, who: str, rest: str) -> None:
+        self.life.drain(self.clock.now())
+
+    def ops_restore(self, who: str, rest: str) -> None:
+        assert self.life.restore()
+
     def time_wait(self, who: str, rest: str) -> None:
         self.wait(float(rest))
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -6,7 +6,8 @@
 
 from cottonhold.decide.interface import Outcome
 from cottonhold.node.engines import MOST_GIVEN_UP
-from cottonhold.node.mysql import MOST_PACKET, ROOM_STEP
+from cottonhold.node.life import LEAVE_MS
+from cottonhold.node.mysql import CHECK_MS, MOST_PACKET, ROOM_STEP
 from tests.scenario import LOGIN, Client, World, packet
 
 SCENARIOS = {
@@ -445,9 +446,8 @@
 
 def test_leaving_answers_what_is_open_then_closes() -> None:
     world = World().run("c1 query lookup r1\ne1 expect GET *\nc2 send 010000000e")
-    world.front.leaving = True
-    for session in list(world.front.sessions.values()):
-        session.leave()
+    world.life.leave(world.clock.now())
+    world.wait(LEAVE_MS + CHECK_MS)
     assert [c.session.closing for c in world.clients.values()] == [False, True]
     world.run("e1 send r1 served count=1 a|b|c/\nc1 expect rows a|b|c\nc1 closing")
     assert world.gateway.open == 0
--- /dev/null
+++ b/tests/test_ops.py
@@ -0,0 +1,225 @@
+"""The operators' calls, the life cycle, and a drain as clients meet it."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+
+import pytest
+
+from cottonhold.config.relay import decode
+from cottonhold.config.settings import WireError
+from cottonhold.node.driver import Driver
+from cottonhold.node.life import IDLE_MS, LEAVE_MS, TAKE_MS, Life, Phase
+from cottonhold.node.ops import CALL_MS, MOST_BODY, MOST_HEAD, Call, Calls
+from cottonhold.observe.counters import Counters
+from tests.scenario import FakeLine, World
+from tests.test_adapter import PARAMS
+
+DRAIN = {
+    "a ping says no at once, and its connection is closed behind the answer": """
+        c1 send 010000000e
+        c1 expect ok
+        ops drain
+        c1 send 010000000e
+        c1 expect error 1053 *drained
+        c1 closing
+    """,
+    "what still comes is served, and closed behind its answer": """
+        ops drain
+        time wait 300
+        c1 query lookup r1
+        e1 expect GET r1 *
+        e1 send r1 served count=1 a|b|c/
+        c1 expect rows a|b|c
+        c1 closing
+    """,
+    "a client that never pauses gets its answer and no more": """
+        c1 query lookup r1
+        e1 expect GET r1 *
+        ops drain
+        time wait 1000
+        e1 send r1 served count=1 a|b|c/
+        c1 expect rows a|b|c
+        c1 closing
+        c2 query lookup r2
+        any expect GET r2 *
+    """,
+    "what comes late is refused at once and never sent": """
+        ops drain
+        time wait 1500
+        c1 query lookup r1
+        c1 expect error 1226 *did not run*
+        c1 closing
+        e1 expect nothing
+    """,
+    "idle connections are closed, busy ones when they are through": """
+        c1 send 010000000e
+        c1 expect ok
+        c2 query load r1 allow=20000
+        e1 expect GET r1 *
+        ops drain
+        time wait 800
+        c1 closing
+        time wait 1000
+        e1 send r1 served count=1 a|b|c/
+        c2 expect rows a|b|c
+        c2 closing
+    """,
+    "a request half written is waited for": """
+        ops drain
+        c1 send 050000000e
+        time wait 900
+        c1 send 00000000
+        c1 expect error 1053 *
+    """,
+    "a drain may be undone half way": """
+        c1 send 010000000e
+        c1 expect ok
+        ops drain
+        time wait 200
+        ops restore
+        time wait 2000
+        c1 send 010000000e
+        c1 expect ok
+        c1 query lookup r1
+        e1 expect GET r1 *
+        e1 send r1 served count=1 a|b|c/
+        c1 expect rows a|b|c
+        c1 send 010000000e
+        c1 expect ok
+    """,
+}
+
+
+@pytest.mark.parametrize("script", DRAIN.values(), ids=DRAIN)
+def test_drain(script: str) -> None:
+    World().run(script)
+
+
+def test_one_that_leaves_does_not_come_back_and_stays_drained() -> None:
+    life = Life()
+    assert life.drain(0.0) and not life.drain(50.0) and life.drained_at == 0.0
+    assert life.restore() and life.restore() and life.phase() is Phase.SERVING
+    life.leave(100.0)
+    assert life.ready() and life.takes(1e9) and not life.ends_idle(100.0 + LEAVE_MS - 1)
+    assert not life.restore() and life.phase() is Phase.LEAVING
+    life.drain(200.0)
+    assert not life.ready() and life.ends_answered(200.0) and life.ends_idle(200.0 + IDLE_MS)
+    assert life.takes(200.0 + TAKE_MS - 1) and not life.takes(200.0 + TAKE_MS)
+
+
+SOURCE = {"listen": "127.0.0.1:1", "bus": "127.0.0.1:2", "known": {"offset": 0}, "settings": PARAMS}
+
+
+class Caller(FakeLine):
+    """An operator's end of a call."""
+
+    def __init__(self, call: Call) -> None:
+        self.call, call.line = call, self  # type: ignore[assignment]
+
+    def abort(self) -> None:
+        self.call.closed()
+
+    def status(self, data: bytes = b"", size: int = 4096) -> str:
+        for at in range(0, len(data), size):
+            self.call.receive(data[at : at + size])
+        return self.call.take_output().partition(b"\r\n")[0].decode().removeprefix("HTTP/1.1 ")
+
+
+def calls(world: World, most: int = 4) -> Calls:
+    return Calls(world.life, world.clock, world.counters, lambda event, **_: world.log.append(event), most)
+
+
+FAIL = b"POST /healthcheck/fail HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\nbody!"
+
+
+@pytest.mark.parametrize("size", [1, 3, 4096])
+@pytest.mark.parametrize(
+    ("text", "status"),
+    [
+        (b"GET /healthcheck HTTP/1.1\r\nHost: x\r\n\r\n", "200 OK"),
+        (b"GET /healthcheck?x=1 HTTP/1.0\r\n\r\nGET /more HTTP/1.1\r\n\r\n", "200 OK"),
+        (FAIL, "200 OK"),
+        (b"POST /healthcheck/ok HTTP/1.1\r\nHost: x\r\n\r\n", "200 OK"),
+        (b"GET /healthcheck/fail HTTP/1.1\r\nHost: x\r\n\r\n", "405 Method Not Allowed"),
+        (b"POST /healthcheck HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n", "405 Method Not Allowed"),
+        (b"GET /stats HTTP/1.1\r\nHost: x\r\n\r\n", "404 Not Found"),
+        (b"\x16\x03\x01\x02\x00garbage\r\n\r\n", "400 Bad Request"),
+        (b"GET /healthcheck HTTP/1.1\r\nHost x\r\n\r\n", "400 Bad Request"),
+        (b"POST /healthcheck/ok HTTP/1.1\r\nContent-Length: -4\r\n\r\n", "400 Bad Request"),
+        (
+            b"GET /healthcheck HTTP/1.1\r\nX: " + b"a" * MOST_HEAD + b"\r\n\r\n",
+            "431 Request Header Fields Too Large",
+        ),
+        (
+            b"POST /healthcheck/fail HTTP/1.1\r\nContent-Length: 9999999\r\n\r\n"
+            + bytes(MOST_HEAD + MOST_BODY),
+            "413 Content Too Large",
+        ),
+        (b"GET /healthcheck HTTP/1.1\r\nHo", ""),
+        (FAIL[:-1], ""),
+    ],
+)
+def test_a_call_has_one_answer_however_it_is_cut(text: bytes, status: str, size: int) -> None:
+    if size < 3 and len(text) > 20000:
+        pytest.skip("the same at greater length")
+    caller = Caller(calls(World()).open())
+    assert caller.status(text, size) == status
+    assert caller.call.closing is bool(status)
+    assert not status or caller.status(b"more") == ""
+
+
+def test_calls_are_idempotent_and_change_the_one_state() -> None:
+    world = World()
+    shared = calls(world, most=20)
+
+    def ask(method: str, path: str) -> str:
+        return Caller(shared.open()).status(f"{method} {path} HTTP/1.1\r\nHost: x\r\n\r\n".encode())[:3]
+
+    asked = [ask("POST", "/healthcheck/fail"), ask("POST", "/healthcheck/fail")]
+    drained = ask("GET", "/healthcheck"), world.life.phase(), world.counters.counts["drains"]
+    asked += [ask("POST", "/healthcheck/ok"), ask("POST", "/healthcheck/ok"), ask("GET", "/healthcheck")]
+    assert asked == ["200"] * 5 and drained == ("503", Phase.DRAINING, 1)
+    world.life.leave(world.clock.now())
+    assert [ask("POST", "/healthcheck/ok"), ask("POST", "/healthcheck/fail")] == ["409", "200"]
+
+
+def test_slow_callers_are_told_so_and_cost_the_others_nothing() -> None:
+    world = World()
+    shared = calls(world, most=2)
+    silent, half = Caller(shared.open()), Caller(shared.open())
+    half.status(b"GET /health")
+    quick = Caller(shared.open())
+    assert silent.call.over and not half.call.over  # the oldest made room
+    assert quick.status(b"GET /healthcheck HTTP/1.1\r\n\r\n") == "200 OK"
+    world.wait(CALL_MS)
+    assert half.status() == "408 Request Timeout"
+    Caller(shared.open())
+    assert len(shared.held) == 2 and half.call.over  # one that is answered makes room first
+
+
+@pytest.mark.parametrize("text", ["nowhere", "127.0.0.1", "127.0.0.1:0", "127.0.0.1:99999"])
+def test_an_address_for_the_calls_that_is_none_is_named(text: str) -> None:
+    with pytest.raises(WireError, match="field 'ops': .* is no address"):
+        decode({**SOURCE, "ops": text}, {}, Counters())
+    with pytest.raises(WireError, match="field 'ops': .* is no address"):
+        decode(SOURCE, {"RELAY_OPS": text}, Counters())
+
+
+def test_a_listener_that_closes_is_emptied_first() -> None:
+    """Danger: what waits in the queue of a listener that closes is reset, with its request written."""
+
+    async def scenario() -> int:
+        world, driver = World(), Driver(asyncio.get_running_loop(), Counters(), print)
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            listener.setblocking(False)
+            clients = [socket.create_connection(listener.getsockname()) for _ in range(5)]
+            driver.empty_queue(listener, world.front)
+        taken = len(world.front.sessions)
+        for client in clients:
+            client.close()
+        await asyncio.gather(*driver.tasks, return_exceptions=True)
+        return taken
+
+    assert asyncio.run(scenario()) == 5
