Let a newer process serve beside the older one, and lead new connections to it

The clients' address was shared already (it had listened); at fault is Driver.udp_socket, which bound the peers' address, the same for both, without sharing it.

Processes know each other by locked seats in $TMPDIR: ids of connections can't be the same, descriptors are kept within one limit, and one that is told to end stays until the newer one serves. Errors of binding name the address.

--- a/cottonhold/node/descriptors.py
+++ b/cottonhold/node/descriptors.py
@@ -2,10 +2,15 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from dataclasses import dataclass
 
+from cottonhold.node.seats import Record
+
 CLIENTS_PART = 0.48  # usual clients hold a third at most; the rest of this is for those that go nowhere
 ENGINES_PART = 0.33
+LEAST = 8
+OTHERS_BASE = 12  # what a further process holds for its loop, log and listeners
 CALLS_PART, LEAST_CALLS, MOST_CALLS = 1 / 16, 4, 16  # operators' callers, heard whatever else is taken
 
 
@@ -21,7 +26,15 @@
     def divide(cls, limit: int) -> Descriptors:
         """The parts of a limit."""
         return cls(
-            clients=max(int(limit * CLIENTS_PART), 8),
-            engines=max(int(limit * ENGINES_PART), 8),
+            clients=max(int(limit * CLIENTS_PART), LEAST),
+            engines=max(int(limit * ENGINES_PART), LEAST),
             calls=min(max(int(limit * CALLS_PART), LEAST_CALLS), MOST_CALLS),
         )
+
+    def beside(self, others: Sequence[Record]) -> Descriptors:
+        """What is left of each part beside processes that count against the same limit."""
+        if not others:
+            return self
+        clients = self.clients - sum(other.clients + OTHERS_BASE for other in others)
+        engines = self.engines - sum(other.engines for other in others)
+        return Descriptors(max(clients, LEAST), max(engines, LEAST), self.calls)
--- a/cottonhold/node/dispatcher.py
+++ b/cottonhold/node/dispatcher.py
@@ -26,9 +26,12 @@
 from cottonhold.node.mysql import Front
 from cottonhold.node.ops import Calls
 from cottonhold.node.peers import Peers
+from cottonhold.node.seats import Record, Seats
 from cottonhold.observe.counters import Counters
 
 CHECK_S = 0.02
+BESIDE_MS = 300.0  # so often other processes of this dispatcher are looked for
+STARTING_MS = 3000.0  # so long one that leaves stays for a newer one that does not serve yet
 BUS_ONLY = ((SOURCE, Guard(trusted=True)),)
 
 
@@ -58,19 +61,21 @@
         self.driver = Driver(loop, counters, say)
         self.driver.connect_s = config.links.connect_ms / 1000
         clock = self.driver.clock
-        self.life, parts = Life(), Descriptors.divide(config.sockets)
-        self.engines = Engines(config.links, clock, counters, say, parts.engines)
+        self.life, self.parts = Life(), Descriptors.divide(config.sockets)
+        self.seats = Seats(os.environ.get("TMPDIR"), str(config.listen), say)
+        self.beside = 0
+        self.engines = Engines(config.links, clock, counters, say, self.parts.engines)
         self.engines.connect = self.driver.connect
         self.gateway = Gateway(config.settings, config.seed, clock, self.engines, counters, say)
-        self.front = Front(self.gateway, clock, counters, self.life, parts.clients)
-        self.calls = Calls(self.life, clock, counters, log.note, parts.calls)
+        self.front = Front(self.gateway, clock, counters, self.life, self.parts.clients, self.seats.ids())
+        self.calls = Calls(self.life, clock, counters, log.note, self.parts.calls)
         self.peers = Peers(config.peers, config.peers_all, counters)
         self.gateway.tell = self.tell
         self.belief = Belief(sources, config.seed)
         self.belief_timer: Timer | None = None
         host = config.bus.host if config.bus else ""
         self.bus = Bus(host, config.offset, config.names, counters, lambda report: self.believe([report]))
-        self.stop = asyncio.Event()
+        self.stop, self.serving = asyncio.Event(), False
         self.following: asyncio.Task[None] | None = None
 
     def tell(self, tell: io.Tell) -> None:
@@ -118,6 +123,24 @@
         """What is to be done beside serving on once the end is decided."""
         return ()
 
+    def look_beside(self) -> None:
+        """Tell other processes of this dispatcher what is held here, and keep within what they leave."""
+        others = self.seats.others()
+        held = Record(self.seats.record.start, len(self.front.sessions), self.engines.open, self.serving)
+        self.seats.tell(held)
+        left = self.parts.beside(others)
+        self.front.most, self.engines.most = left.clients, left.engines
+        if len(others) != self.beside:
+            self.beside = len(others)
+            self.log.note("beside", others=self.beside, clients=left.clients, engines=left.engines)
+        self.driver.clock.call_in(BESIDE_MS, self.look_beside)
+
+    async def stay_for_newer(self) -> None:
+        """Go on taking clients while a newer process does not serve yet, within limits."""
+        until = self.driver.clock.now() + STARTING_MS
+        while self.seats.newer_starts() and self.driver.clock.now() < until:
+            await asyncio.sleep(CHECK_S)
+
     async def run(self) -> None:
         """Serve until told to stop, then finish what is open."""
         driver, config = self.driver, self.config
@@ -131,9 +154,12 @@
         self.follow()
         if operators is not None:
             driver.spawn(driver.answer_calls(operators, self.calls))
+        self.serving = True
+        self.look_beside()
         await self.stop.wait()
         self.life.leave(driver.clock.now())
         await asyncio.gather(asyncio.sleep(LEAVE_MS / 1000), *self.leave(), return_exceptions=True)
+        await self.stay_for_newer()
         accepting.cancel()
         await asyncio.gather(accepting, return_exceptions=True)
         driver.empty_queue(listener, self.front)
--- a/cottonhold/node/driver.py
+++ b/cottonhold/node/driver.py
@@ -4,9 +4,11 @@
 
 import asyncio
 import contextlib
+import ctypes
 import errno
 import math
 import socket
+import struct
 import time
 from collections.abc import Callable, Coroutine
 from typing import Any, Protocol
@@ -30,6 +32,9 @@
 DATAGRAMS = 64  # taken in one turn of the loop, so that a flood of them does not stop the rest
 ACCEPT_PAUSE_S = 0.02
 BACKOFF_S, MOST_BACKOFF_S = 0.05, 1.0
+SO_ATTACH_REUSEPORT_CBPF = 51
+# "return 1" in classic BPF: the second socket of the address. Where there is none the kernel picks by hash.
+SECOND = struct.pack("@HBBI", 0x06, 0, 0, 1)
 
 
 class Machine(Protocol):
@@ -71,6 +76,16 @@
     return socket.AF_INET6 if ":" in address.host else socket.AF_INET
 
 
+def bind(sock: socket.socket, address: Address, shared: bool) -> None:
+    """Bind a socket, a shared one also beside another process of the same user."""
+    if shared:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+    try:
+        sock.bind((address.host, address.port))
+    except OSError as error:
+        raise OSError(error.errno, f"can't listen at {address}: {error.strerror}") from error
+
+
 def tcp_socket(kind: socket.AddressFamily = socket.AF_INET) -> socket.socket:
     """A TCP socket that never blocks and never waits to fill a segment."""
     sock = socket.socket(kind, socket.SOCK_STREAM)
@@ -207,14 +222,25 @@
         """Listen at an address, and only there; a shared one also beside another process."""
         sock = tcp_socket(family(address))
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        bind(sock, address, shared)
+        sock.listen(BACKLOG)
         if shared:
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+            self._steer(sock)
+        return sock
+
+    def _steer(self, sock: socket.socket) -> None:
+        """Lead what comes new to this socket, where an older process has one at the same address.
+
+        Danger: the kernel divides it between both, and the older one's queue is reset when it closes.
+        """
+        code = ctypes.create_string_buffer(SECOND)
         try:
-            sock.bind((address.host, address.port))
+            sock.setsockopt(
+                socket.SOL_SOCKET, SO_ATTACH_REUSEPORT_CBPF, struct.pack("@HP", 1, ctypes.addressof(code))
+            )
         except OSError as error:
-            raise OSError(error.errno, f"can't listen at {address}: {error.strerror}") from error
-        sock.listen(BACKLOG)
-        return sock
+            self.counters.add("steering_failed")
+            self.say(f"connections can't be led to the newer of two processes: {error}")
 
     async def accept(self, sock: socket.socket, front: Front) -> None:
         """Take in clients until cancelled."""
@@ -384,7 +410,8 @@
         """The socket for datagrams."""
         sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         sock.setblocking(False)
-        sock.bind((address.host, address.port))
+        bind(sock, address, shared=True)
+        self._steer(sock)
         self.udp = sock
         return sock
 
--- a/cottonhold/node/mysql.py
+++ b/cottonhold/node/mysql.py
@@ -13,6 +13,7 @@
 from cottonhold.node.gateway import DuplicateRef, Gateway, Request, Taken
 from cottonhold.node.life import Life
 from cottonhold.node.resp import Rows
+from cottonhold.node.seats import Ids
 from cottonhold.node.statement import FieldError, Statement, parse
 from cottonhold.observe.counters import Counters
 
@@ -37,6 +38,7 @@
 ROOM_STEP = 8  # so many connections are closed at once to make room
 MOST_COMMANDS = 16  # that wait on one connection: clients send one at a time
 SETTLE_MS = 100.0  # a connection that was heard so lately is not closed as idle: more may be on its way
+ANY_IDS = Ids()
 COLUMNS = (b"c1", b"c2", b"c3")
 KILL = re.compile(rb"\s*KILL\s+(QUERY\s+|CONNECTION\s+)?(\d+)\s*;?\s*\Z", re.IGNORECASE)
 
@@ -103,11 +105,14 @@
 class Front:
     """What all sessions share: the gateway, the classes' names, and the sessions by connection id."""
 
-    def __init__(self, gateway: Gateway, clock: Clock, counters: Counters, life: Life, most: int) -> None:
-        self.gateway, self.clock, self.counters, self.life, self.most = gateway, clock, counters, life, most
+    def __init__(
+        self, gateway: Gateway, clock: Clock, counters: Counters, life: Life, most: int, ids: Ids = ANY_IDS
+    ) -> None:
+        self.gateway, self.clock, self.counters, self.life = gateway, clock, counters, life
+        self.most, self.ids = most, ids
         self.classes = {cls.name: i for i, cls in enumerate(gateway.settings.classes)}
         self.sessions: dict[int, Session] = {}
-        self.last_id = 0
+        self.last_id = ids.base
         clock.call_in(CHECK_MS, self._check)
 
     def _check(self) -> None:
@@ -135,7 +140,10 @@
 
     def open(self) -> Session:
         """A session for a new connection."""
-        self.last_id = self.last_id % 0xFFFFFFFF + 1
+        base, span = self.ids.base, self.ids.span
+        self.last_id = base + (self.last_id - base) % span + 1
+        while self.last_id in self.sessions:
+            self.last_id = base + (self.last_id - base) % span + 1
         session = self.sessions[self.last_id] = Session(self, self.last_id)
         return session
 
--- /dev/null
+++ b/cottonhold/node/seats.py
@@ -0,0 +1,141 @@
+"""Which processes stand for one dispatcher: seats in $TMPDIR, each a file that its process holds locked.
+
+In an upgrade a second process serves beside the first, at the same address. The kernel frees a lock with its
+process, however that ends, so a stale file is a free seat. The record in it tells what the process holds.
+"""
+
+from __future__ import annotations
+
+import fcntl
+import os
+import struct
+from collections.abc import Callable
+from dataclasses import dataclass
+
+SEATS = 4
+RECORD = struct.Struct(">4sIII?")
+MAGIC = b"CHS1"
+START_BITS, COUNT_BITS = 10, 20  # of a connection's id, with two bits for the seat between them
+PID_MAX = "/proc/sys/kernel/pid_max"
+
+
+@dataclass(slots=True, frozen=True)
+class Record:
+    """What a process tells of itself."""
+
+    start: int  # numbers the starts under one $TMPDIR
+    clients: int = 0  # descriptors that it holds for clients
+    engines: int = 0  # and for engines
+    serving: bool = False
+
+    def pack(self) -> bytes:
+        """As it stands in the file."""
+        return RECORD.pack(MAGIC, self.start, self.clients, self.engines, self.serving)
+
+    @classmethod
+    def read(cls, data: bytes) -> Record | None:
+        """From a file's bytes; None where they are none of ours, or cut off."""
+        if len(data) != RECORD.size or not data.startswith(MAGIC):
+            return None
+        return cls(*RECORD.unpack(data)[1:])
+
+
+@dataclass(slots=True, frozen=True)
+class Ids:
+    """The ids that a process gives to its clients' connections: from base + 1 to base + span."""
+
+    base: int = 0
+    span: int = 0xFFFFFFFF
+
+    @classmethod
+    def of_seat(cls, start: int, seat: int) -> Ids:
+        """Danger: KILL QUERY may come to the other process. An id that both give would hit another client's
+        query there. Two living processes hold two seats; a later start on the same seat has another number.
+        """
+        high = (start % (1 << START_BITS)) * SEATS + seat
+        return cls(high << COUNT_BITS, (1 << COUNT_BITS) - 1)
+
+    @classmethod
+    def of_process(cls, pid: int, most_pids: int) -> Ids:
+        """Without a seat: two living processes differ in their process ids."""
+        bits = 32 - (most_pids - 1).bit_length()
+        return cls(pid << bits, (1 << bits) - 1)
+
+
+class Seats:
+    """This process's seat and its view of the others. Without a folder that can be written there is none."""
+
+    def __init__(self, folder: str | None, name: str, say: Callable[[str], None]) -> None:
+        self.folder, self.name, self.say = folder, name, say
+        self.number, self.file, self.record = -1, -1, Record(0)
+        if folder is not None:
+            try:
+                self._take()
+            except OSError as error:
+                say(f"no seat in $TMPDIR: another process beside this one will not be seen: {error}")
+
+    def _path(self, number: int) -> str:
+        return os.path.join(self.folder or "", f"cottonhold-{self.name}.seat{number}")
+
+    def _open(self, number: int, flags: int) -> int:
+        return os.open(self._path(number), flags | os.O_CLOEXEC | os.O_NOFOLLOW, 0o600)
+
+    def _take(self) -> None:
+        last = 0
+        for number in range(SEATS):
+            file = self._open(number, os.O_RDWR | os.O_CREAT)
+            record = Record.read(os.pread(file, RECORD.size + 1, 0))
+            last = max(last, record.start if record else 0)
+            if self.file < 0 and locked(file, fcntl.LOCK_EX):
+                self.number, self.file = number, file
+            else:
+                os.close(file)
+        if self.file < 0:
+            raise OSError(f"all {SEATS} seats are held")
+        self.tell(Record((last + 1) & 0xFFFFFFFF))
+
+    def ids(self) -> Ids:
+        """The ids of this process's connections."""
+        if self.file >= 0:
+            return Ids.of_seat(self.record.start, self.number)
+        try:
+            with open(PID_MAX) as most:
+                return Ids.of_process(os.getpid(), int(most.read()))
+        except (OSError, ValueError):
+            return Ids.of_process(os.getpid(), 1 << 22)  # the most that the kernel gives
+
+    def tell(self, record: Record) -> None:
+        """Write what this process holds now."""
+        if self.file >= 0 and record != self.record:
+            self.record = record
+            os.pwrite(self.file, record.pack(), 0)
+
+    def others(self) -> list[Record]:
+        """What the other living processes tell of themselves."""
+        found = []
+        for number in range(SEATS if self.file >= 0 else 0):
+            if number == self.number:
+                continue
+            try:
+                file = self._open(number, os.O_RDONLY)
+            except OSError:
+                continue
+            try:
+                if not locked(file, fcntl.LOCK_SH):
+                    found.append(Record.read(os.pread(file, RECORD.size + 1, 0)) or Record(0))
+            finally:
+                os.close(file)
+        return found
+
+    def newer_starts(self) -> bool:
+        """Whether a process that was started later does not serve yet."""
+        return any(other.start > self.record.start and not other.serving for other in self.others())
+
+
+def locked(file: int, how: int) -> bool:
+    """Whether the lock on an open file could be had; it is held until the file is closed."""
+    try:
+        fcntl.flock(file, how | fcntl.LOCK_NB)
+    except BlockingIOError:
+        return False
+    return True
