Take over the settings at SIGHUP, whole or not at all; each query keeps its own

Change: the module takes `Retune`, an event; a query holds its class, what is learned of that class, and its attempts. What was learned goes on only with a class that is the same in all figures. Files are checked whole by one check for start and reload: keys that the settings always hold, deadlines and attempts over 0, types in lists, a class twice. A process beside this one halves its part of a cold engine's budget.

--- a/cottonhold/config/relay.py
+++ b/cottonhold/config/relay.py
@@ -8,12 +8,26 @@
 
 import orjson
 
-from cottonhold.config.settings import NUMBER, Json, WireError, read, read_settings
+from cottonhold.config.settings import NUMBER, Json, WireError, read, read_list, read_settings
 from cottonhold.decide import interface as io
 from cottonhold.discovery.bus import read_batch
 from cottonhold.discovery.model import Address, Names, Report
 from cottonhold.observe.counters import Counters
 
+# What the settings always hold, of what is used here. The simulator's adapter and other installations read
+# settings that are less whole; here one that lacks a key was cut off, or is not what was meant.
+ALWAYS = {
+    "": "caps classes costs discovery domain me models obligations report siblings tick zone zones",
+    "caps": "conn_idle connect_timeout max_retry_after may_cancel most_tries peers probes retry_after"
+    " streams_per_conn",
+    "costs": "peer probe",
+    "domain": "class_waits cost_in_answers grants_count holds_tables max_grant_share note_period parallelism"
+    " priorities ram_of_kind_mb size_cores when_short",
+    "obligations": "answer_slack cold_from overload_factor stop_sending_within tip_after warm_within",
+    "report": "fields how",
+}
+OF_CLASS = "name aim hard_limit effect worth late_worth"
+
 
 class ConfigError(Exception):
     """Configuration that can't be used; the text is the one line to print."""
@@ -62,6 +76,43 @@
         raise ConfigError(f"{path}: {error}") from error
 
 
+def check_whole(settings: Json) -> None:
+    """Name the first key that is missing, or the class that is there twice. Raises WireError."""
+    for section, keys in ALWAYS.items():
+        part = read(settings, section, dict) if section else settings
+        for key in keys.split():
+            if part.get(key) is None:
+                raise WireError(f"field 'settings.{section}{'.' if section else ''}{key}' is missing")
+    if read(settings["caps"], "most_tries", int) <= 0:
+        raise WireError("field 'settings.caps.most_tries' is not over 0")
+    names = set()
+    for place, entry in enumerate(read_list(settings, "classes", dict)):
+        for key in OF_CLASS.split():
+            if entry.get(key) is None:
+                raise WireError(f"field 'settings.classes[{place}].{key}' is missing")
+        for key in ("aim", "hard_limit"):
+            if read(entry, key, NUMBER) <= 0:
+                raise WireError(f"field 'settings.classes[{place}].{key}' is not over 0")
+        if entry["name"] in names:
+            raise WireError(f"class '{entry['name']}' is there twice")
+        names.add(entry["name"])
+
+
+def check_change(old: Config, new: Config) -> None:
+    """Name what a running dispatcher can't take over: its place, and the names that entries are read by."""
+    pairs = {
+        "settings.me": (old.settings.me, new.settings.me),
+        "settings.siblings": (old.settings.gateways, new.settings.gateways),
+        "settings.zone": (old.settings.zone, new.settings.zone),
+        "settings.zones": (old.names.zones, new.names.zones),
+        "settings.models": (old.names.models, new.names.models),
+        "settings.domain.size_cores, ram_of_kind_mb": (old.settings.models, new.settings.models),
+    }
+    for key, (was, now) in pairs.items():
+        if was != now:
+            raise ConfigError(f"field '{key}' changes only with a restart")
+
+
 def decode(source: Json, environ: Mapping[str, str], counters: Counters) -> Config:
     """The configuration's JSON as typed values."""
 
@@ -79,8 +130,9 @@
     if bus is None:
         raise WireError("field 'bus' is missing")
     params, limits = read(source, "settings", dict), read(source, "limits", dict, {})
+    check_whole(params)
     caps = read(params, "caps", dict)
-    names = Names(tuple(read(params, "zones", list, [])), tuple(read(params, "models", list, [])))
+    names = Names(tuple(read_list(params, "zones", str)), tuple(read_list(params, "models", str)))
     offset, known = read_batch(read(source, "known", dict), names, counters)
     return Config(
         name=read(source, "name", str, environ.get("RELAY_NAME", "")),
@@ -89,7 +141,7 @@
         sockets=read(limits, "sockets", int, 1024),
         ops=address("ops", "RELAY_OPS"),
         peer_listen=address("peer_listen"),
-        peers=tuple(Address.parse(p) for p in read(source, "peers", list, [])),
+        peers=tuple(Address.parse(p) for p in read_list(source, "peers", str)),
         peers_all=address("peers_all"),
         bus=bus,
         offset=offset,
--- a/cottonhold/config/settings.py
+++ b/cottonhold/config/settings.py
@@ -32,6 +32,14 @@
     return value
 
 
+def read_list(source: Json, key: str, kinds: type | tuple[type, ...]) -> list[Any]:
+    """The field's list if all in it has the right type; empty where it is absent or null."""
+    values = read(source, key, list, [])
+    for place, value in enumerate(values):
+        read({f"{key}[{place}]": value}, f"{key}[{place}]", kinds)
+    return list(values)
+
+
 def word(source: Json, key: str, table: dict[Any, Any], kind: type = str, default: Any = MISSING) -> Any:
     """The field's value translated by a table of the wire's words."""
     value = read(source, key, kind, default)
@@ -46,7 +54,7 @@
     """One entry of the settings' classes, with what the domain says of it."""
 
     def of_class(key: str, default: Any) -> Any:
-        values = read(domain, key, list, [])
+        values = read_list(domain, key, type(default))
         return values[position] if position < len(values) else default
 
     zones, models = read(source, "zones_open", list, None), read(source, "models_open", list, None)
@@ -92,8 +100,8 @@
     caps, domain = read(params, "caps", dict), read(params, "domain", dict, {})
     costs = read(params, "costs", dict, {})
     report = read(params, "report", dict, {})
-    cores, memory = read(domain, "size_cores", list, []), read(domain, "ram_of_kind_mb", list, [])
-    names = read(params, "models", list, [])
+    cores, memory = read_list(domain, "size_cores", NUMBER), read_list(domain, "ram_of_kind_mb", NUMBER)
+    names = read_list(params, "models", str)
     models = tuple(
         io.Model(cores[i] if i < len(cores) else 0, memory[i] if i < len(memory) else 0.0)
         for i in range(max(len(names), len(cores), 1))
@@ -110,7 +118,7 @@
         ask_list=read(params, "discovery", str, "push") == "ask",
     )
     return io.Settings(
-        classes=tuple(read_class(c, domain, i) for i, c in enumerate(read(params, "classes", list))),
+        classes=tuple(read_class(c, domain, i) for i, c in enumerate(read_list(params, "classes", dict))),
         models=models,
         permits=permits,
         prices=io.Prices(
@@ -120,13 +128,13 @@
         rules=read_rules(read(params, "obligations", dict)),
         tenants=tuple(
             io.Tenant(read(t, "name", str, ""), read(t, "quota_per_s", NUMBER, 0.0))
-            for t in read(params, "tenants", list, [])
+            for t in read_list(params, "tenants", dict)
         ),
         me=read(params, "me", int, 0),
         gateways=read(params, "siblings", int, 1),
         zone=read(params, "zone", int, 0),
         over_share_worth=read(params, "over_share_worth", NUMBER, 1.0),
-        report_fields=tuple(REPORT.get(f, f) for f in read(report, "fields", list, [])),
+        report_fields=tuple(REPORT.get(f, f) for f in read_list(report, "fields", str)),
         probed_reports=read(report, "how", str, "off") == "on_probe",
         when_short=word(domain, "when_short", SHORT, default=io.WhenShort.WAIT),
         max_grant_share=read(domain, "max_grant_share", NUMBER, 1.0),
--- a/cottonhold/decide/interface.py
+++ b/cottonhold/decide/interface.py
@@ -162,6 +162,7 @@
     note_period: float = 0.0
     cost_told: bool = False
     tick: float = 1.0
+    beside: int = 1  # processes that stand for this gateway: two while one takes over from the other
 
     def __post_init__(self) -> None:
         """Settings that make no sense are named at once."""
@@ -170,6 +171,7 @@
             ("classes", bool(self.classes)),
             ("gateways", self.gateways >= 1),
             ("tick", self.tick > 0),
+            ("beside", self.beside >= 1),
             ("max_grant_share", 0 < self.max_grant_share <= 1),
             ("prices.probe", self.prices.probe >= 0),
             ("prices.peer", self.prices.peer >= 0),
@@ -305,6 +307,13 @@
     token: int
 
 
+@dataclass(slots=True, frozen=True)
+class Retune:
+    """Other settings from now on; queries that came before keep their class and their attempts."""
+
+    settings: Settings
+
+
 Event = (
     EngineList
     | ListFailed
@@ -316,6 +325,7 @@
     | PeerMessage
     | Probed
     | Timer
+    | Retune
 )
 
 
--- a/cottonhold/decide/scheduler.py
+++ b/cottonhold/decide/scheduler.py
@@ -84,15 +84,12 @@
     """Decides for one gateway: call step with the clock and what happened, carry out what it returns."""
 
     def __init__(self, settings: io.Settings, seed: int) -> None:
-        self.settings, self.random = settings, random.Random(seed)
+        self.settings, self.random, self.classes = settings, random.Random(seed), list[state.Learned]()
         self.engines: dict[str, EngineView] = {}
         self.queries: dict[str, Query] = {}
         self.homeless: dict[str, Query] = {}
-        traffic = [(state.Traffic(DOUBT_MS), state.Traffic(DOUBT_MS)) for _ in settings.classes]
-        self.classes = [state.Learned(*both) for both in traffic]
         self.deadlines, self.turns, self.peers = state.Deadlines(), state.Turns(), state.Peers()
         self.extra, self.taken, self.traffic = state.Window(), state.Window(), state.Traffic(TRAFFIC_MS)
-        self.tenants = [state.Traffic(TRAFFIC_MS) for _ in settings.tenants]
         self.share = 1.0 / settings.gateways
         self.active: dict[str, EngineView] = {}  # engines that hold or run something of ours
         self.doubted: dict[str, EngineView] = {}
@@ -101,11 +98,9 @@
         self.mine, self.reach = set[str](), self.share  # whom it draws on, and its part of what each is sent
         self.full_room = self.full_memory = self.own_room = 1.0
         self.fleet, self.reads, self.unseen = state.Rate(), [0.0, 0.0], list[tuple[float, Query]]()
-        self.util, self.best, self.slack = 1.0, 0.0, HEARTBEAT_MS + 2 * settings.tick
+        self.util, self.best = 1.0, 0.0
         self.probes, self.pool_rest, self.pool = 0.0, 0.0, state.Pool()
-        self.probe_part = min(PROBES_PER_QUERY, PROBE_PRICE / max(settings.prices.probe, 1e-9))
         self.gap, self.heard_at, self.heard, self.alike = PEER_MOST_MS, -math.inf, False, 0.0
-        self.next_peer = 0.0 if settings.permits.peers and settings.gateways > 1 else math.inf
         self.changed, self.serial = False, itertools.count()
         self.now = self.next_replan = self.next_ask = 0.0  # the list is asked for in the first step
         self.next_beat = self.wake_at = math.inf
@@ -114,14 +109,24 @@
             io.Arrival: self._on_arrival, io.AttemptEnded: self._on_ended, io.Note: self._on_note,
             io.EngineList: self._on_list, io.ClientGone: self._on_gone, io.Probed: self._on_probed,
             io.PeerMessage: self._on_peer, io.StreamStarted: self._on_stream, io.ListFailed: self._on_failed,
-            io.Timer: lambda _: None}
+            io.Timer: lambda _: None, io.Retune: lambda event: self._adopt(event.settings)}
+        self._adopt(settings)
+
+    def _adopt(self, settings: io.Settings) -> None:
+        """The settings in force from now on; a query keeps its class and its attempts to its end."""
+        # Danger: known by place, a class that moved or came back with another effect got what another taught.
+        known = dict(zip(self.settings.classes, self.classes, strict=False))
+        self.classes = [known.get(cls) or state.Learned.blank(DOUBT_MS) for cls in settings.classes]
+        self.tenants = [state.Traffic(TRAFFIC_MS) for _ in settings.tenants]
+        self.settings, self.slack = settings, HEARTBEAT_MS + 2 * settings.tick
+        self.probe_part = min(PROBES_PER_QUERY, PROBE_PRICE / max(settings.prices.probe, 1e-9))
+        self.next_peer = 0.0 if settings.permits.peers and settings.gateways > 1 else math.inf
 
     def step(self, now: float, events: Iterable[io.Event]) -> list[io.Action]:
         """Take in what happened by now and decide; the one entry point."""
-        self.now, self.actions = now, []
+        self.now, self.actions, self.changed = now, [], False
         if now >= self.wake_at - self.settings.tick / 2:
             self.wake_at = math.inf
-        self.changed = False
         for event in events:
             self.handlers[type(event)](event)
         for q in self.deadlines.take(now + self.slack):
@@ -323,7 +328,7 @@
 
     def _appraise(self, q: Query) -> None:
         """The same on every engine: cost and memory (told less class bias, else the mean), aim, worth."""
-        c = self.classes[q.kind]
+        c = q.learned
         q.cost = q.told * math.exp(c.bias) if q.told > 0 else c.cost or q.cls.aim / 4
         q.memory = q.told_memory * math.exp(c.memory_bias) if q.told_memory > 0 else c.memory
         if not self.settings.permits.grants and q.told_memory > 0:
@@ -355,7 +360,7 @@
 
     def _learn_answer(self, q: Query, e: EngineView, event: io.AttemptEnded) -> None:
         """What a served query needed corrects its class and the engine's rate."""
-        c = self.classes[q.kind]
+        c = q.learned
         cost = event.cost or q.cost
         thread_ms, rate = max(event.elapsed, 1.0) * q.cls.threads, self._rate(e)
         implied = event.cost or min(max(thread_ms * rate, cost / 8), cost * 8)
@@ -381,7 +386,7 @@
             q.done, q.seen_at, q.waits = max(q.done, min(event.value, 1.0)), self.now, False
         elif event.kind is io.NoteKind.SPILL:
             if q.told_memory > 0 and q.grant:
-                c, need = self.classes[q.kind], q.grant + event.value
+                c, need = q.learned, q.grant + event.value
                 c.memory_bias += CLASS_GAIN * (math.log(need / q.told_memory) - c.memory_bias)
         elif event.value == 1:
             q.waits, q.run_at, e.pressed_until = True, self.now, self.now + FULL_REST_MS
@@ -392,7 +397,7 @@
 
     def _tentative(self, q: Query, e: EngineView) -> tuple[float, int, float, float]:
         """Tentative finish, plan position, density and p of q on e, at the densest place it may take."""
-        work = q.cost * (1 + self.classes[q.kind].delta)
+        work = q.cost * (1 + q.learned.delta)
         if q.tables in e.warm:
             work /= math.exp(min(max(self.reads[1] - self.reads[0], 0.0), 0.7))
         p = work / (q.cls.threads * max(e.rate if e.rate_at == self.now else self._rate(e), 0.02))
@@ -594,7 +599,7 @@
         q.cancelled = q.waits = False
         self.pool.add_out(q, e)
         q.warm = e.read(q.tables, WARM_TABLES)
-        e.allowance -= self.classes[q.kind].cost or q.cost
+        e.allowance -= q.learned.cost or q.cost
         if q.cls.loads:
             e.locks[q.tables] = max(e.locks.get(q.tables, 0.0), now + q.p)
             if permits.peers:
@@ -615,9 +620,7 @@
     # --- outcomes ---
 
     def _on_arrival(self, event: io.Arrival) -> None:
-        cls = self.settings.classes[event.query_class]
-        q = Query(event.query, event.query_class, cls, self.now, event.due, event.cost, event.memory,
-                   event.tables, event.tenant, event.order_key if cls.in_order else None, next(self.serial))
+        q = Query(event, self.settings, self.classes[event.query_class], self.now, next(self.serial))
         q.began = self._first_tried(q, event.retry)
         self.queries[q.id] = q
         self._count(self.taken)
@@ -647,7 +650,7 @@
         # Danger: worth is judged from a client's first try; a repeat past its aim earns as little as any late
         # answer, yet looked as dense as a new query and filled engines. Unmarked, it is told by a time left
         # unlike that of most. Also covers clients' own time-outs; may hurt clients of unusual patience.
-        c, left = self.classes[q.kind], q.due - self.now
+        c, left = q.learned, q.due - self.now
         alike = abs(left - c.patience) <= PATIENCE_ALIKE * c.patience
         if not marked:
             c.votes = min(c.votes + (1 if alike else -1), PATIENCE_VOTES)
@@ -754,7 +757,7 @@
     def _close(self, q: Query, served: bool = False) -> None:
         """The query is over; it is forgotten once no attempt of it is out."""
         if not served:
-            self.classes[q.kind].turned.add(self.now)
+            q.learned.turned.add(self.now)
         q.over = True
         self.homeless.pop(q.id, None)
         if q.out:
@@ -829,7 +832,7 @@
 
     def _repeat_barred(self, q: Query) -> str:
         """Why no further attempt may be made: attempts, repeat safety or the budget."""
-        if q.attempts >= self.settings.permits.max_attempts or q.failures >= FAILURES:
+        if q.attempts >= q.most or q.failures >= FAILURES:
             return "attempts"
         if q.risk_at is not None:
             if q.cls.effect is Effect.UNSAFE:
@@ -855,12 +858,12 @@
         e.allowance = min(fill * self.settings.rules.tip_after, e.allowance + fill * waited)
         turn = self.settings.me + math.floor(self.now / self.settings.rules.tip_after)
         # What counts for each query is the usual work of its class.
-        return e.allowance < (e.code / 2**32 + turn * GOLDEN) % 1 * (self.classes[q.kind].cost or q.cost)
+        return e.allowance < (e.code / 2**32 + turn * GOLDEN) % 1 * (q.learned.cost or q.cost)
 
     def _cold_fill(self, e: EngineView) -> float:
         """This gateway's part of the work a cold engine may be sent; half of it may come as one burst."""
-        rules = self.settings.rules
-        return COLD_MARGIN * rules.overload_factor * rules.cold_from * e.cores * self.reach / 2
+        rules, part = self.settings.rules, self.reach / self.settings.beside  # an upgrade's other process too
+        return COLD_MARGIN * rules.overload_factor * rules.cold_from * e.cores * part / 2
 
     def _chill(self, e: EngineView, until: float) -> None:
         """The engine may have started: hold it to the cold budget."""
--- a/cottonhold/decide/state.py
+++ b/cottonhold/decide/state.py
@@ -7,7 +7,7 @@
 import struct
 import zlib
 from collections import deque
-from dataclasses import dataclass, field
+from dataclasses import InitVar, dataclass, field
 
 from cottonhold.decide import interface as io
 
@@ -18,17 +18,20 @@
 class Query:
     """A query this gateway owes an answer, or whose attempt still lacks its outcome."""
 
-    id: str
-    kind: int
-    cls: io.QueryClass
+    arrival: InitVar[io.Arrival]
+    settings: InitVar[io.Settings]  # in force as it came; later ones do not concern it
+    learned: Learned
     arrived: float
-    due: float
-    told: float
-    told_memory: float
-    tables: int
-    tenant: int
-    key: str | None
     order: int
+    cls: io.QueryClass = field(init=False)
+    most: int = 1  # attempts that it may have
+    id: str = ""
+    due: float = 0.0
+    told: float = 0.0
+    told_memory: float = 0.0
+    tables: int = -1
+    tenant: int = 0
+    key: str | None = None
     began: float = 0.0
     attempts: int = 0
     risk_at: float | None = None
@@ -61,6 +64,14 @@
     streaming: bool = False
     trickle: bool = False
 
+    def __post_init__(self, arrival: io.Arrival, settings: io.Settings) -> None:
+        """What the client told, and the rules that hold for it to its end."""
+        self.cls, self.most = settings.classes[arrival.query_class], settings.permits.max_attempts
+        self.id, self.due = arrival.query, arrival.due
+        self.tables, self.tenant = arrival.tables, arrival.tenant
+        self.told, self.told_memory = arrival.cost, arrival.memory
+        self.key = arrival.order_key if self.cls.in_order else None
+
     def left(self, now: float, least: float) -> float:
         """Part of its run that is taken to be left."""
         return max(least, 1 - max(self.done, (now - self.sent_at) / max(self.p, 1.0)))
@@ -347,6 +358,11 @@
     votes: int = 0
     seen: int = 0
 
+    @classmethod
+    def blank(cls, memory_ms: float) -> Learned:
+        """Of a class that nothing is known of."""
+        return cls(Traffic(memory_ms), Traffic(memory_ms))
+
     def answer(self, gain: float, q: Query, cost: float, implied: float, memory: float) -> None:
         """Move towards the cost and memory that one answer told or implied."""
         self.seen += 1
--- a/cottonhold/node/dispatcher.py
+++ b/cottonhold/node/dispatcher.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import gc
 import os
 import signal
@@ -12,7 +13,7 @@
 
 import uvloop
 
-from cottonhold.config.relay import Config, ConfigError, load
+from cottonhold.config.relay import Config, ConfigError, check_change, load
 from cottonhold.decide import interface as io
 from cottonhold.discovery.belief import Belief
 from cottonhold.discovery.bus import SOURCE, Bus
@@ -132,9 +133,14 @@
         self.front.most, self.engines.most = left.clients, left.engines
         if len(others) != self.beside:
             self.beside = len(others)
+            self.retune()
             self.log.note("beside", others=self.beside, clients=left.clients, engines=left.engines)
         self.driver.clock.call_in(BESIDE_MS, self.look_beside)
 
+    def retune(self) -> None:
+        """Have the settings in force follow the file, and the processes that stand for this dispatcher."""
+        self.gateway.retune(dataclasses.replace(self.config.settings, beside=1 + self.beside))
+
     async def stay_for_newer(self) -> None:
         """Go on taking clients while a newer process does not serve yet, within limits."""
         until = self.driver.clock.now() + STARTING_MS
@@ -169,17 +175,23 @@
         await asyncio.sleep(CHECK_S)  # the last answer's bytes are with the system now
 
     def reload(self) -> None:
-        """Read the configuration again and follow the event bus that it names, on from the last event.
+        """Read the configuration again: its settings, and the event bus it names, on from the last event.
 
         Danger: without a handler SIGHUP ended the program. A file that can't be used must change nothing.
         """
         try:
             config = load(os.environ, self.counters)
+            check_change(self.config, config)
         except ConfigError as error:
             self.counters.add("reloads_failed")
             self.log.say(f"reload: the configuration stays as it is: {error}")
             return
         self.counters.add("reloads")
+        was, now = ({cls.name for cls in c.settings.classes} for c in (self.config, config))
+        self.log.note("reloaded", classes=len(now), added=",".join(now - was), dropped=",".join(was - now))
+        self.config = config
+        self.engines.links, self.driver.connect_s = config.links, config.links.connect_ms / 1000
+        self.retune()
         if config.bus is None:
             return
         self.bus.host = config.bus.host
--- a/cottonhold/node/gateway.py
+++ b/cottonhold/node/gateway.py
@@ -48,7 +48,8 @@
     """A request as a client protocol read it."""
 
     ref: str
-    query_class: int
+    query_class: int  # its place in the settings under which it was taken
+    service: str  # and its name
     taken_at: float
     allow: float
     effort: float
@@ -89,6 +90,7 @@
     ) -> None:
         self.settings, self.clock, self.engines = settings, clock, engines
         self.counters, self.say = counters, say
+        self.kinds = {cls.name: place for place, cls in enumerate(settings.classes)}
         self.scheduler = Scheduler(settings, seed)
         self.requests: dict[str, Request] = {}
         self.events: list[io.Event] = []
@@ -98,6 +100,12 @@
         self.heard_probe: HeardProbe = lambda engine, outcome, report: None
         engines.listener = self
 
+    def retune(self, settings: io.Settings) -> None:
+        """Other settings from now on; requests that are open keep what they were taken under."""
+        self.settings = settings
+        self.kinds = {cls.name: place for place, cls in enumerate(settings.classes)}
+        self.push(io.Retune(settings))
+
     # --- what happens ---
 
     def push(self, event: io.Event) -> None:
@@ -218,9 +226,9 @@
             self._report(request, io.AttemptEnded(action.query, number, action.engine, Outcome.MOOT, 0.0))
             return
         until = min(request.due - ANSWER_MS, now + action.timeout if action.timeout > 0 else request.due)
-        kind = self.settings.classes[request.taken.query_class].name
+        taken = request.taken
         attempt = Attempt(
-            action.query, number, action.engine, kind, request.taken.body, request.priority, now, until
+            action.query, number, action.engine, taken.service, taken.body, request.priority, now, until
         )
         request.attempt = attempt
         if not self.engines.send(attempt):
--- a/cottonhold/node/mysql.py
+++ b/cottonhold/node/mysql.py
@@ -110,7 +110,6 @@
     ) -> None:
         self.gateway, self.clock, self.counters, self.life = gateway, clock, counters, life
         self.most, self.ids = most, ids
-        self.classes = {cls.name: i for i, cls in enumerate(gateway.settings.classes)}
         self.sessions: dict[int, Session] = {}
         self.last_id = ids.base
         clock.call_in(CHECK_MS, self._check)
@@ -149,13 +148,14 @@
 
     def taken(self, statement: Statement, at: float) -> Taken:
         """A statement as a request; FieldError names what can't be used."""
-        kind = self.classes.get(statement.service)
+        kind = self.gateway.kinds.get(statement.service)
         if kind is None:
             raise FieldError(f"field 'service' names no class: '{statement.service[:40]}'")
         cls: io.QueryClass = self.gateway.settings.classes[kind]
         return Taken(
             statement.ref,
             kind,
+            cls.name,
             at,
             statement.allow,
             statement.effort,
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -11,6 +11,7 @@
 import re
 from collections import deque
 from collections.abc import Callable
+from dataclasses import replace
 from fnmatch import fnmatchcase
 
 from cottonhold.config.relay import Links
@@ -296,6 +297,19 @@
             self.met(self.unmet[0])
         self.change([self.names[int(number[1:]) - 1]], state)
 
+    def settings_are(self, who: str, rest: str) -> None:
+        """NAME[:EFFECT] ... [attempts=N]: other classes from now on, those not known made like a lookup."""
+        *names, last = rest.split()
+        names += [last] * ("=" not in last)
+        permits = replace(PERMITS, max_attempts=int(last.partition("=")[2] or 5))
+        known = {"lookup": READ, "load": LOAD}
+        classes = []
+        for text in names:
+            name, _, effect = text.partition(":")
+            cls = known.get(name, replace(READ, name=name))
+            classes.append(replace(cls, effect=io.Effect(effect)) if effect else cls)
+        self.gateway.retune(replace(SETTINGS, classes=tuple(classes), permits=permits))
+
     def ops_drain(self, who: str, rest: str) -> None:
         self.life.drain(self.clock.now())
 
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -14,15 +14,51 @@
 from cottonhold.decide.interface import Effect, Outcome, Probed, WhenShort
 
 ROOT = Path(__file__).parent.parent
+LOOKUP = {"aim": 1000.0, "hard_limit": 5000.0, "effect": "retryable", "worth": 1.0, "late_worth": 0.0}
 PARAMS: dict[str, Any] = {
-    "caps": {"most_tries": 3, "may_cancel": True, "unknown": 1},
-    "classes": [{"aim": 1000.0, "hard_limit": 5000.0, "effect": "retryable", "worth": 1.0, "name": "lookup"}],
-    "domain": {"size_cores": [8], "ram_of_kind_mb": [16384.0], "parallelism": [1], "when_short": "queue"},
-    "obligations": {"cold_from": 0.3},
-    "report": {"fields": ["cpu"]},
+    "caps": {
+        "conn_idle": 15000.0,
+        "connect_timeout": 250.0,
+        "max_retry_after": 0.0,
+        "may_cancel": True,
+        "most_tries": 3,
+        "peers": False,
+        "probes": False,
+        "retry_after": False,
+        "streams_per_conn": 32,
+        "unknown": 1,
+    },
+    "classes": [{**LOOKUP, "name": "lookup"}],
+    "costs": {"probe": 0.0, "peer": 0.0},
+    "discovery": "push",
+    "domain": {
+        "class_waits": [False],
+        "cost_in_answers": False,
+        "grants_count": False,
+        "holds_tables": [False],
+        "max_grant_share": 1.0,
+        "note_period": 0.0,
+        "parallelism": [1],
+        "priorities": False,
+        "ram_of_kind_mb": [16384.0],
+        "size_cores": [8],
+        "when_short": "queue",
+    },
+    "models": [],
+    "obligations": {
+        "answer_slack": 20.0,
+        "cold_from": 0.3,
+        "overload_factor": 2.0,
+        "stop_sending_within": 500.0,
+        "tip_after": 2000.0,
+        "warm_within": 13000.0,
+    },
+    "report": {"fields": ["cpu"], "how": "off"},
     "siblings": 1,
     "me": 0,
     "tick": 5.0,
+    "zone": 0,
+    "zones": [],
 }
 NODE = "10.0.0.1:11200"
 
--- /dev/null
+++ b/tests/test_retune.py
@@ -0,0 +1,252 @@
+"""Settings that change while requests are open, and files that must change nothing."""
+
+from __future__ import annotations
+
+import asyncio
+import copy
+import dataclasses
+from pathlib import Path
+from typing import Any
+
+import orjson
+import pytest
+
+from cottonhold import Scheduler
+from cottonhold.config.relay import ConfigError, load
+from cottonhold.decide import interface as io
+from cottonhold.node.dispatcher import Dispatcher
+from cottonhold.observe.counters import Counters
+from tests.scenario import LOAD, READ, World
+from tests.test_parts import CONFIG, write
+from tests.test_scheduler import LOOKUP, arrival, ended, engines, sends, settings
+
+SCENARIOS = {
+    "a new class is served, and one that is gone is a clear error": """
+        settings are lookup bulk
+        c1 query bulk r1
+        any expect GET r1 kind=bulk,*
+        c2 query load r2
+        c2 expect error 1105 field 'service' names no class: 'load'
+    """,
+    "an open load stays one that must not run twice, though its class is gone": """
+        c1 query load r1 allow=20000
+        e1 expect GET *
+        settings are lookup
+        e1 close
+        c1 expect error 1105 *may have run*
+        e2 expect nothing
+    """,
+    "an open load stays one that must not run twice, though its name may now": """
+        c1 query load r1 allow=20000
+        e1 expect GET *
+        settings are load:safe lookup
+        e1 close
+        c1 expect error 1105 *may have run*
+        c2 query load r2 allow=20000
+        any expect GET r2 *
+    """,
+    "a new load of that name may be repeated": """
+        settings are load:safe lookup
+        c1 query load r1 allow=20000
+        e1 expect GET r1 *
+        e1 close
+        e2 expect GET r1 *
+    """,
+    "an open lookup is repeated though its name stands for what must not be": """
+        c1 query lookup r1
+        e1 expect GET r1 *
+        settings are lookup:unsafe
+        e1 close
+        e2 expect GET r1 kind=lookup,*
+    """,
+    "attempts that become fewer do not cut an open request short, a new one has as many": """
+        c1 query lookup r1
+        e1 expect GET r1 *
+        settings are lookup load attempts=1
+        e1 close
+        e2 expect GET r1 *
+        e2 send r1 served count=1 a|b|c/
+        c1 expect rows a|b|c
+        c1 query lookup r2
+        e2 expect GET r2 *
+        e2 close
+        c1 expect error 1226 *
+    """,
+    "one key keeps its order over a change": """
+        c1 query load r1 allow=20000,lookup=k
+        e1 expect GET r1 *
+        settings are load lookup
+        c2 query load r2 allow=20000,lookup=k
+        e1 expect nothing
+        e1 send r1 served count=1 a|b|c/
+        any expect GET r2 *
+    """,
+    "a request and a change in one turn go by the order in which they came": """
+        c1 query load r1 allow=20000
+        settings are lookup
+        settings are load lookup
+        settings are bulk
+        e1 expect GET r1 kind=load,*
+        e1 send r1 served count=1 a|b|c/
+        c1 expect rows a|b|c
+    """,
+}
+
+
+@pytest.mark.parametrize("script", SCENARIOS.values(), ids=SCENARIOS)
+def test_classes_change_under_open_requests(script: str) -> None:
+    World().run(script)
+
+
+def teach(s: Scheduler, at: float, place: int, cost: float) -> None:
+    for i in range(30):
+        name = f"t{at}-{place}-{i}"
+        ((_, engine),) = sends(s.step(at, [arrival(name, due=at + 5000, cost=100.0, query_class=place)]))
+        at += 50
+        s.step(at, [ended(name, io.Outcome.OK, engine=engine, final=True, cost=cost, elapsed=cost)])
+
+
+@pytest.mark.parametrize(
+    ("after", "places"),
+    [
+        ((READ, LOOKUP), (None, 0)),  # moved behind a new one
+        ((dataclasses.replace(LOOKUP, name="other"), READ), (None, None)),  # renamed
+        ((dataclasses.replace(LOOKUP, effect=io.Effect.UNSAFE),), (None,)),
+        ((dataclasses.replace(LOOKUP, deadline=LOOKUP.deadline / 2),), (None,)),
+    ],
+)
+def test_what_was_learned_of_a_class_goes_to_no_other(
+    after: tuple[io.QueryClass, ...], places: tuple[int | None, ...]
+) -> None:
+    setup = settings(classes=(LOOKUP, LOAD))
+    s = Scheduler(setup, 1)
+    s.step(0.0, [engines("e1", "e2")])
+    teach(s, 100.0, 0, 400.0)
+    before = list(s.classes)
+    s.step(5000.0, [io.Retune(dataclasses.replace(setup, classes=after))])
+    found = [next((i for i, b in enumerate(before) if b is c), None) for c in s.classes]
+    assert found == list(places)
+    s.step(5050.0, [io.Retune(setup)])
+    assert s.classes[0].seen == (30 if 0 in places else 0)
+
+
+def test_reloads_leave_nothing_behind() -> None:
+    setup = settings(classes=(LOOKUP, LOAD))
+    s = Scheduler(setup, 1)
+    s.step(0.0, [engines("e1", "e2")])
+    for i in range(50):
+        classes = tuple(dataclasses.replace(LOOKUP, name=f"c{n}") for n in range(i % 3 + 1))
+        changed = io.Retune(dataclasses.replace(setup, classes=classes))
+        ((name, engine),) = sends(s.step(100.0 * i, [changed, arrival(f"q{i}", due=100.0 * i + 5000)]))
+        s.step(100.0 * i + 50, [ended(name, io.Outcome.OK, engine=engine, final=True, cost=50.0)])
+    assert len(s.classes) == len(s.settings.classes) and not s.queries and not s.active["e1"].out
+
+
+def test_a_process_beside_halves_the_part_of_a_cold_engine() -> None:
+    """Danger: two processes stood for one gateway, and each sent a cold engine all that both may."""
+    s = Scheduler(settings(), 1)
+    s.step(0.0, [engines("e1")])
+    alone = s._cold_fill(s.engines["e1"])
+    s.step(10.0, [io.Retune(dataclasses.replace(settings(), beside=2))])
+    assert s._cold_fill(s.engines["e1"]) == alone / 2
+
+
+GOOD: dict[str, Any] = {**CONFIG, "listen": "127.0.0.1:80"}
+BROKEN: dict[str, Any] = {
+    "empty": b"",
+    "cut off": orjson.dumps(GOOD)[:-200],
+    "not an object": b"[]",
+    "no settings": {"settings": None},
+    "settings of the wrong type": {"settings": []},
+    "no event bus": {"bus": None},
+    "bad event bus": {"bus": "nowhere"},
+    "no classes": {"settings.classes": []},
+    "classes of the wrong type": {"settings.classes": {}},
+    "a class that is none": {"settings.classes": ["lookup"]},
+    "deadline 0": {"settings.classes.0.hard_limit": 0},
+    "deadline below 0": {"settings.classes.0.hard_limit": -5.0},
+    "deadline of the wrong type": {"settings.classes.0.hard_limit": "5000"},
+    "aim 0": {"settings.classes.0.aim": 0},
+    "effect unknown": {"settings.classes.0.effect": "maybe"},
+    "no class name": {"settings.classes.0.name": None},
+    "no effect": {"settings.classes.0.effect": None},
+    "no deadline": {"settings.classes.0.hard_limit": None},
+    "attempts 0": {"settings.caps.most_tries": 0},
+    "attempts below 0": {"settings.caps.most_tries": -1},
+    "attempts of the wrong type": {"settings.caps.most_tries": 2.5},
+    "no attempts": {"settings.caps.most_tries": None},
+    "no caps": {"settings.caps": None},
+    "no rules": {"settings.obligations": None},
+    "no threads": {"settings.domain.parallelism": None},
+    "threads of the wrong type": {"settings.domain.parallelism": ["1"]},
+    "cores of the wrong type": {"settings.domain.size_cores": ["8"]},
+    "a class twice": {"settings.classes": [CONFIG["settings"]["classes"][0]] * 2},
+    "another place": {"settings.me": 1, "settings.siblings": 2},
+    "other machine kinds": {"settings.models": ["b", "a"]},
+}
+
+
+def broken(change: Any) -> bytes:
+    if isinstance(change, bytes):
+        return change
+    source = copy.deepcopy(GOOD)
+    for path, value in change.items():
+        at: Any = source
+        keys = path.split(".")
+        for key in keys[:-1]:
+            at = at[int(key) if key.isdigit() else key]
+        if value is None:
+            del at[keys[-1]]
+        else:
+            at[keys[-1]] = value
+    return orjson.dumps(source)
+
+
+class Lines:
+    def __init__(self) -> None:
+        self.lines: list[str] = []
+
+    def say(self, text: str) -> None:
+        self.lines.append(text)
+
+    def note(self, event: str, **fields: object) -> None:
+        self.lines.append(f"{event} {fields}")
+
+
+@pytest.mark.parametrize("change", BROKEN.values(), ids=BROKEN)
+def test_a_broken_file_changes_nothing(change: Any, tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    async def scenario() -> None:
+        monkeypatch.setenv("RELAY_CONFIG", write(tmp_path, **GOOD)["RELAY_CONFIG"])
+        lines, counters = Lines(), Counters()
+        config = load({"RELAY_CONFIG": str(tmp_path / "config.json")}, counters)
+        node = Dispatcher(config, counters, asyncio.get_running_loop(), lines)
+        before = node.gateway.settings, node.gateway.kinds, node.bus.host, node.engines.links, node.config
+        (tmp_path / "config.json").write_bytes(broken(change))
+        node.reload()
+        after = node.gateway.settings, node.gateway.kinds, node.bus.host, node.engines.links, node.config
+        assert before == after and not node.gateway.events
+        (line,) = lines.lines
+        assert line.startswith("reload: the configuration stays as it is: ") and "\n" not in line
+        assert counters.counts == {"reloads_failed": 1}
+        (tmp_path / "config.json").write_bytes(orjson.dumps(GOOD))
+        node.reload()
+        assert counters.counts["reloads"] == 1
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(
+    ("change", "named"),
+    [
+        ({"settings.caps.most_tries": 0}, "field 'settings.caps.most_tries' is not over 0"),
+        ({"settings.classes.0.hard_limit": 0}, r"field 'settings.classes\[0\].hard_limit' is not over 0"),
+        ({"settings.classes.0.name": None}, r"field 'settings.classes\[0\].name' is missing"),
+        ({"settings.domain.parallelism": None}, "field 'settings.domain.parallelism' is missing"),
+        ({"settings.domain.parallelism": ["1"]}, r"field 'parallelism\[0\]' has the wrong type: '1'"),
+        ({"settings.classes": [CONFIG["settings"]["classes"][0]] * 2}, "class 'lookup' is there twice"),
+    ],
+)
+def test_the_start_names_the_same_problems(tmp_path: Path, change: Any, named: str) -> None:
+    (tmp_path / "config.json").write_bytes(broken(change))
+    with pytest.raises(ConfigError, match=named):
+        load({"RELAY_CONFIG": str(tmp_path / "config.json")}, Counters())
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -36,7 +36,7 @@
             kind = int((t // 200 + n) % 6 == 0)
             events = [arrival(f"q{t}", due=t + 20000.0, cost=costs[kind], query_class=kind)]
             for name, engine in sends(s.step(float(t), events)):
-                told = costs[s.queries[name].kind]
+                told = costs[int(s.queries[name].cls is REPORT)]
                 sent.append((t, told))
                 done = ended(name, io.Outcome.OK, engine=engine, final=True, cost=told, elapsed=told)
                 s.step(float(t), [done])
@@ -58,7 +58,7 @@
             events = [arrival(f"q{t}", due=t + 20000.0, cost=(200.0, 2800.0)[kind], query_class=kind)]
             for name, engine in sends(s.step(float(t + n), events)):
                 cost = s.queries[name].told
-                work[engine][s.queries[name].kind] += cost
+                work[engine][int(s.queries[name].cls is REPORT)] += cost
                 s.step(float(t + n), [ended(name, io.Outcome.OK, engine=engine, final=True, cost=cost)])
     most = RULES.overload_factor * RULES.cold_from * MODEL.cores * 4000 * len(cold)
     by_kind = [sum(w[kind] for w in work.values()) for kind in (0, 1)]
