--- a/cottonhold/node/dispatcher.py
+++ b/cottonhold/node/dispatcher.py
@@ -164,12 +164,14 @@
         self.look_beside()
         await self.stop.wait()
         self.life.leave(driver.clock.now())
+        self.log.note("leaving", open=self.gateway.open, clients=len(self.front.sessions))
         await asyncio.gather(asyncio.sleep(LEAVE_MS / 1000), *self.leave(), return_exceptions=True)
         await self.stay_for_newer()
         accepting.cancel()
         await asyncio.gather(accepting, return_exceptions=True)
         driver.empty_queue(listener, self.front)
         listener.close()
+        self.log.note("closed_door", open=self.gateway.open, clients=len(self.front.sessions))
         while self.gateway.open or any(s.owes() for s in self.front.sessions.values()):
             await asyncio.sleep(CHECK_S)
         await asyncio.sleep(CHECK_S)  # the last answer's bytes are with the system now
