Take no long query late in leaving, and close behind each answer from its start

Only what came within 0.7 s may be left unanswered.

At fault: Life took queries for 0.8 s into leaving like any other, and closed behind answers only from then on. Change: closed behind each answer from SIGTERM on, idle ones from 0.6 s; from 0.4 s on a query is taken only if it is due by 3.5 s, else refused at once. SIGTERM's handler notes the time itself, since a busy loop comes to it late.

--- a/cottonhold/node/dispatcher.py
+++ b/cottonhold/node/dispatcher.py
@@ -201,6 +201,11 @@
             self.following.cancel()
             self.following = self.driver.spawn(self.driver.follow(self.bus, config.bus))
 
+    def end(self) -> None:
+        """Leave: from now on, not from when the loop comes to it."""
+        self.life.leave(self.driver.clock.now())
+        self.stop.set()
+
     def print_counters(self) -> None:
         """Counters, whatever the log's rate."""
         print(self.counters.line(), file=sys.stderr, flush=True)
@@ -218,8 +223,8 @@
     def handle_signals(self, loop: asyncio.AbstractEventLoop) -> None:
         """SIGTERM and SIGINT end it, SIGHUP reloads, SIGUSR1 prints the counters."""
         loop.set_exception_handler(lambda _, context: self.log.say(f"loop: {context}"))
-        loop.add_signal_handler(signal.SIGTERM, self.stop.set)
-        loop.add_signal_handler(signal.SIGINT, self.stop.set)
+        loop.add_signal_handler(signal.SIGTERM, self.end)
+        loop.add_signal_handler(signal.SIGINT, self.end)
         loop.add_signal_handler(signal.SIGHUP, self.reload)
         loop.add_signal_handler(signal.SIGUSR1, self.print_counters)
 
--- a/cottonhold/node/life.py
+++ b/cottonhold/node/life.py
@@ -11,7 +11,11 @@
 # A front that asks every 0.1 s hears the no and still sends new connections for 0.2 s.
 IDLE_MS = 500.0  # into a drain, from which on idle connections are closed
 TAKE_MS = 1500.0  # into a drain, to which queries are taken: at 4 s none younger than 2 s may be held
-LEAVE_MS = 800.0  # after SIGTERM clients come for 0.4 s, and a request that came by 0.7 s is owed an answer
+# After SIGTERM new connections come for 0.4 s, and requests on open ones for 0.2 s more.
+LONG_MS = 400.0  # into leaving, to which long queries are taken: 0.7 s, less what a busy loop is late by
+SETTLED_MS = 600.0  # into leaving, from which on idle connections are closed
+KILLED_MS = 3500.0  # into leaving, by which the last of them has to end: SIGKILL may come after 3.7 s
+LEAVE_MS = 800.0  # into leaving, to which new clients are taken in
 
 
 class Phase(Enum):
@@ -59,13 +63,19 @@
         """Whether to say yes to the front. One that leaves says yes: a newer process may serve beside it."""
         return self.drained_at == math.inf
 
-    def takes(self, now: float) -> bool:
-        """Whether a query that comes now is taken."""
+    def takes(self, now: float, due: float) -> bool:
+        """Whether a query that comes now and is due then is taken.
+
+        Danger: SIGKILL found one unanswered that came 0.78 s after SIGTERM and could wait for 6 s. Only those
+        that came within 0.7 s may be left so.
+        """
+        if now >= self.leaving_at + LONG_MS and due > self.leaving_at + KILLED_MS:
+            return False
         return now < self.drained_at + TAKE_MS
 
     def ends_idle(self, now: float) -> bool:
         """Whether connections without an open request are closed."""
-        return now >= min(self.drained_at + IDLE_MS, self.leaving_at + LEAVE_MS)
+        return now >= min(self.drained_at + IDLE_MS, self.leaving_at + SETTLED_MS)
 
     def ends_answered(self, now: float) -> bool:
         """Whether a connection is closed right behind its answer.
@@ -73,4 +83,4 @@
         Danger: clients that never idle kept their connections for good. Behind an answer no request is on its
         way, so that none meets the close.
         """
-        return now >= min(self.drained_at, self.leaving_at + LEAVE_MS)
+        return now >= min(self.drained_at, self.leaving_at)
--- a/cottonhold/node/mysql.py
+++ b/cottonhold/node/mysql.py
@@ -294,13 +294,15 @@
         if kill := KILL.match(text):
             self._kill(int(kill[2]), (kill[1] or b"").strip().upper() == b"QUERY")
             return
-        if not self.front.life.takes(at):
-            self.front.counters.add("queries_turned_away")
-            self._error(REFUSED, "query refused, it did not run: this dispatcher is drained")
-            self._after_answer()
-            return
         try:
-            self.request = self.front.gateway.take(self.front.taken(parse(text), at), self)
+            statement = parse(text)
+            if not self.front.life.takes(at, at + statement.allow):
+                self.front.counters.add("queries_turned_away")
+                phase = self.front.life.phase().value
+                self._error(REFUSED, f"query refused, it did not run: this dispatcher is {phase}")
+                self._after_answer()
+                return
+            self.request = self.front.gateway.take(self.front.taken(statement, at), self)
         except FieldError as error:
             self.front.counters.add("requests_unusable")
             self._error(FAILED, str(error))
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -313,6 +313,9 @@
     def ops_drain(self, who: str, rest: str) -> None:
         self.life.drain(self.clock.now())
 
+    def ops_leave(self, who: str, rest: str) -> None:
+        self.life.leave(self.clock.now())
+
     def ops_restore(self, who: str, rest: str) -> None:
         assert self.life.restore()
 
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -10,7 +10,7 @@
 from cottonhold.config.relay import decode
 from cottonhold.config.settings import WireError
 from cottonhold.node.driver import Driver
-from cottonhold.node.life import IDLE_MS, LEAVE_MS, TAKE_MS, Life, Phase
+from cottonhold.node.life import IDLE_MS, KILLED_MS, LEAVE_MS, LONG_MS, SETTLED_MS, TAKE_MS, Life, Phase
 from cottonhold.node.ops import CALL_MS, MOST_BODY, MOST_HEAD, Call, Calls
 from cottonhold.observe.counters import Counters
 from tests.scenario import FakeLine, World
@@ -73,6 +73,20 @@
         c1 send 00000000
         c1 expect error 1053 *
     """,
+    "one that ends takes no long query late, and closes behind each answer": """
+        c1 query lookup r1
+        e1 expect GET r1 *
+        ops leave
+        time wait 700
+        c2 query load r2 allow=20000
+        c2 expect error 1226 *did not run: this dispatcher is leaving
+        c2 closing
+        c3 query lookup r3 allow=1500
+        any expect GET r3 *
+        e1 send r1 served count=1 a|b|c/
+        c1 expect rows a|b|c
+        c1 closing
+    """,
     "a drain may be undone half way": """
         c1 send 010000000e
         c1 expect ok
@@ -102,11 +116,13 @@
     assert life.drain(0.0) and not life.drain(50.0) and life.drained_at == 0.0
     assert life.restore() and life.restore() and life.phase() is Phase.SERVING
     life.leave(100.0)
-    assert life.ready() and life.takes(1e9) and not life.ends_idle(100.0 + LEAVE_MS - 1)
+    assert life.ready() and life.takes(1e9, 0.0) and not life.ends_idle(100.0 + SETTLED_MS - 1)
+    assert life.takes(100.0 + LONG_MS - 1, 1e9) and not life.takes(100.0 + LONG_MS, 1e9)
+    assert life.takes(100.0 + LEAVE_MS, 100.0 + KILLED_MS)
     assert not life.restore() and life.phase() is Phase.LEAVING
     life.drain(200.0)
     assert not life.ready() and life.ends_answered(200.0) and life.ends_idle(200.0 + IDLE_MS)
-    assert life.takes(200.0 + TAKE_MS - 1) and not life.takes(200.0 + TAKE_MS)
+    assert life.takes(200.0 + TAKE_MS - 1, 0.0) and not life.takes(200.0 + TAKE_MS, 0.0)
 
 
 SOURCE = {"listen": "127.0.0.1:1", "bus": "127.0.0.1:2", "known": {"offset": 0}, "settings": PARAMS}
