--- a/tests/test_signals.py
+++ b/tests/test_signals.py
@@ -61,6 +61,14 @@
     assert io.Cancel("q", 0) in actions
 
 
+def test_a_short_query_whose_answer_never_comes_is_tried_again_while_it_can_still_be_in_time() -> None:
+    """Found where answers get lost: half of its time was taken to be left, and it ended late."""
+    s = mute("e1", "e2")
+    sends(s.step(4050.0, [arrival("q", due=9050.0)]))
+    at = [t for t in range(4100, 9000, 50) if io.Cancel("q", 0) in s.step(float(t), [])]
+    assert 4050 + 3 * 100 < at[0] < 4050 + 700
+
+
 @pytest.mark.parametrize("effect, cancelled", [(io.Effect.SAFE, True), (io.Effect.UNSAFE, False)])
 def test_work_of_a_client_that_left_is_cancelled_but_a_load_runs_on(
     effect: io.Effect, cancelled: bool
