Rescue a query from two plans on, weighing the time run against a fresh attempt

At fault: RESCUE_FACTOR and GUESSED in Scheduler._rescue. Beyond two plans an attempt is one with a bad plan or none at all, and what is left of those is many times what has run, not a half or a whole of it.

--- a/cottonhold/decide/scheduler.py
+++ b/cottonhold/decide/scheduler.py
@@ -59,8 +59,8 @@
 COLD_MARGIN = 0.5  # of a cold engine's budget: true speed, cost estimates and shares are all guesses
 REPLAN_MS = 250.0  # held queries are planned anew so often
 HEARTBEAT_MS = 100.0  # sweep while something is held, out or suspect
-RESCUE_FACTOR = 3.0  # a cancel must promise to finish so many times sooner elsewhere
-GUESSED = 1.0  # what is left is taken as time run over this where no note tells it: more gives up too late
+RESCUE_FACTOR = 2.0  # plans run before a rescue, and times sooner that it must promise to finish elsewhere
+GUESSED = 0.5  # what is left is time run over this where no note tells it: bad plans take many times as long
 GRANT_PAGE = 2.0  # grant over need where unused memory stays free to others
 GRANT_TIGHT = 1.3  # grant over need where granted memory is taken from others
 TRAFFIC_MS = 3000.0  # memory of traffic rates, and of own plans that stand for the other gateways'
@@ -921,7 +921,7 @@
             if e.suspect not in UNHEARD and age < RESCUE_FACTOR * q.p and not told or self._repeat_barred(q):
                 continue
             # Without notes nothing tells how far it is: what has run longest over its plan runs longest on.
-            # That is a guess, and estimates and spills alone reach several plans: it must be far over.
+            # That is a guess: estimates and spills reach two plans, bad plans and lost answers many more.
             left = age / GUESSED
             if e.suspect in UNHEARD:
                 left = math.inf
