--- a/cottonhold/adapter.py
+++ b/cottonhold/adapter.py
@@ -10,9 +10,10 @@
 from collections.abc import Callable
 from typing import TextIO
 
-from cottonhold.config.settings import NUMBER, Json, WireError, read, read_settings, word
+from cottonhold.config.settings import read_settings
 from cottonhold.decide import interface as io
 from cottonhold.decide.scheduler import Scheduler
+from cottonhold.wire import NUMBER, Json, WireError, read, word
 
 __all__ = ["read_probed", "read_settings", "run"]
 
--- a/cottonhold/config/settings.py
+++ b/cottonhold/config/settings.py
@@ -5,49 +5,11 @@
 from typing import Any
 
 from cottonhold.decide import interface as io
-
-Json = dict[str, Any]
+from cottonhold.wire import NUMBER, Json, read, read_list, word
 
 EFFECTS = {"retryable": io.Effect.SAFE, "dedup": io.Effect.KEYED, "fragile": io.Effect.UNSAFE}
 SHORT = {"queue": io.WhenShort.WAIT, "trim": io.WhenShort.SHRINK, "swap": io.WhenShort.PAGE}
 REPORT = {"active": "inflight", "waiting": "queue", "cpu": "util"}
-NUMBER = (int, float)
-MISSING = object()
-
-
-class WireError(Exception):
-    """A line that does not follow the wire, with what is wrong in it."""
-
-
-def read(source: Json, key: str, kinds: type | tuple[type, ...], default: Any = MISSING) -> Any:
-    """The field's value if it has the right type; the default where it is absent or null."""
-    value = source.get(key)
-    if value is None:
-        if default is MISSING:
-            raise WireError(f"field '{key}' is missing")
-        return default
-    wanted = kinds if isinstance(kinds, tuple) else (kinds,)
-    if not isinstance(value, wanted) or (isinstance(value, bool) and bool not in wanted):
-        raise WireError(f"field '{key}' has the wrong type: {value!r}"[:200])
-    return value
-
-
-def read_list(source: Json, key: str, kinds: type | tuple[type, ...]) -> list[Any]:
-    """The field's list if all in it has the right type; empty where it is absent or null."""
-    values = read(source, key, list, [])
-    for place, value in enumerate(values):
-        read({f"{key}[{place}]": value}, f"{key}[{place}]", kinds)
-    return list(values)
-
-
-def word(source: Json, key: str, table: dict[Any, Any], kind: type = str, default: Any = MISSING) -> Any:
-    """The field's value translated by a table of the wire's words."""
-    value = read(source, key, kind, default)
-    if value is default:
-        return default
-    if value not in table:
-        raise WireError(f"field '{key}' has an unknown value: {value!r}"[:200])
-    return table[value]
 
 
 def read_class(source: Json, domain: Json, position: int) -> io.QueryClass:
--- a/cottonhold/discovery/bus.py
+++ b/cottonhold/discovery/bus.py
@@ -8,9 +8,9 @@
 import httptools
 import orjson
 
-from cottonhold.config.settings import NUMBER, WireError, read, word
 from cottonhold.discovery.model import Address, Names, Observation, Report, Verdict
 from cottonhold.observe.counters import Counters
+from cottonhold.wire import NUMBER, WireError, read, word
 
 HOLD_MS = 2000  # short, so that a silently cut link shows well within the 7 s after which news counts as told
 ANSWER_MS = 1000.0  # an answer later than this after the hold means that the link is dead
--- a/cottonhold/discovery/consul/answers.py
+++ b/cottonhold/discovery/consul/answers.py
@@ -13,9 +13,9 @@
 import msgspec
 import xxhash
 
-from cottonhold.config.settings import WireError
 from cottonhold.discovery.consul.checks import Entry, Reading, engine_id, observe
 from cottonhold.discovery.model import Names, Observation
+from cottonhold.wire import WireError
 
 Malformed = Callable[[str], None]
 
--- a/cottonhold/discovery/consul/checks.py
+++ b/cottonhold/discovery/consul/checks.py
@@ -23,8 +23,8 @@
 
 import msgspec
 
-from cottonhold.config.settings import WireError
 from cottonhold.discovery.model import Address, Names, Observation, Verdict
+from cottonhold.wire import WireError
 
 NODE_MAINTENANCE = "_node_maintenance"
 SERVICE_MAINTENANCE = "_service_maintenance:"
--- a/cottonhold/discovery/consul/exchange.py
+++ b/cottonhold/discovery/consul/exchange.py
@@ -10,7 +10,7 @@
 
 import httptools
 
-from cottonhold.config.settings import WireError
+from cottonhold.wire import WireError
 
 MOST_HEADERS = 100
 MOST_HEADER_BYTES = 32 << 10
--- a/cottonhold/discovery/model.py
+++ b/cottonhold/discovery/model.py
@@ -11,8 +11,8 @@
 from enum import Enum
 from typing import Any
 
-from cottonhold.config.settings import WireError
 from cottonhold.decide import interface as io
+from cottonhold.wire import WireError
 
 
 @dataclass(slots=True, frozen=True)
--- a/cottonhold/node/consul.py
+++ b/cottonhold/node/consul.py
@@ -6,7 +6,6 @@
 import contextlib
 from collections.abc import Callable, Iterable
 
-from cottonhold.config.settings import WireError
 from cottonhold.discovery.consul.exchange import Answer
 from cottonhold.discovery.consul.registration import Registration
 from cottonhold.discovery.consul.watch import Watch
@@ -14,6 +13,7 @@
 from cottonhold.node.driver import Driver
 from cottonhold.node.http import HttpLink, Tls
 from cottonhold.observe.counters import Counters
+from cottonhold.wire import WireError
 
 LEAST_PAUSE_MS = 1.0  # also between calls that fail at once, so that the loop gets its turn
 LAG_TICK_S = 0.05
--- a/cottonhold/node/driver.py
+++ b/cottonhold/node/driver.py
@@ -13,7 +13,6 @@
 from collections.abc import Callable, Coroutine
 from typing import Any, Protocol
 
-from cottonhold.config.settings import WireError
 from cottonhold.decide import interface as io
 from cottonhold.discovery.bus import ANSWER_MS, HOLD_MS, Bus
 from cottonhold.discovery.model import Address
@@ -22,6 +21,7 @@
 from cottonhold.node.ops import Calls
 from cottonhold.node.peers import Peers
 from cottonhold.observe.counters import Counters
+from cottonhold.wire import WireError
 
 CLIENT_BYTES, ENGINE_BYTES = 4096, 32768  # what one read takes
 DRAIN_BYTES = 256 * 1024  # what one read drops of a client that was told to go and still sends
--- a/cottonhold/node/http.py
+++ b/cottonhold/node/http.py
@@ -12,10 +12,10 @@
 from dataclasses import dataclass
 from typing import TypeVar
 
-from cottonhold.config.settings import WireError
 from cottonhold.discovery.consul.exchange import Answer, Call, Exchange
 from cottonhold.discovery.model import Address
 from cottonhold.node.driver import Driver
+from cottonhold.wire import WireError
 
 CONNECT_S = 1.0
 READ_BYTES = 64 << 10
--- a/tests/discovery/test_consul_parts.py
+++ b/tests/discovery/test_consul_parts.py
@@ -10,13 +10,13 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from cottonhold.config.settings import WireError
 from cottonhold.discovery.consul.answers import Answers
 from cottonhold.discovery.consul.checks import Reading
 from cottonhold.discovery.consul.exchange import Answer, Call, Exchange
 from cottonhold.discovery.consul.registration import Phase, Registration, RegistrationSettings
 from cottonhold.discovery.consul.watch import Watch, WatchSettings
 from cottonhold.discovery.model import Address, Lost, Names, Report, Verdict
+from cottonhold.wire import WireError
 
 NAMES = Names(("z0", "z1"), ("std", "big"))
 SERF = {"CheckID": "serfHealth", "Status": "passing", "Output": "Agent alive"}
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -8,11 +8,11 @@
 import pytest
 
 from cottonhold.config.relay import decode
-from cottonhold.config.settings import WireError
 from cottonhold.node.driver import Driver
 from cottonhold.node.life import IDLE_MS, KILLED_MS, LEAVE_MS, LONG_MS, SETTLED_MS, TAKE_MS, Life, Phase
 from cottonhold.node.ops import CALL_MS, MOST_BODY, MOST_HEAD, Call, Calls
 from cottonhold.observe.counters import Counters
+from cottonhold.wire import WireError
 from tests.scenario import FakeLine, World
 from tests.test_adapter import PARAMS
 
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -15,7 +15,6 @@
 import pytest
 
 from cottonhold.config.relay import ConfigError, load
-from cottonhold.config.settings import WireError
 from cottonhold.decide import interface as io
 from cottonhold.discovery.bus import Bus
 from cottonhold.discovery.model import Address, Names, Observation, Report, Verdict
@@ -25,6 +24,7 @@
 from cottonhold.node.statement import parse, table_group
 from cottonhold.observe.counters import Counters
 from cottonhold.observe.log import BURST, Log
+from cottonhold.wire import WireError
 from tests.scenario import LOGIN, World, packet
 from tests.test_adapter import PARAMS
 
