Let the fleet bound what one gateway sends to an engine: the module's event Bounds

Need: what the fleet finds of zones has to reach the module, which still decides where each query goes. Change: Bounds names the work in ms a ms that this gateway may send to an engine, none for one that is left. Held queries move, safe running ones are tried elsewhere, nothing is probed there; a part that ran out lets nothing through, and a word that would leave nobody is skipped.

--- a/cottonhold/decide/interface.py
+++ b/cottonhold/decide/interface.py
@@ -314,6 +314,15 @@
     settings: Settings
 
 
+@dataclass(slots=True, frozen=True)
+class Bounds:
+    """What the fleet lets this gateway send: work in ms a ms by engine, 0 for none; others are free. Replaces
+    what was said before. From `until` on a bounded engine gets nothing: the parts were given for so long."""
+
+    work: dict[str, float]
+    until: float
+
+
 Event = (
     EngineList
     | ListFailed
@@ -326,6 +335,7 @@
     | Probed
     | Timer
     | Retune
+    | Bounds
 )
 
 
--- a/cottonhold/decide/scheduler.py
+++ b/cottonhold/decide/scheduler.py
@@ -13,7 +13,6 @@
 import itertools
 import math
 import random
-import struct
 from collections.abc import Callable, Iterable
 from typing import Any
 
@@ -57,6 +56,7 @@
 OVERFULL = 1.25  # times the room is too full also for what passes: work done falls steeply from there
 GOLDEN = (math.sqrt(5) - 1) / 2  # its multiples spread evenly, however many: turns come up in few at a time
 COLD_MARGIN = 0.5  # of a cold engine's budget: true speed, cost estimates and shares are all guesses
+BOUND_BURST_MS = 250.0  # of a bound's work may come at once: the fleet's parts add up within a moment
 REPLAN_MS = 250.0  # held queries are planned anew so often
 HEARTBEAT_MS = 100.0  # sweep while something is held, out or suspect
 RESCUE_FACTOR = 2.0  # plans run before a rescue, and times sooner that it must promise to finish elsewhere
@@ -109,7 +109,8 @@
             io.Arrival: self._on_arrival, io.AttemptEnded: self._on_ended, io.Note: self._on_note,
             io.EngineList: self._on_list, io.ClientGone: self._on_gone, io.Probed: self._on_probed,
             io.PeerMessage: self._on_peer, io.StreamStarted: self._on_stream, io.ListFailed: self._on_failed,
-            io.Timer: lambda _: None, io.Retune: lambda event: self._adopt(event.settings)}
+            io.Timer: lambda _: None, io.Retune: lambda event: self._adopt(event.settings),
+            io.Bounds: self._on_bounds}
         self._adopt(settings)
 
     def _adopt(self, settings: io.Settings) -> None:
@@ -173,9 +174,20 @@
                 del self.engines[e.id]
         self._count_room()
 
+    def _on_bounds(self, event: io.Bounds) -> None:
+        # Danger: each gateway left a failing zone by itself, engine by engine, and came back in a herd. So
+        # the fleet's word bounds what is sent. May hurt where it is wrong: one that leaves nobody is skipped.
+        work = event.work if any(event.work.get(e.id, math.inf) for e in self.live) else {}
+        for e in self.engines.values():
+            e.set_bound(self.now, work.get(e.id, math.inf), event.until)
+        self._count_room()
+        for q in [q for e in self.engines.values() if not e.bound for q in e.empty()]:
+            self._place(q)
+
     def _count_room(self) -> None:
         """Live engines, weighted in the draw by the cores they have now, and their thread and memory room."""
-        self.live = [e for e in self.engines.values() if e.info.state is EngineState.LIVE]
+        live = [e for e in self.engines.values() if e.info.state is EngineState.LIVE]
+        self.live = [e for e in live if e.bound] or live
         # Danger: engines fill unevenly by chance, what others sent is hardly seen, one that pages jams. So
         # memory is left free for chance the more, the rarer this gateway hears of each engine.
         heard = 1000 * len(self.live) / max(self.traffic.per_s(self.now), 1e-3)  # so often of each engine
@@ -184,6 +196,7 @@
         for e in self.live:
             cold = min(1.0, max(0.0, e.cold_until - self.now) / self.settings.rules.warm_within)
             e.room = e.cores * THREADS_PER_CORE * (1 - (1 - self.settings.rules.cold_from) * cold)
+            e.room *= min(1.0, max(e.bound / (e.cores * self.share), 0.05))
             chance = CHANCE * math.sqrt(self.blind / (e.cores * THREADS_PER_CORE))
             e.memory_room = e.memory * MEMORY_ROOM * (1 - min(chance, 0.5)) or math.inf
         # Danger: where engines are rarely heard of, the best of k is the one last seen by luck, and all fill
@@ -216,9 +229,7 @@
         """A new start time means a restart: what was learned of the old process is void."""
         e = self.engines.get(info.id)
         if e is None:
-            model = self.settings.models[info.model] if info.model < len(self.settings.models) else io.Model()
-            cores = model.cores or max(info.size, 1.0)
-            e = self.engines[info.id] = EngineView(info.id, info, cores, model.memory, last_word=self.now)
+            e = self.engines[info.id] = EngineView.listed(info, self.settings.models, self.now)
         elif info.started_at != e.info.started_at:
             e.restart()
             self._trust(e)
@@ -234,9 +245,8 @@
 
     def _learn_report(self, e: EngineView, report: dict[str, float]) -> None:
         """A load report, of an answer or a probe; values that make no sense tell nothing."""
-        if sound := {name: v for name, v in report.items() if math.isfinite(v) and v >= 0}:
-            e.report, e.report_at = sound, self.now
-            self.util += ERROR_GAIN * (min(sound.get("util", self.util), 1.0) - self.util)
+        if e.hear_report(self.now, report):
+            self.util += ERROR_GAIN * (min(e.report.get("util", self.util), 1.0) - self.util)
 
     def _learn_rate(self, e: EngineView, work: float, thread_ms: float) -> None:
         """Only work seen done teaches rate: a fast error must never make an engine look quick."""
@@ -386,8 +396,7 @@
             q.done, q.seen_at, q.waits = max(q.done, min(event.value, 1.0)), self.now, False
         elif event.kind is io.NoteKind.SPILL:
             if q.told_memory > 0 and q.grant:
-                c, need = q.learned, q.grant + event.value
-                c.memory_bias += CLASS_GAIN * (math.log(need / q.told_memory) - c.memory_bias)
+                q.learned.needed(CLASS_GAIN, q, q.grant + event.value)
         elif event.value == 1:
             q.waits, q.run_at, e.pressed_until = True, self.now, self.now + FULL_REST_MS
         elif q.tables not in e.locks or e.locks[q.tables] < self.now:
@@ -560,12 +569,9 @@
             while place < len(e.plan):
                 q = e.plan[place]
                 # Danger: one without room at the head held all back, also those that pass it on the engine.
-                if blocked and q.density <= ALPHA * blocked:
-                    place += 1
-                    continue
-                # It would only stand still there, and keep readers waiting the longer. Looked at before room:
-                # Danger: asked for room at each step, loads that wait for their tables took most of the CPU.
-                if q.cls.loads and e.loading.get(q.tables):
+                # A load behind another would only stand still there, and keep readers waiting the longer;
+                # asked for room at each step, those that wait for their tables took most of the CPU.
+                if blocked and q.density <= ALPHA * blocked or q.cls.loads and e.loading.get(q.tables):
                     place += 1
                     continue
                 if not self._has_room(q, e) or q.density <= 0 and self._fleet_fill() > IDLE_FILL:
@@ -603,7 +609,7 @@
         if q.cls.loads:
             e.locks[q.tables] = max(e.locks.get(q.tables, 0.0), now + q.p)
             if permits.peers:
-                data = struct.pack(">BIHf", LOAD, e.code, q.tables & 0xFFFF, q.p)
+                data = state.pack_load(LOAD, e, q.tables, q.p)
                 self.actions += [io.Tell(data, peer) for peer in self._users(e)]
 
     def _count(self, window: state.Window) -> None:
@@ -651,13 +657,7 @@
         # answer, yet looked as dense as a new query and filled engines. Unmarked, it is told by a time left
         # unlike that of most. Also covers clients' own time-outs; may hurt clients of unusual patience.
         c, left = q.learned, q.due - self.now
-        alike = abs(left - c.patience) <= PATIENCE_ALIKE * c.patience
-        if not marked:
-            c.votes = min(c.votes + (1 if alike else -1), PATIENCE_VOTES)
-            if c.votes < 0:
-                c.patience, c.votes = left, 0
-        if not alike:
-            c.unlike.add(self.now)
+        alike = c.left_alike(self.now, left, PATIENCE_ALIKE, None if marked else PATIENCE_VOTES)
         # Danger: clients that leave themselves little time looked like repeats and were refused as too late.
         # Only what was turned away can come again: more than that are no repeats.
         came = c.unlike.per_s(self.now) <= REPEATS_MOST * c.turned.per_s(self.now)
@@ -786,12 +786,11 @@
     def _on_peer(self, event: io.PeerMessage) -> None:
         """Peers tell their traffic, for shares, and their loads, for stalls; anything else is skipped."""
         data = event.data
-        if len(data) == 11 and data[0] == LOAD:
-            _, code, tables, length = struct.unpack(">BIHf", data)
-            for e in self.live:
-                if e.code == code and math.isfinite(length):  # an absurd one must not bar the tables for good
-                    length = min(length, max(c.deadline for c in self.settings.classes))
-                    e.locks[tables] = max(e.locks.get(tables, 0.0), self.now + length)
+        if load := state.read_load(LOAD, data):
+            code, tables, length = load
+            until = self.now + min(length, max(c.deadline for c in self.settings.classes))  # not for good
+            for e in (e for e in self.live if e.code == code):
+                e.locks[tables] = max(e.locks.get(tables, 0.0), until)
         elif data[:1] == bytes([LOADS]) and (told := state.read_loads(self.now, data)):
             self.heard_at, self.peers.heard[event.peer] = self.now, (self.now, told[0])
             for e in self.live:
@@ -851,14 +850,16 @@
         # adds up to the budget at any share: the gateways that draw on it divide it, and where a part is less
         # than a query, they take turns with one. Else long ones, too big for any part, kept off all cold
         # engines. Also held for an engine seen to fail before the list tells; may hurt one only cut off.
-        if self.now >= e.cold_until or e.id not in self.mine:
-            return self.now < e.cold_until
-        fill, waited = self._cold_fill(e), self.now - e.allowance_at
-        e.allowance_at = self.now
-        e.allowance = min(fill * self.settings.rules.tip_after, e.allowance + fill * waited)
+        cold, bound = self.now < e.cold_until, e.bounded(self.now)
+        if not bound or cold and e.id not in self.mine or not cold and bound == math.inf:
+            return cold or not bound
+        fill, usual = min(self._cold_fill(e) if cold else bound, bound), q.learned.cost or q.cost
+        free = bound == math.inf
+        most = fill * self.settings.rules.tip_after if free else max(fill * BOUND_BURST_MS, usual)
+        e.allowance, e.allowance_at = min(most, e.allowance + fill * (self.now - e.allowance_at)), self.now
         turn = self.settings.me + math.floor(self.now / self.settings.rules.tip_after)
         # What counts for each query is the usual work of its class.
-        return e.allowance < (e.code / 2**32 + turn * GOLDEN) % 1 * (q.learned.cost or q.cost)
+        return e.allowance < (e.code / 2**32 + turn * GOLDEN) % 1 * usual
 
     def _cold_fill(self, e: EngineView) -> float:
         """This gateway's part of the work a cold engine may be sent; half of it may come as one burst."""
@@ -886,7 +887,7 @@
         for e in list(self.doubted.values()):
             if now >= e.suspect_until:
                 self._trust(e)
-            elif self.settings.permits.probes:
+            elif self.settings.permits.probes and e.bound:
                 self._probe(e)
         if now >= self.next_replan:
             self.next_replan = now + REPLAN_MS
@@ -918,14 +919,13 @@
             if q.cancelled or q.over or q.streaming or q.cls.effect is not Effect.SAFE:
                 continue
             told = q.seen_at > q.run_at  # a note told its pace: a bad plan shows in the first one
-            if e.suspect not in UNHEARD and age < RESCUE_FACTOR * q.p and not told or self._repeat_barred(q):
+            gone = e.suspect in UNHEARD or not e.bound
+            if not gone and age < RESCUE_FACTOR * q.p and not told or self._repeat_barred(q):
                 continue
             # Without notes nothing tells how far it is: what has run longest over its plan runs longest on.
             # That is a guess: estimates and spills reach two plans, bad plans and lost answers many more.
-            left = age / GUESSED
-            if e.suspect in UNHEARD:
-                left = math.inf
-            elif self.settings.note_period:
+            left = math.inf if gone else age / GUESSED
+            if self.settings.note_period and not gone:
                 left = (self.now - q.run_at) / max(q.done, 0.05) * (1 - q.done)
             others = [o for o in self._candidates(q) if o is not e and not o.suspect]
             fresh = min((self._tentative(q, o)[0] for o in others), default=math.inf) - self.now
--- a/cottonhold/decide/state.py
+++ b/cottonhold/decide/state.py
@@ -121,6 +121,8 @@
     cold_until: float = 0.0
     allowance: float = 0.0
     allowance_at: float = 0.0
+    bound: float = math.inf  # work in ms a ms that the fleet lets this gateway send here
+    bound_until: float = math.inf
     last_word: float = 0.0
     pressed_until: float = 0.0
     rest_until: float = 0.0
@@ -141,6 +143,28 @@
         """A short code for the id, the same at every gateway."""
         self.code = zlib.crc32(self.id.encode())
 
+    @classmethod
+    def listed(cls, info: io.Engine, models: tuple[io.Model, ...], now: float) -> EngineView:
+        """One that has come to the list; where its model is not known its size counts as cores."""
+        model = models[info.model] if info.model < len(models) else io.Model()
+        return cls(info.id, info, model.cores or max(info.size, 1.0), model.memory, last_word=now)
+
+    def bounded(self, now: float) -> float:
+        """The bound in force: none where the fleet has set none, nothing once it has run out."""
+        return self.bound if now < self.bound_until or self.bound == math.inf else 0.0
+
+    def set_bound(self, now: float, bound: float, until: float) -> None:
+        """Another bound; one that was free before starts without anything saved up."""
+        if self.bound == math.inf:
+            self.allowance, self.allowance_at = 0.0, now
+        self.bound, self.bound_until = bound, until
+
+    def hear_report(self, now: float, report: dict[str, float]) -> bool:
+        """Take in a load report without the values that make no sense; false if none is left."""
+        if sound := {name: v for name, v in report.items() if math.isfinite(v) and v >= 0}:
+            self.report, self.report_at = sound, now
+        return bool(sound)
+
     def restart(self) -> None:
         """Forget what was learned of the process that ran before."""
         self.speed, self.errors, self.warm, self.locks = Rate(), 0.0, [], {}
@@ -372,7 +396,22 @@
         if memory > 0:
             self.memory += gain * (memory - self.memory)
             if q.told_memory > 0:
-                self.memory_bias += gain * (math.log(memory / q.told_memory) - self.memory_bias)
+                self.needed(gain, q, memory)
+
+    def needed(self, gain: float, q: Query, memory: float) -> None:
+        """Move the bias towards the memory that a query with a told need took."""
+        self.memory_bias += gain * (math.log(memory / q.told_memory) - self.memory_bias)
+
+    def left_alike(self, now: float, left: float, within: float, votes: int | None) -> bool:
+        """Whether a query comes with a time left like that of most; its vote on that, where it has one."""
+        alike = abs(left - self.patience) <= within * self.patience
+        if votes is not None:
+            self.votes = min(self.votes + (1 if alike else -1), votes)
+            if self.votes < 0:
+                self.patience, self.votes = left, 0
+        if not alike:
+            self.unlike.add(now)
+        return alike
 
 
 def centre_bias(classes: list[Learned]) -> None:
@@ -411,12 +450,26 @@
         self.area += times * q.area
 
 
+LOAD = struct.Struct(">BIHf")  # kind, engine's code, tables and planned length of a load
 HEAD = struct.Struct(">Bf")  # kind and the peer's traffic
 LOADS = struct.Struct(">IBHH")  # an engine's code, threads, memory and planned thread time of a peer there
 MEMORY_UNIT, AREA_UNIT = 16.0, 32.0  # of one step on the wire, in MB and in milliseconds
 MOST_LOADS = 28  # entries of a message, which has 256 bytes at most
 
 
+def pack_load(kind: int, e: EngineView, tables: int, length: float) -> bytes:
+    """A load that is sent to an engine, as a message to a peer."""
+    return LOAD.pack(kind, e.code, tables & 0xFFFF, length)
+
+
+def read_load(kind: int, data: bytes) -> tuple[int, int, float] | None:
+    """Code of the engine, tables and length of a peer's load; None for another message or an absurd one."""
+    if len(data) != LOAD.size or data[0] != kind or not math.isfinite(LOAD.unpack(data)[3]):
+        return None
+    _, code, tables, length = LOAD.unpack(data)
+    return code, tables, length
+
+
 def pack_loads(kind: int, traffic: float, engines: list[EngineView]) -> bytes:
     """This gateway's traffic and what it has on these engines, as a message to a peer."""
     data = HEAD.pack(kind, traffic)
--- /dev/null
+++ b/tests/test_bounds.py
@@ -0,0 +1,91 @@
+"""What the fleet's bounds do to the decisions of one gateway."""
+
+from __future__ import annotations
+
+import dataclasses
+import math
+
+import pytest
+
+from cottonhold import Scheduler
+from cottonhold.decide import interface as io
+from tests.test_scheduler import LOOKUP, answers, arrival, ended, engines, sends, settings, started
+
+
+def bound(until: float = 1e9, **work: float) -> io.Bounds:
+    return io.Bounds(work, until)
+
+
+def drive(s: Scheduler, start: int, end: int, every: int = 5, cost: float = 60.0) -> list[tuple[int, str]]:
+    """Queries at a steady pace, each served after its work; where and when they were sent."""
+    sent, out = [], list[tuple[float, str, str]]()
+    for t in range(start, end, every):
+        over = [o for o in out if o[0] <= t]
+        out = [o for o in out if o[0] > t]
+        done = [ended(n, io.Outcome.OK, engine=e, final=True, cost=cost, elapsed=cost) for _, n, e in over]
+        for name, engine in sends(s.step(float(t), [*done, arrival(f"q{t}", due=t + 5000.0, cost=cost)])):
+            sent.append((t, engine))
+            out.append((t + cost, name, engine))
+    s.step(float(end), [ended(n, io.Outcome.OK, engine=e, final=True, cost=cost) for _, n, e in out])
+    return sent
+
+
+def test_nothing_goes_to_an_engine_that_the_fleet_has_left_and_what_is_held_there_moves() -> None:
+    s = started(settings(), "e1", "e2")
+    first = sends(s.step(5.0, [arrival(f"q{i}", cost=3000.0, due=9000.0) for i in range(60)]))
+    held = {q.id for q in s.engines["e1"].plan}
+    assert held and {e for _, e in first} == {"e1", "e2"}
+    s.step(10.0, [bound(e1=0.0)])
+    assert not s.engines["e1"].plan and not s.homeless
+    assert {e for _, e in drive(s, 20, 500)} <= {"e2"}
+
+
+def test_running_safe_queries_are_taken_from_a_left_engine_and_loads_are_not() -> None:
+    load = dataclasses.replace(LOOKUP, name="load", effect=io.Effect.UNSAFE)
+    s = started(settings(classes=(LOOKUP, load)), "e1")
+    s.step(5.0, [arrival("read", cost=300.0), arrival("load", cost=300.0, query_class=1)])
+    s.step(10.0, [engines("e1", "e2"), bound(e1=0.0)])
+    done = [a for t in range(20, 800, 20) for a in s.step(float(t), [])]
+    assert [a.query for a in done if isinstance(a, io.Cancel)] == ["read"]
+    assert not answers(done) and not sends(done)
+
+
+@pytest.mark.parametrize("work", [0.1, 1.0, 4.0])
+def test_a_bounded_engine_gets_its_part_and_no_burst(work: float) -> None:
+    s = started(settings(), "e1", "e2")
+    s.step(1.0, [bound(e1=0.0)])
+    s.step(2.0, [bound(e1=work)])
+    sent = [t for t, e in drive(s, 10, 8000) if e == "e1"]
+    assert 0.6 * work * 8000 <= 60.0 * len(sent) <= work * 8000 + 120.0
+    windows = [60.0 * sum(a <= t < a + 500 for t in sent) for a in range(0, 7500, 50)]
+    assert max(windows) <= work * 750 + 120.0
+
+
+def test_a_bound_that_ran_out_lets_nothing_through_and_one_that_is_lifted_leaves_no_trace() -> None:
+    s = started(settings(), "e1", "e2")
+    s.step(1.0, [bound(until=1000.0, e1=1.0)])
+    assert any(e == "e1" for _, e in drive(s, 10, 990))
+    assert all(e == "e2" for _, e in drive(s, 1000, 2000))
+    s.step(2000.0, [io.Bounds({}, 0.0)])
+    late = [e for _, e in drive(s, 2010, 3000)]
+    assert 0.3 < late.count("e1") / len(late) < 0.7
+
+
+def test_a_word_that_leaves_nobody_is_skipped() -> None:
+    s = started(settings(), "e1", "e2")
+    s.step(1.0, [bound(e1=0.0, e2=0.0)])
+    assert len(drive(s, 10, 200)) == 38 and s.engines["e1"].bound == math.inf
+
+
+def test_a_left_engine_is_not_probed_by_this_gateway() -> None:
+    permits = dataclasses.replace(settings().permits, probes=True)
+    s = started(settings(permits=permits), "e1", "e2")
+    ((name, engine),) = sends(s.step(5.0, [arrival("q")]))
+    s.step(10.0, [ended(name, io.Outcome.CONNECT_FAILED, engine=engine), io.Bounds({engine: 0.0}, 1e9)])
+    probed = []
+    for t in range(100, 6000, 50):
+        done = s.step(float(t), [arrival(f"p{t}", due=t + 4000.0)])
+        probed += [a.engine for a in done if isinstance(a, io.Probe)]
+        for query, there in sends(done):
+            s.step(t + 5.0, [ended(query, io.Outcome.OK, engine=there, final=True, report={"util": 0.1})])
+    assert engine not in probed
