--- /dev/null
+++ b/cottonhold/emulator/fleet.py
@@ -0,0 +1,213 @@
+"""The fleet's pure core in virtual time: instances with clients, zones of engines, faults between them.
+
+A model, far cheaper than processes: an engine is one server with a line, a client is a Poisson arrival, the
+choice of an engine is a draw within the bounds. One seed replays the whole run. Times are ms.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import math
+import random
+import time
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+
+from cottonhold.discovery.model import Address
+from cottonhold.emulator.network import Network
+from cottonhold.fleet.core import Bound, Fleet, FleetSettings, Say
+from cottonhold.fleet.zones import Turn
+
+PATIENCE = 2000.0
+PROBED = 500.0  # so often each engine is asked
+NOTICE = 1200.0  # until membership tells of a death
+
+
+@dataclass(slots=True)
+class ModelEngine:
+    """An engine: its mean work, its line, and what is wrong with it."""
+
+    id: str
+    zone: str
+    work: float = 20.0
+    busy_until: float = 0.0
+    slow: float = 1.0
+    failing: float = 0.0
+    dead: bool = False
+    silent_until: float = 0.0
+    cold_until: float = 0.0
+    sends: list[float] = field(default_factory=list)
+
+    def take(self, now: float, draw: random.Random) -> tuple[bool, float]:
+        """An attempt's end: whether it was served, and when it is known."""
+        self.sends.append(now)
+        if self.dead:
+            return False, 1.0
+        slow = self.slow * (3.0 if now < self.cold_until else 1.0)
+        work = self.work * draw.lognormvariate(-0.08, 0.4) * slow
+        start = max(now, self.busy_until, self.silent_until)
+        if start + work - now > PATIENCE:
+            return False, PATIENCE
+        if draw.random() < self.failing:
+            return False, 2.0
+        self.busy_until = start + work
+        return True, start + work - now
+
+
+class Node:
+    """One instance on the network: its core, its clients, and its part in the choice of engines."""
+
+    def __init__(self, world: World, number: int, rate: float, now: float, life: int) -> None:
+        self.world, self.number, self.rate = world, number, rate
+        self.draw = random.Random(world.seed * 1000 + number * 10 + life)
+        self.fleet = Fleet(number + 1, life, now, world.settings, self.draw.getrandbits(30))
+        self.fleet.know(world.zones)
+        self.told_members = False
+        self.bound = Bound({}, 0.0)
+        self.saved: dict[str, tuple[float, float]] = {}
+        self.next_arrival = now + self.draw.expovariate(rate / 1000)
+        self.ends: list[tuple[float, int, str, bool]] = []
+        self.serial = itertools.count()
+        self.cut: set[str] = set()  # zones that this instance can't reach
+        self.turns: list[tuple[float, Turn]] = []
+        self.cpu = 0.0
+
+    def next_at(self) -> float:
+        """When it is due."""
+        return min(self.fleet.next_at(), self.next_arrival, self.ends[0][0] if self.ends else math.inf)
+
+    def step(self, now: float, received: list[tuple[bytes, Address]]) -> Iterable[tuple[bytes, Address]]:
+        """Take in what came, serve clients, and let the core decide."""
+        begun, said = time.perf_counter(), list[tuple[bytes, Address]]()
+        for data, sender in received:
+            said += self._carry_out(now, self.fleet.hear(now, sender.port, data))
+        while self.ends and self.ends[0][0] <= now:
+            at, _, ref, good = heapq.heappop(self.ends)
+            self.fleet.ended(now, ref, good, at - float(ref.split("@")[1]))
+        self.cpu += time.perf_counter() - begun
+        while self.next_arrival <= now:
+            self.next_arrival += self.draw.expovariate(self.rate / 1000)
+            self._serve(now)
+        begun = time.perf_counter()
+        said += self._carry_out(now, self.fleet.step(now))
+        self.cpu += time.perf_counter() - begun
+        return said
+
+    def _serve(self, now: float) -> None:
+        self.fleet.arrived(now, 0)
+        free = [e for e in self.world.engines.values() if self._allowed(now, e)]
+        if not free:
+            self.world.refused += 1
+            return
+        engine = min(self.draw.sample(free, min(2, len(free))), key=lambda e: self._line(now, e))
+        if engine.id in self.bound.work:
+            saved, at = self.saved[engine.id]
+            self.saved[engine.id] = saved - engine.work, at
+        ref = f"{next(self.serial)}@{now}"
+        self.fleet.sent(now, ref, engine.id, 0)
+        cut = engine.zone in self.cut
+        good, after = (False, 1.0) if cut else engine.take(now, self.draw)
+        self.world.note(now, engine.zone, good, cut)
+        heapq.heappush(self.ends, (now + after, next(self.serial), ref, good))
+
+    def _line(self, now: float, engine: ModelEngine) -> float:
+        return max(engine.busy_until - now, 0.0) if not engine.dead else 0.0
+
+    def _allowed(self, now: float, engine: ModelEngine) -> bool:
+        work = self.bound.work.get(engine.id)
+        if work is None:
+            return True
+        if not work or now >= self.bound.until:
+            return False
+        saved, at = self.saved.get(engine.id, (0.0, now))
+        saved = min(max(work * 250.0, engine.work), saved + work * (now - at))
+        self.saved[engine.id] = saved, now
+        return saved >= engine.work * 0.5
+
+    def _carry_out(self, now: float, actions: Iterable[object]) -> list[tuple[bytes, Address]]:
+        said = []
+        for action in actions:
+            match action:
+                case Say(member, data):
+                    said.append((data, Address("fleet", member)))
+                case Bound():
+                    self.bound = action
+                case Turn():
+                    self.turns.append((now, action))
+        return said
+
+
+class World:
+    """All of it. `zones`: names; each has `engines` engines; `rate`: requests a second over all instances."""
+
+    def __init__(
+        self,
+        seed: int,
+        instances: int,
+        rate: float,
+        zones: Iterable[str] = ("a", "b", "c"),
+        engines: int = 3,
+        skew: Callable[[int], float] = lambda i: 1.0,
+        loss: float = 0.0,
+        settings: FleetSettings | None = None,
+    ) -> None:
+        self.seed = seed
+        self.settings = settings or FleetSettings(dispatchers=instances)
+        self.network = Network(seed, loss=loss)
+        self.engines = {f"{z}{i}": ModelEngine(f"{z}{i}", z) for z in zones for i in range(engines)}
+        self.zones = {z: {e.id: 1.0 for e in self.engines.values() if e.zone == z} for z in zones}
+        self.refused = 0
+        self.log: list[tuple[float, str, bool, bool]] = []
+        self.live: set[int] = set()
+        self.nodes: dict[int, Node] = {}
+        weights = [skew(i) for i in range(instances)]
+        self.rates = [rate * w / sum(weights) for w in weights]
+        for i in range(instances):
+            self.start(i, life=1)
+        self.tell_members()
+        self._probe()
+
+    def _probe(self) -> None:
+        """The duty of probing: one of all asks each engine, and a good answer reaches all."""
+        now = self.network.now
+        for engine in self.engines.values():
+            good = not engine.dead and now >= engine.silent_until
+            for node in self.nodes.values() if good else ():
+                node.fleet.probed(now, engine.id, True)
+        self.network.at(now + PROBED, self._probe)
+
+    def start(self, i: int, life: int) -> None:
+        """An instance from nothing."""
+        node = self.nodes[i] = Node(self, i, self.rates[i], self.network.now, life)
+        self.network.add(Address("fleet", i + 1), node)
+        self.live.add(i + 1)
+
+    def kill(self, i: int) -> None:
+        """An instance is gone; its clients with it."""
+        self.network.kill(Address("fleet", i + 1))
+        self.live.discard(i + 1)
+        del self.nodes[i]
+        self.network.at(self.network.now + NOTICE, self.tell_members)
+
+    def tell_members(self) -> None:
+        """What membership would tell."""
+        for node in self.nodes.values():
+            node.fleet.members(self.network.now, self.live)
+
+    def note(self, now: float, zone: str, good: bool, cut: bool) -> None:
+        """An attempt has gone out."""
+        self.log.append((now, zone, good, cut))
+
+    def run(self, until: float) -> None:
+        """Let time pass."""
+        self.network.run(until)
+
+    def share(self, zone: str, begin: float, end: float) -> float:
+        """Share of all sends from begin to end that went to a zone."""
+        sends = [z for t, z, _, _ in self.log if begin <= t < end]
+        return sends.count(zone) / max(len(sends), 1)
+
+    def phases(self, zone: str) -> dict[int, str]:
+        """Each instance's phase of a zone; "fleet" where it is out by the count alone."""
+        return {i: n.fleet.zones.states[zone].phase.value for i, n in self.nodes.items()}
--- /dev/null
+++ b/cottonhold/fleet/core.py
@@ -0,0 +1,376 @@
+"""One instance's part in what the fleet decides of zones: one step function. Pure.
+
+Feed it engines, members, outcomes of attempts and probes, and others' messages; call `step` at `next_at` at
+the latest. It returns what to say to whom, what the scheduler may send where, and what has changed.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import math
+import random
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+from typing import Any
+
+from cottonhold.fleet import orders as by_hand
+from cottonhold.fleet import parts, words
+from cottonhold.fleet.evidence import Evidence, EvidenceSettings
+from cottonhold.fleet.words import Vote, Word, ZoneWord
+from cottonhold.fleet.zones import Own, Phase, Turn, Zones, ZoneSettings
+
+
+@dataclass(slots=True, frozen=True)
+class FleetSettings:
+    """Times in ms.
+
+    dispatchers: configured ones; each owns one part of a budget. period: a step, and a round of words while a
+    zone is in trouble. rest: a round of words while none is. close: up to so many members each word goes to
+    all; beyond, each round goes to `fanout` of them and passes on what it heard. jury: so many vote at most:
+    the cost of a vote must not grow with the fleet. remember: so long one that is not seen any more counts in
+    the electorate. bound: a bound holds so long: one that stood still must not go on by an old one.
+    probed: whether membership divides the probing of engines, so that a zone's answers are heard of. answers:
+    so old may a probe's good answer be.
+    """
+
+    dispatchers: int = 1
+    period: float = 100.0
+    rest: float = 1000.0
+    close: int = 9
+    fanout: int = 4
+    jury: int = 16
+    remember: float = 60_000.0
+    bound: float = 500.0
+    probed: bool = True
+    answers: float = 3000.0
+    evidence: EvidenceSettings = field(default_factory=EvidenceSettings)
+    zones: ZoneSettings = field(default_factory=ZoneSettings)
+    parts: parts.PartSettings = field(default_factory=parts.PartSettings)
+
+
+@dataclass(slots=True, frozen=True)
+class Say:
+    """A message for a member."""
+
+    member: int
+    data: bytes
+
+
+@dataclass(slots=True, frozen=True)
+class Bound:
+    """What may be sent to engines from now on: work in ms a ms, until a time; others are free."""
+
+    work: dict[str, float]
+    until: float
+
+
+Action = Say | Bound | Turn
+FLOOR_LEAST = 0.1  # a smaller part of a zone is not worth the queries that it holds up
+ROOM = 200  # bytes of a message: a datagram of 256 less membership's head and MAC
+
+
+def _rank(member: int) -> bytes:
+    return hashlib.blake2b(member.to_bytes(8, "big"), digest_size=8).digest()
+
+
+class Fleet:
+    """The state of one instance. `me`: its id among members; `life`: grows with each start."""
+
+    def __init__(self, me: int, life: int, now: float, settings: FleetSettings, seed: int) -> None:
+        self.me, self.life, self.settings, self.started = me, life & 0xFFFFFFFF, settings, now
+        self.draw = random.Random(seed)
+        self.evidence, self.zones = Evidence(settings.evidence), Zones(settings.zones)
+        self.words, self.orders = words.Words(me), by_hand.Orders(me)
+        self.parts = parts.Parts(now, 1 / settings.dispatchers, self.draw.getrandbits(30), settings.parts)
+        self.engines: dict[str, dict[str, float]] = {}  # zone -> engine -> cores
+        self.zone_of: dict[str, str] = {}
+        self.numbers: dict[str, int] = {}
+        self.live: set[int] = set()
+        self.seen: dict[int, float] = {}  # member -> when it was last live
+        self.answered: dict[str, float] = {}  # engine -> its last good answer to a probe
+        self.serves: dict[str, float] = {}  # zone -> share of good signs when it was last in use
+        self.work = 0.0  # of requests that came, in ms, forgotten within about a second
+        self.work_at = now
+        self.version = 0
+        self.next_step, self.next_words = now, now
+        self.shown: dict[str, float] = {}
+        self.counts: dict[str, int] = {"words_sent": 0, "bytes_sent": 0, "malformed": 0}
+
+    # --- what happens ---
+
+    def know(self, engines: Mapping[str, Mapping[str, float]]) -> None:
+        """Exactly these zones with these engines, and the cores of each, are there."""
+        self.engines = {zone: dict(there) for zone, there in engines.items() if there}
+        self.zone_of = {engine: zone for zone, there in self.engines.items() for engine in there}
+        self.numbers = {zone: words.zone_number(zone) for zone in self.engines}
+        self.evidence.know(self.engines)
+        self.zones.know(self.engines)
+        self.answered = {engine: at for engine, at in self.answered.items() if engine in self.zone_of}
+
+    def members(self, now: float, live: Iterable[int], left: Iterable[int] = ()) -> None:
+        """Who is there now beside this instance, and who said good-bye."""
+        self.live = set(live) - {self.me}
+        for member in self.live:
+            self.seen[member] = now
+        gone = [m for m in left if m not in self.live]
+        for member in gone:
+            self.seen.pop(member, None)
+        self.words.forget(gone)
+        self.parts.forget(gone)
+
+    def arrived(self, now: float, kind: int) -> None:
+        """A request has come; its usual time counts as work."""
+        usual = self.evidence.usual.get(kind)
+        self._fade(now)
+        self.work += math.exp(usual.log_ms) if usual is not None and usual.seen else 0.0
+
+    def sent(self, now: float, ref: str, engine: str, kind: int) -> None:
+        """An attempt has gone out."""
+        self.evidence.sent(now, ref, engine, self.zone_of.get(engine, ""), kind)
+
+    def ended(self, now: float, ref: str, good: bool | None, elapsed: float) -> None:
+        """An attempt has ended: well, badly, or in a way that says nothing of the engine (None)."""
+        self.evidence.ended(now, ref, good, elapsed)
+
+    def probed(self, now: float, engine: str, good: bool) -> None:
+        """A probe of an engine has ended, by this instance or, if good, as another tells."""
+        if good:
+            self.answered[engine] = now
+        else:
+            self.answered.pop(engine, None)
+
+    def hear(self, now: float, sender: int, data: bytes) -> list[Action]:
+        """A message from a member; one that makes no sense is counted and changes nothing."""
+        try:
+            kind = data[0] if data else 0
+            if kind == words.WORDS:
+                told = words.read_words(data)
+                if any([self.words.take(now, word) for word in told]) and self._trouble(now):
+                    self.next_words = min(self.next_words, self.next_step)
+            elif kind == words.ORDERS:
+                if any([self.orders.take(order) for order in by_hand.read_orders(now, data)]):
+                    self.next_step = now
+            else:
+                answers = self.parts.receive(now, sender, parts.read_loan(data))
+                return self._say([(a.member, parts.pack_loan(a.what)) for a in answers])
+        except words.WordError:
+            self.counts["malformed"] += 1
+        return []
+
+    def order(self, now: float, zone: str, mode: by_hand.Mode, last: float, who: str, why: str) -> bool:
+        """An order by hand at this instance; false if there is no such zone."""
+        if zone not in self.numbers:
+            return False
+        self.orders.give(self.numbers[zone], mode, now + last, who, why)
+        self.next_step = self.next_words = now
+        return True
+
+    # --- step ---
+
+    def next_at(self) -> float:
+        """When `step` is due."""
+        return self.next_step
+
+    def step(self, now: float) -> list[Action]:
+        """Weigh, vote, count, and say what follows."""
+        if now < self.next_step:
+            return []
+        self.next_step = now + self.settings.period
+        for member in self.live:
+            self.seen[member] = now
+        voters = self._voters(now)
+        told = self._told(now, voters)
+        turns = self.zones.step(now, self._own(now), told, len(voters))
+        actions: list[Action] = list(turns)
+        for turn in turns:
+            out, back = turn.phase is Phase.OUT, turn.phase is Phase.RETURN
+            self.evidence.start_over(turn.zone, absent=out, returning=back)
+        actions += self._bounds(now, told)
+        actions += self._lend(now)
+        if now >= self.next_words:
+            trouble = self._trouble(now)
+            rest = self.settings.rest * (0.8 + 0.4 * self.draw.random())  # not in step with all others
+            self.next_words = now + (0.0 if trouble else rest)
+            actions += self._tell(now)
+        return actions
+
+    def _voters(self, now: float) -> list[int]:
+        """All that were there within the last minute; of many, those that a hash of their ids puts first."""
+        # Danger: counted by who is seen now, each half of a split fleet would have a majority of its own.
+        since = now - self.settings.remember
+        for member in [m for m, at in self.seen.items() if at < since]:
+            del self.seen[member]
+        everybody = [self.me, *self.seen]
+        if len(everybody) <= self.settings.jury:
+            return everybody
+        return sorted(everybody, key=_rank)[: self.settings.jury]
+
+    def _told(self, now: float, voters: list[int]) -> dict[str, list[ZoneWord]]:
+        fresh = self.words.fresh(now, self.settings.zones.fresh, (m for m in voters if m != self.me))
+        return {
+            zone: [w.zones[number] for w in fresh if number in w.zones]
+            for zone, number in self.numbers.items()
+        }
+
+    def _own(self, now: float) -> dict[str, Own]:
+        verdicts = self.evidence.weigh(now)
+        own = {}
+        for zone, state in self.zones.states.items():
+            signs = good, late, bad = self.evidence.counts(zone)
+            if good + late + bad:
+                self.serves[zone] = self.evidence.serving(zone)
+            order = self.orders.on(now, self.numbers[zone])
+            ordered = None if order is None else Vote.OUT if order.mode is by_hand.Mode.LEAVE else Vote.IN
+            floor = min(self._lacking(now, zone), self.serves.get(zone, 0.0))
+            floor = floor if floor >= FLOOR_LEAST else 0.0
+            own[zone] = Own(
+                verdicts[zone],
+                signs,
+                self.evidence.accuses(zone),
+                self._answers(now, zone, state.since),
+                floor,
+                ordered,
+            )
+        return own
+
+    def _answers(self, now: float, zone: str, since: float) -> bool:
+        """Half of a zone's engines have answered a probe lately, after it was left."""
+        if not self.settings.probed:
+            return True
+        there = self.engines[zone]
+        late = max(now - self.settings.answers, since)
+        return 2 * sum(self.answered.get(engine, -math.inf) > late for engine in there) >= len(there)
+
+    def _lacking(self, now: float, zone: str) -> float:
+        """Share of a zone's load that the other zones can't carry."""
+        # Danger: a zone that is half ill was left, the others fell over under its load, and nothing was left.
+        rates = self._rates(now)
+        offered = sum(rates.values()) * len({self.me, *self.live}) / max(len(rates), 1)
+        room = {z: sum(there.values()) * self.zones.pace(z) for z, there in self.engines.items() if z != zone}
+        mine = sum(self.engines[zone].values())
+        return min(max((offered - self.settings.zones.reserve * sum(room.values())) / mine, 0.0), 1.0)
+
+    def _rates(self, now: float) -> dict[int, float]:
+        """Work offered to each instance that is heard of, in cores."""
+        self._fade(now)
+        fresh = self.words.fresh(now, self.settings.zones.fresh, self.live)
+        return {self.me: self.work / 1000, **{w.member: w.rate / 100 for w in fresh}}
+
+    def _fade(self, now: float) -> None:
+        self.work *= math.exp((self.work_at - now) / 1000)
+        self.work_at = now
+
+    def _bounds(self, now: float, told: dict[str, list[ZoneWord]]) -> list[Action]:
+        work, until = dict[str, float](), now + self.settings.bound
+        for zone, there in self.engines.items():
+            pace = self.zones.pace(zone, told[zone])
+            if pace >= 1.0:
+                continue
+            part, ends = self.parts.usable(now, self.numbers[zone]) if pace else (0.0, math.inf)
+            until = min(until, ends)
+            work |= {engine: cores * pace * part for engine, cores in there.items()}
+        if not work and not self.shown:
+            return []
+        self.shown = work
+        return [Bound(work, until)]
+
+    def _lend(self, now: float) -> list[Action]:
+        """Where a zone is bounded, those with more clients than their part ask those with less."""
+        rates, everybody = self._rates(now), {self.me, *self.live}
+        total = sum(rates.values()) * len(everybody) / len(rates)
+        if total <= 0:
+            return []
+        mean = sum(rates.values()) / len(rates)
+        demand = {member: rates.get(member, mean) / total for member in everybody}
+        asks = []
+        for zone in self.engines:
+            if self.zones.pace(zone) < 1.0:
+                asks += self.parts.want(now, self.numbers[zone], demand, self.me)
+        return self._say([(a.member, parts.pack_loan(a.what)) for a in asks])
+
+    # --- words ---
+
+    def _word(self, now: float) -> Word:
+        self.version = max(self.version, self.words.refuted) + 1
+        zones = {}
+        for zone, state in self.zones.states.items():
+            pace = {Phase.IN: 1.0, Phase.OUT: 0.0, Phase.RETURN: state.pace}[state.phase]
+            zones[self.numbers[zone]] = ZoneWord(
+                state.vote, *self.evidence.counts(zone), pace, state.sure, self.evidence.accuses(zone)
+            )
+        rate = min(round(self.work / 10), 0xFFFF)
+        return Word(self.me, self.life, self.version, rate, self.orders.digest(), zones)
+
+    def _trouble(self, now: float) -> bool:
+        """Something is not as it should be somewhere, so words go out each step."""
+        if any(state.phase is not Phase.IN for state in self.zones.states.values()):
+            return True
+        digest = self.orders.digest()
+        fresh = self.words.fresh(now, self.settings.zones.fresh, self.live)
+        return any(w.orders != digest or any(z.vote or z.pace < 1.0 for z in w.zones.values()) for w in fresh)
+
+    def _tell(self, now: float) -> list[Action]:
+        mine = self._word(now)
+        if len(self.live) < self.settings.close:
+            targets, passed = sorted(self.live), list[Word]()
+        else:
+            targets = self.draw.sample(sorted(self.live), self.settings.fanout)
+            voters = set(self._voters(now))
+            heard = sorted(self.words.heard.values(), key=lambda h: (h.word.member not in voters, -h.at))
+            passed = [h.word for h in heard if now - h.at <= self.settings.zones.fresh]
+        data = words.pack_words([mine, *passed], ROOM)
+        said = [(member, data) for member in targets]
+        digest = self.orders.digest()
+        for member in targets:
+            known = self.words.heard.get(member)
+            if self.orders.known and (known is None or known.word.orders != digest):
+                newest = sorted(self.orders.known.values(), key=lambda o: -o.until)
+                for i in range(0, len(newest)):
+                    said.append((member, by_hand.pack_orders(now, newest[i : i + 1], ROOM)))
+        return self._say(said)
+
+    def _say(self, said: list[tuple[int, bytes]]) -> list[Action]:
+        self.counts["words_sent"] += len(said)
+        self.counts["bytes_sent"] += sum(len(data) for _, data in said)
+        return [Say(member, data) for member, data in said]
+
+    # --- status ---
+
+    def status(self, now: float, names: Mapping[int, str]) -> list[dict[str, Any]]:
+        """What `cottonhold zone show` prints: one row a zone."""
+        voters, rows = self._voters(now), []
+        told = self._told(now, voters)
+        digest = self.orders.digest()
+        for zone, state in self.zones.states.items():
+            good, late, bad = self.evidence.counts(zone)
+            order = self.orders.on(now, self.numbers[zone])
+            fresh = {w.member: w for w in self.words.fresh(now, self.settings.zones.fresh, self.seen)}
+            confirmed = [m for m, w in fresh.items() if w.orders == digest]
+            rows.append(
+                {
+                    "zone": zone,
+                    "phase": state.phase.value,
+                    "since_ms": round(now - state.since) if state.since > -math.inf else None,
+                    "why": state.why,
+                    "fleet_out": state.fleet_out,
+                    "votes_out": sum(z.vote is Vote.OUT for z in told[zone]) + (state.vote is Vote.OUT),
+                    "heard": len(told[zone]) + 1,
+                    "electorate": len(voters),
+                    "pace": round(self.zones.pace(zone, told[zone]), 3),
+                    "good": good,
+                    "late": late,
+                    "bad": bad,
+                    "hold_ms": round(state.hold),
+                    "order": None
+                    if order is None
+                    else {
+                        "mode": order.mode.name.lower(),
+                        "who": order.who,
+                        "why": order.why,
+                        "left_ms": round(order.until - now),
+                        "author": names.get(order.author, str(order.author)),
+                        "unconfirmed": sorted(names.get(m, str(m)) for m in self.seen if m not in confirmed),
+                    },
+                }
+            )
+        return rows
--- /dev/null
+++ b/cottonhold/fleet/evidence.py
@@ -0,0 +1,294 @@
+"""What this instance's own attempts say of each zone. Pure.
+
+Each attempt is judged once: good, late, or a bad sign (it failed, or it lasts several times what its class
+usually takes here). For each engine a cumulative sum of log likelihoods (Page's CUSUM) weighs its signs
+against what is seen of the best other zone, so that a load that slows all zones alike speaks against none. A
+zone's score adds up its engines' sums, each up to a limit that half of the engines heard of have to reach:
+one sick engine is that engine's matter, however many signs it gives.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import deque
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+from enum import IntEnum
+
+TIMES_LEAST = 4  # fewer times of a zone tell nothing
+LOADED = 1.5  # times further a zone has to stand out while another one is out: the rest are loaded
+STOOD = 3  # times that a zone has to stand out by slowness
+ACCUSING, ACCUSING_SHARE = 3, 0.2  # bad signs in the window, and their share, that are worth telling of
+
+
+class Sign(IntEnum):
+    """What one attempt says of its engine."""
+
+    GOOD = 0
+    LATE = 1  # well beyond what is usual, yet no fault: a cold engine, or a line that begins to form
+    SLOW = 2
+    FAILED = 3
+
+
+class Verdict(IntEnum):
+    """What own evidence says of a zone."""
+
+    UNSURE = 0  # too little to say
+    WELL = 1
+    SLOW = 2  # or silent
+    FAILING = 3  # in part
+    LOST = 4  # nothing is served
+
+
+@dataclass(slots=True, frozen=True)
+class EvidenceSettings:
+    """Times in ms.
+
+    slow, slow_least: an attempt that lasts so many times its usual time, and so much longer, is a bad sign.
+    usual_bad: share of bad signs that a well zone shows at most. ill_bad: the share looked for; three in ten
+    failing is ill. enough: the score from which a zone is ill: about e^-enough false alarms an excursion.
+    stands_out: so many times longer than in the best other zone its attempts take, where it is slow.
+    returning: a zone in return may be so many times slower still, since its engines may be cold.
+    returning_window: the window of a zone in return, whose pace changes each quarter of a second.
+    late: an answer that takes so many times its usual time is late.
+    window: what came before it no longer tells which engines are concerned. good_least: good signs in the
+    window from which a zone without a sum is well. learn: a class's usual time follows its
+    answers within so long: what is usual must not become what the fault makes of it. last: so many newest
+    signs tell what a zone still serves.
+    lost: share of bad signs in the window from which a zone serves nothing.
+    """
+
+    slow: float = 3.0
+    slow_least: float = 60.0
+    usual_bad: float = 0.03
+    ill_bad: float = 0.25
+    enough: float = 8.0
+    window: float = 1500.0
+    good_least: int = 3
+    learn: float = 30_000.0
+    last: int = 8
+    lost: float = 0.95
+    stands_out: float = 3.0
+    returning: float = 2.0
+    late: float = 2.0
+    returning_window: float = 600.0
+
+
+@dataclass(slots=True)
+class Usual:
+    """What attempts of one class usually take, by its log mean: long ones must not move it much."""
+
+    log_ms: float = 0.0
+    seen: int = 0
+    at: float = 0.0
+
+    def learn(self, now: float, elapsed: float, settings: EvidenceSettings) -> None:
+        """Take in a good answer's time."""
+        self.seen += 1
+        gain = max(1 - math.exp((self.at - now) / settings.learn), 1 / self.seen if self.seen < 30 else 0.0)
+        self.at = now
+        self.log_ms += gain * (math.log(max(elapsed, 0.1)) - self.log_ms)
+
+    def limit(self, settings: EvidenceSettings, times: float) -> float:
+        """From this age on an attempt is a bad sign; never, while nothing is known."""
+        if self.seen < 5:
+            return math.inf
+        usual = math.exp(self.log_ms)
+        return times * max(usual * settings.slow, usual + settings.slow_least)
+
+
+@dataclass(slots=True)
+class Open:
+    """An attempt that is out and not judged yet."""
+
+    zone: str
+    engine: str
+    kind: int
+    sent_at: float
+
+
+@dataclass(slots=True)
+class Sum:
+    """An engine's cumulative sum, and when it had its last sign."""
+
+    value: float = 0.0
+    at: float = 0.0
+
+
+@dataclass(slots=True)
+class Zone:
+    """What is known of one zone: recent signs, the sums of its engines, and how many there are."""
+
+    engines: int = 1
+    absent: bool = False
+    returning: bool = False
+    stood: int = 0  # times that it stood out, less those that it did not
+    sums: dict[str, Sum] = field(default_factory=dict)
+    signs: deque[tuple[float, Sign]] = field(default_factory=deque)
+    times: deque[float] = field(default_factory=lambda: deque(maxlen=8))  # logs of how many times the usual
+    newest: deque[Sign] = field(default_factory=lambda: deque(maxlen=16))
+
+    def forget(self, before: float) -> None:
+        """Drop what is too old."""
+        while self.signs and self.signs[0][0] < before:
+            self.signs.popleft()
+        self.sums = {engine: s for engine, s in self.sums.items() if s.at >= before}
+
+    def clear(self) -> None:
+        """Begin anew."""
+        for part in (self.sums, self.signs, self.times, self.newest):
+            part.clear()
+
+    def share(self) -> float:
+        """Share of bad signs among the newest ones: all zones change in step where the fault is common."""
+        return sum(sign >= Sign.SLOW for sign in self.newest) / len(self.newest) if self.newest else 0.0
+
+    def stretch(self, last: int) -> float:
+        """Log of how many times their usual time the newest attempts take, by the median."""
+        times = sorted(list(self.times)[-last:])
+        return times[len(times) // 2] if times else 0.0
+
+    def score(self, enough: float) -> float:
+        """The engines' sums, each up to what half of those heard of have to reach together."""
+        # Danger: a dead engine's signs alone made its zone look ill as soon as another had one bad answer. So
+        # none counts for more than its part, and one engine is never enough where there are two.
+        half = max(math.ceil(len(self.sums) / 2), min(2, self.engines))
+        return sum(min(s.value, enough / half) for s in self.sums.values())
+
+
+class Evidence:
+    """Feed it attempts; ask it for a verdict by zone. All times are on one monotonic clock."""
+
+    def __init__(self, settings: EvidenceSettings | None = None) -> None:
+        self.settings = settings or EvidenceSettings()
+        self.zones: dict[str, Zone] = {}
+        self.usual: dict[int, Usual] = {}
+        self.open: dict[str, Open] = {}
+
+    def know(self, engines: Mapping[str, Iterable[str]]) -> None:
+        """Exactly these zones with these engines are there; what was known of the others is forgotten."""
+        kept = {name: self.zones.get(name) or Zone() for name in engines}
+        for name, there in engines.items():
+            kept[name].engines = len(list(there))
+        self.zones = kept
+
+    def sent(self, now: float, ref: str, engine: str, zone: str, kind: int) -> None:
+        """An attempt has gone out."""
+        if zone in self.zones:
+            self.open[ref] = Open(zone, engine, kind, now)
+
+    def ended(self, now: float, ref: str, good: bool | None, elapsed: float) -> None:
+        """An attempt has ended: well, badly, or in a way that says nothing of the engine (None)."""
+        attempt = self.open.pop(ref, None)
+        if attempt is None or attempt.zone not in self.zones:
+            return
+        self.usual.setdefault(attempt.kind, Usual())
+        usual = self.usual[attempt.kind]
+        if good is None:
+            return
+        late = elapsed > math.exp(usual.log_ms) * self.settings.late
+        slow = elapsed > self._limit(attempt)
+        if good:
+            self._timed(attempt, elapsed)
+        worst = Sign.SLOW if slow else Sign.LATE if late else Sign.GOOD
+        self._sign(now, attempt, worst if good else Sign.FAILED)
+        if good and not slow and not self.zones[attempt.zone].returning:
+            usual.learn(now, elapsed, self.settings)
+
+    def start_over(self, zone: str, absent: bool, returning: bool) -> None:
+        """A zone's signs so far no longer count: it was left, or its return begins or ends."""
+        if zone in self.zones:
+            self.zones[zone].clear()
+            self.zones[zone].absent, self.zones[zone].returning = absent, returning
+        self.open = {ref: attempt for ref, attempt in self.open.items() if attempt.zone != zone}
+
+    def weigh(self, now: float) -> dict[str, Verdict]:
+        """The verdict on each zone."""
+        for ref, attempt in list(self.open.items()):
+            if now - attempt.sent_at > self._limit(attempt):
+                del self.open[ref]  # judged: its end tells nothing more
+                self._timed(attempt, now - attempt.sent_at)
+                self._sign(now, attempt, Sign.SLOW)
+        s = self.settings
+        for zone in self.zones.values():
+            zone.forget(now - (s.returning_window if zone.returning else s.window))
+        return {name: self._verdict(zone) for name, zone in self.zones.items()}
+
+    def counts(self, zone: str) -> tuple[int, int, int]:
+        """Good, late and bad signs of a zone in the window."""
+        signs = [sign for _, sign in self.zones[zone].signs] if zone in self.zones else []
+        good, late = signs.count(Sign.GOOD), signs.count(Sign.LATE)
+        return good, late, len(signs) - good - late
+
+    def serving(self, zone: str) -> float:
+        """Share of a zone's newest attempts that were served."""
+        signs = list(self.zones[zone].newest)[-self.settings.last :]
+        return sum(sign < Sign.SLOW for sign in signs) / max(len(signs), 1)
+
+    def _limit(self, attempt: Open) -> float:
+        usual, zone = self.usual.get(attempt.kind), self.zones.get(attempt.zone)
+        if usual is None or zone is None:
+            return math.inf
+        return usual.limit(self.settings, self.settings.returning if zone.returning else 1.0)
+
+    def _timed(self, attempt: Open, elapsed: float) -> None:
+        usual = self.usual[attempt.kind]
+        if usual.seen:
+            self.zones[attempt.zone].times.append(math.log(max(elapsed, 0.1)) - usual.log_ms)
+
+    def _stands_out(self, zone: Zone) -> bool:
+        """Its attempts fail, or take far longer than those of the best other zone do now."""
+        # Danger: with nowhere else to go a zone that is merely overloaded was left as well.
+        present = [z for z in self.zones.values() if z is not zone and not z.absent and not z.returning]
+        if not present or zone.share() < self.settings.ill_bad / 2:
+            return False
+        bad = sum(sign >= Sign.SLOW for sign in zone.newest)
+        if 2 * sum(sign is Sign.FAILED for sign in zone.newest) >= bad:
+            return True
+        # Danger: where one zone is out the others carry its load and form lines of uneven length, and a few
+        # long waits made them look ill as well. So it is the middle of a zone's newest times that counts, the
+        # more of it the less room there is elsewhere.
+        # Both ends of the newest times have to say so: a fault that is common comes and goes a moment apart.
+        others = [max(z.stretch(3), z.stretch(8)) for z in present if len(z.times) >= TIMES_LEAST]
+        now, loaded = min(zone.stretch(3), zone.stretch(8)), len(present) < len(self.zones) - 1
+        least = math.log(self.settings.stands_out * (LOADED if loaded else 1.0))
+        return len(zone.times) >= TIMES_LEAST and now >= min(others, default=0.0) + least
+
+    def accuses(self, zone: str) -> bool:
+        """Enough bad signs to speak of, if not to be sure: it takes most of the fleet to act on them."""
+        good, late, bad = self.counts(zone)
+        others = [z.share() for name, z in self.zones.items() if name != zone and z.signs]
+        share = bad / max(good + late + bad, 1)
+        if not self._stands_out(self.zones[zone]):
+            return False
+        return bad >= ACCUSING and share >= max(ACCUSING_SHARE, 3 * min(others, default=0.0))
+
+    def _sign(self, now: float, attempt: Open, sign: Sign) -> None:
+        zone = self.zones.get(attempt.zone)
+        if zone is None:
+            return
+        s = self.settings
+        # Danger: a load that is too much slows all zones alike, and all would be left. So signs are weighed
+        # against the best of the others; alone, against what is usual.
+        others = [z.share() for z in self.zones.values() if z is not zone and len(z.signs) >= s.good_least]
+        usual = min(0.9, max(s.usual_bad, 1.5 * min(others, default=0.0)))
+        ill = min(0.97, max(s.ill_bad, 2 * usual))
+        step = math.log(ill / usual) if sign >= Sign.SLOW else math.log((1 - ill) / (1 - usual))
+        total = zone.sums.setdefault(attempt.engine, Sum())
+        total.value, total.at = min(max(total.value + step, 0.0), 1.5 * s.enough), now
+        zone.signs.append((now, sign))
+        zone.newest.append(sign)
+
+    def _verdict(self, zone: Zone) -> Verdict:
+        s, score = self.settings, zone.score(self.settings.enough)
+        # Danger: where all slow down at once the signs of one zone come a moment before those of another.
+        stands_out = score >= s.enough - 1e-9 and self._stands_out(zone)
+        failing = sum(sign is Sign.FAILED for sign in zone.newest)
+        zone.stood = min(zone.stood + 1, 2 * STOOD) if stands_out else max(zone.stood - 1, 0)
+        fails = 2 * failing >= sum(sign >= Sign.SLOW for sign in zone.newest)
+        if zone.stood and fails:
+            return Verdict.LOST if zone.share() >= s.lost else Verdict.FAILING
+        if zone.stood >= STOOD:
+            return Verdict.SLOW
+        good = sum(sign < Sign.SLOW for _, sign in zone.signs)
+        return Verdict.WELL if score < s.enough / 4 and good >= s.good_least else Verdict.UNSURE
--- /dev/null
+++ b/cottonhold/fleet/orders.py
@@ -0,0 +1,124 @@
+"""Zones left and returned by hand: who, why, until when; merged by the newest word on each zone. Pure.
+
+    kind 1 | count 1 | orders, each: zone 2 | mode 1 | serial 4 | author 8 | left 4 | who 1 + n | why 1 + n
+
+`serial` grows with each order on a zone that its author knew of; of equal ones the higher author counts. How
+long an order still holds travels as a time left, since clocks may differ: it runs out by each one's own
+clock.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import struct
+from collections.abc import Iterable
+from dataclasses import dataclass
+from enum import IntEnum
+
+from cottonhold.fleet.words import ORDERS, WordError
+
+ORDER = struct.Struct("!HBIQI")
+MOST_WHO, MOST_WHY = 24, 80  # bytes
+MOST_ORDERS = 16
+
+
+class Mode(IntEnum):
+    """What is ordered."""
+
+    LEAVE = 1
+    RETURN = 2  # back by hand: evidence against it is passed over until the end
+    FREE = 3  # the order before is taken back
+
+
+@dataclass(slots=True, frozen=True)
+class Order:
+    """An order on a zone. `until`: on this instance's clock."""
+
+    zone: int
+    mode: Mode
+    serial: int
+    author: int
+    until: float
+    who: str
+    why: str
+
+    @property
+    def stamp(self) -> tuple[int, int]:
+        """What decides which of two orders on a zone is newer."""
+        return self.serial, self.author
+
+
+def cut(text: str, most: int) -> str:
+    """So much of a text as has at most so many bytes."""
+    return text.encode()[:most].decode(errors="ignore")
+
+
+def pack_orders(now: float, orders: Iterable[Order], room: int) -> bytes:
+    """A message with as many of these orders as fit."""
+    parts, left = list[bytes](), room - 2
+    for o in orders:
+        who, why = cut(o.who, MOST_WHO).encode(), cut(o.why, MOST_WHY).encode()
+        head = ORDER.pack(o.zone, o.mode, o.serial, o.author, min(max(int(o.until - now), 0), 0xFFFFFFFF))
+        part = head + bytes([len(who)]) + who + bytes([len(why)]) + why
+        if len(part) <= left and len(parts) < MOST_ORDERS:
+            parts.append(part)
+            left -= len(part)
+    return bytes((ORDERS, len(parts))) + b"".join(parts)
+
+
+def read_orders(now: float, data: bytes) -> list[Order]:
+    """The orders of a message. Raises WordError."""
+    found, at = [], 2
+    try:
+        for _ in range(data[1]):
+            zone, mode, serial, author, left = ORDER.unpack_from(data, at)
+            at += ORDER.size
+            texts = []
+            for most in (MOST_WHO, MOST_WHY):
+                size = data[at]
+                if size > most or at + 1 + size > len(data):
+                    raise WordError("text")
+                texts.append(data[at + 1 : at + 1 + size].decode())
+                at += 1 + size
+            found.append(Order(zone, Mode(mode), serial, author, now + left, *texts))
+    except (struct.error, IndexError, ValueError):
+        raise WordError("order") from None
+    if at != len(data):
+        raise WordError("too long")
+    return found
+
+
+class Orders:
+    """The newest order on each zone."""
+
+    def __init__(self, me: int) -> None:
+        self.me = me
+        self.known: dict[int, Order] = {}
+
+    def give(self, zone: int, mode: Mode, until: float, who: str, why: str) -> Order:
+        """A new order of this instance."""
+        before = self.known.get(zone)
+        serial = (before.serial if before else 0) + 1
+        order = Order(zone, mode, serial, self.me, until, cut(who, MOST_WHO), cut(why, MOST_WHY))
+        self.known[zone] = order
+        return order
+
+    def take(self, order: Order) -> bool:
+        """Merge an order; true if it was news."""
+        before = self.known.get(order.zone)
+        if before is not None and order.stamp <= before.stamp:
+            return False
+        if len(self.known) >= MOST_ORDERS and before is None:
+            return False
+        self.known[order.zone] = order
+        return True
+
+    def on(self, now: float, zone: int) -> Order | None:
+        """The order in force on a zone."""
+        order = self.known.get(zone)
+        return order if order is not None and order.mode is not Mode.FREE and now < order.until else None
+
+    def digest(self) -> int:
+        """Equal where the same orders are known."""
+        stamps = sorted((o.zone, *o.stamp) for o in self.known.values())
+        return int.from_bytes(hashlib.blake2b(repr(stamps).encode(), digest_size=4).digest(), "big")
--- /dev/null
+++ b/cottonhold/fleet/parts.py
@@ -0,0 +1,188 @@
+"""One budget in parts that never add up to more than the whole, whatever anyone believes. Pure.
+
+Each configured dispatcher owns a fixed part. What one does not need it lends for a time.
+
+    usable(i) = own(i) - what i has lent and not yet run out + what i has borrowed and not yet run out
+
+Invariant: at each moment the usable parts of all add up to at most 1. Sketch of the proof: the owned parts
+add up to 1. A loan is taken from the lender at the moment of the grant, and counts there for `last` ms and
+the drift margin after the ask came in. The borrower counts it from when it *asked*, which was earlier, for
+`last` ms. With clocks whose rates differ by less than the margin the borrower's time is over first. A
+grant that is lost, late, repeated or out of order makes the borrower use less, or the same once (terms never
+come back). A lender back from nothing has forgotten its loans: it uses and lends nothing until all that it
+may have granted has run out. A borrower back from nothing has none. Two processes of one dispatcher use half
+each, and lend nothing; the second one waits as one back from nothing, and by then the first knows of it.
+
+Times are ms of each one's own monotonic clock.
+"""
+
+from __future__ import annotations
+
+import math
+import struct
+from dataclasses import dataclass, field
+
+from cottonhold.fleet.words import ASK, GRANT, WordError
+
+LOAN = struct.Struct("!BHIH")  # kind, zone, term, amount in steps
+STEPS = 0xFFFF  # of the whole
+
+
+@dataclass(slots=True, frozen=True)
+class PartSettings:
+    """Times in ms. last: how long a loan counts. renew: part of it after which the borrower asks again.
+    drift: margin for clocks' rates. wait: so many times `last` one back from nothing waits: its earlier life
+    lent until it ended, or until it knew of its successor."""
+
+    last: float = 1000.0
+    renew: float = 0.35
+    drift: float = 0.1
+    wait: float = 1.5
+
+
+@dataclass(slots=True, frozen=True)
+class Ask:
+    """Asks a member for part of a zone's budget."""
+
+    zone: int
+    term: int
+    amount: int
+
+
+@dataclass(slots=True, frozen=True)
+class Grant:
+    """The answer: so much of it, maybe nothing."""
+
+    zone: int
+    term: int
+    amount: int
+
+
+@dataclass(slots=True, frozen=True)
+class To:
+    """A message for a member."""
+
+    member: int
+    what: Ask | Grant
+
+
+def pack_loan(what: Ask | Grant) -> bytes:
+    """A message's bytes."""
+    return LOAN.pack(ASK if isinstance(what, Ask) else GRANT, what.zone, what.term, what.amount)
+
+
+def read_loan(data: bytes) -> Ask | Grant:
+    """A message's meaning. Raises WordError."""
+    if len(data) != LOAN.size or data[0] not in (ASK, GRANT):
+        raise WordError("loan")
+    kind, zone, term, amount = LOAN.unpack(data)
+    return Ask(zone, term, amount) if kind == ASK else Grant(zone, term, amount)
+
+
+@dataclass(slots=True)
+class Borrowed:
+    """What we hold of a lender, and what we have asked it for."""
+
+    until: float = -math.inf
+    amount: int = 0
+    term: int = 0
+    asked_at: float = -math.inf
+    asked: int = 0
+
+
+@dataclass(slots=True)
+class Purse:
+    """One zone's budget at this instance."""
+
+    lent: dict[int, list[tuple[float, int]]] = field(default_factory=dict)  # ends and amounts by borrower
+
+    def held(self, now: float, member: int) -> int:
+        """The most that a borrower may hold of ours.
+
+        Danger: counted by its newest loan, a smaller one would set free what the borrower still holds where
+        the answer was lost; it has one of those that still run.
+        """
+        loans = self.lent[member] = [loan for loan in self.lent.get(member, []) if loan[0] > now]
+        return max((amount for _, amount in loans), default=0)
+
+    borrowed: dict[int, Borrowed] = field(default_factory=dict)
+
+
+class Parts:
+    """This instance's part of each zone's budget. `own`: its fixed part, 0 to 1 over all; `first_term` is
+    drawn at the start, so that a late grant to an earlier life is void."""
+
+    def __init__(self, now: float, own: float, first_term: int, settings: PartSettings | None = None) -> None:
+        self.settings = settings or PartSettings()
+        self.own = int(own * STEPS)
+        self.usable_from = now + self.settings.wait * self.settings.last
+        self.term = first_term & 0x7FFFFFFF
+        self.beside = 1  # processes that stand for this dispatcher
+        self.purses: dict[int, Purse] = {}
+
+    def usable(self, now: float, zone: int) -> tuple[float, float]:
+        """The part that may be used now, 0 to 1, and until when it holds unless asked again."""
+        own, ends = self._left(now, zone), math.inf
+        purse = self.purses.get(zone)
+        for loan in purse.borrowed.values() if purse is not None else ():
+            if loan.until > now and loan.amount:
+                own, ends = own + loan.amount, min(ends, loan.until)
+        return max(own, 0) / STEPS, ends
+
+    def want(self, now: float, zone: int, demand: dict[int, float], me: int) -> list[To]:
+        """Ask those with less demand than their part for what this one lacks; `demand` adds up to about 1."""
+        purse = self.purses.setdefault(zone, Purse())
+        # Danger: the two processes of an upgrade are one borrower to the lenders, and each would use all of
+        # it.
+        if self.beside > 1 or now < self.usable_from or len(demand) < 2:
+            return []
+        fair = self.own / STEPS
+        lack = {member: share - fair for member, share in demand.items() if share > fair}
+        spare = {member: fair - share for member, share in demand.items() if share < fair}
+        mine, all_lack, all_spare = lack.get(me, 0.0), sum(lack.values()), sum(spare.values())
+        if mine <= 0.01 or all_spare <= 0.01:
+            return []
+        asks = []
+        for member, left in spare.items():
+            amount = int(STEPS * min(mine / all_lack * left, mine * left / all_spare))
+            loan = purse.borrowed.setdefault(member, Borrowed())
+            if amount > 0 and now - loan.asked_at >= self.settings.renew * self.settings.last:
+                self.term = (self.term + 1) & 0xFFFFFFFF
+                loan.term, loan.asked_at, loan.asked = self.term, now, amount
+                asks.append(To(member, Ask(zone, self.term, amount)))
+        return asks
+
+    def receive(self, now: float, sender: int, what: Ask | Grant) -> list[To]:
+        """A message from a member."""
+        purse = self.purses.setdefault(what.zone, Purse())
+        if isinstance(what, Ask):
+            return [To(sender, Grant(what.zone, what.term, self._lend(now, purse, sender, what)))]
+        loan = purse.borrowed.get(sender)
+        # Danger: an answer to an ask of long ago, or one that came twice, would count from the newest ask.
+        if loan is None or loan.term != what.term or what.amount > loan.asked:
+            return []
+        loan.amount, loan.until = what.amount, loan.asked_at + self.settings.last
+        return []
+
+    def forget(self, members: list[int]) -> None:
+        """Members that are gone for good; what they hold of ours runs out by itself."""
+        for purse in self.purses.values():
+            for member in members:
+                purse.borrowed.pop(member, None)
+
+    def _left(self, now: float, zone: int) -> int:
+        """What is left of the own part."""
+        if now < self.usable_from:
+            return 0
+        purse = self.purses.get(zone)
+        lent = sum(purse.held(now, member) for member in list(purse.lent)) if purse else 0
+        return self.own // self.beside - lent
+
+    def _lend(self, now: float, purse: Purse, member: int, ask: Ask) -> int:
+        if self.beside > 1:
+            return 0
+        amount = min(ask.amount, max(self._left(now, ask.zone) + purse.held(now, member), 0))
+        if amount:
+            until = now + self.settings.last * (1 + self.settings.drift)
+            purse.lent.setdefault(member, []).append((until, amount))
+        return amount
--- /dev/null
+++ b/tests/fleet/test_parts.py
@@ -0,0 +1,269 @@
+"""The parts of a budget never add up to more than the whole: every interleaving of a small world, and drawn
+ones.
+
+The world holds three instances, a network that keeps, repeats and loses messages as it likes, clocks that run
+on, and instances that stop, go on, die and come back from nothing, or for a while run twice in an upgrade. A
+checker that can't fail proves nothing, so each guard is taken out once, and the checker has to notice.
+"""
+
+from __future__ import annotations
+
+import copy
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from cottonhold.fleet import parts
+from cottonhold.fleet.parts import STEPS, Ask, Grant, Parts, PartSettings, To
+
+ZONE, TICK = 1, 5.0
+SETTINGS = PartSettings(last=20.0, renew=0.5, drift=0.1, wait=1.5)
+COUNT, DEPTH = 3, 7
+
+
+@dataclass(slots=True)
+class Small:
+    """The whole world: instances by number, messages under way, the time."""
+
+    now: float = 100.0
+    members: dict[int, Parts] = field(default_factory=dict)
+    stopped: frozenset[int] = frozenset()
+    flying: tuple[tuple[int, int, Ask | Grant], ...] = ()
+    lives: int = 0
+
+    @classmethod
+    def begin(cls) -> Small:
+        """Three that have been there for long."""
+        world = cls()
+        for i in range(COUNT):
+            world.members[i] = Parts(-1000.0, 1 / COUNT, 100 * i, SETTINGS)
+        return world
+
+    def used(self) -> float:
+        """What all of them may use now, by their own clocks, the stopped ones as well."""
+        return sum(p.usable(self.now, ZONE)[0] for p in self.members.values())
+
+    def copy(self) -> Small:
+        """Another world that is the same so far."""
+        made = Small(self.now, {}, self.stopped, self.flying, self.lives)
+        for i, p in self.members.items():
+            made.members[i] = q = copy.copy(p)
+            q.purses = {}
+            for zone, purse in p.purses.items():
+                lent = {m: list(loans) for m, loans in purse.lent.items()}
+                q.purses[zone] = parts.Purse(lent, {m: copy.copy(b) for m, b in purse.borrowed.items()})
+        return made
+
+    def key(self) -> object:
+        """Two worlds with one key go on alike."""
+        now, rows = self.now, list[object]()
+        for p in self.members.values():
+            purse = p.purses.get(ZONE, parts.Purse())
+            lent = [(m, u - now, a) for m, loans in purse.lent.items() for u, a in loans if u > now]
+            held = [
+                (m, max(b.until - now, 0), b.amount, max(b.asked_at - now, -50), b.asked, b.term)
+                for m, b in purse.borrowed.items()
+            ]
+            rows.append((max(p.usable_from - now, 0), tuple(sorted(lent)), tuple(sorted(held))))
+        return tuple(rows), self.stopped, self.flying
+
+    def want(self, i: int, share: float) -> Small | None:
+        """An instance has so much of the demand, and asks for what it lacks."""
+        p = self.members[i]
+        if i in self.stopped:
+            return None
+        demand = {m: share if m == i else (1 - share) / (COUNT - 1) for m in range(COUNT)}
+        return self._fly(i, p.want(self.now, ZONE, demand, i))
+
+    def deliver(self, place: int, keep: bool) -> Small | None:
+        """A message arrives, and may arrive again."""
+        if place >= len(self.flying):
+            return None
+        sender, target, what = self.flying[place]
+        if not keep:
+            self.flying = self.flying[:place] + self.flying[place + 1 :]
+        p = self.members[target]
+        if target in self.stopped:
+            return self
+        return self._fly(target, p.receive(self.now, sender, what))
+
+    def lose(self, place: int) -> Small | None:
+        """A message is lost."""
+        if place >= len(self.flying):
+            return None
+        self.flying = self.flying[:place] + self.flying[place + 1 :]
+        return self
+
+    def tick(self) -> Small:
+        """Time passes for all."""
+        self.now += TICK
+        return self
+
+    def die(self, i: int) -> Small | None:
+        """One is gone, and back from nothing at once."""
+        self.lives += 1
+        if self.lives > 1:
+            return None
+        self.members[i] = Parts(self.now, 1 / COUNT, 10_000 * self.lives + 100 * i, SETTINGS)
+        self.stopped -= {i}
+        return self
+
+    def stop(self, i: int) -> Small:
+        """One stands still, or goes on."""
+        self.stopped ^= {i}
+        return self
+
+    def _fly(self, sender: int, messages: list[To]) -> Small:
+        self.flying += tuple((sender, to.member, to.what) for to in messages)
+        return self
+
+
+Step = Callable[[Small], Small | None]
+
+
+def steps(world: Small) -> list[Step]:
+    """All that may happen next."""
+    found: list[Step] = [lambda w: w.tick(), lambda w: w.want(0, 0.9), lambda w: w.want(0, 0.5)]
+    for place in range(len(world.flying)):
+        found.append(lambda w, at=place: w.deliver(at, keep=False))  # type: ignore[misc]
+        found.append(lambda w, at=place: w.lose(at))  # type: ignore[misc]
+    if world.flying:
+        found.append(lambda w: w.deliver(0, keep=True))
+    return found + [lambda w: w.die(0), lambda w: w.die(1), lambda w: w.stop(0)]
+
+
+def search(depth: int) -> tuple[int, float]:
+    """How many different worlds were seen, and the most that all could use in one of them. Bound: so many
+    steps, four messages under way, one death."""
+    seen, front, worst = set[object](), [Small.begin()], 0.0
+    for _ in range(depth):
+        following = []
+        for world in front:
+            for step in steps(world):
+                new = step(world.copy())
+                if new is None or len(new.flying) > 4 or (key := new.key()) in seen:
+                    continue
+                seen.add(key)
+                worst = max(worst, new.used())
+                following.append(new)
+        front = following
+    return len(seen), worst
+
+
+def test_in_every_interleaving_the_parts_add_up_to_at_most_one() -> None:
+    seen, worst = search(DEPTH)
+    assert seen > 10_000 and worst <= 1.0
+
+
+def newest_only(purse: parts.Purse, now: float, member: int) -> int:
+    loans = purse.lent.get(member, [])
+    return loans[-1][1] if loans and loans[-1][0] > now else 0
+
+
+def test_the_search_notices_a_lender_that_forgets_and_one_that_counts_the_newest_loan_only(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Each of the two guards is taken out; a lender back from nothing, and a smaller loan after a larger."""
+    plain = Parts.__init__
+
+    def unwary(self: Parts, *args: object) -> None:
+        plain(self, *args)  # type: ignore[arg-type]
+        self.usable_from = -1e9
+
+    with monkeypatch.context() as patch:
+        patch.setattr(Parts, "__init__", unwary)
+        assert search(DEPTH)[1] > 1.0
+    with monkeypatch.context() as patch:
+        patch.setattr(parts.Purse, "held", newest_only)
+        assert smaller_after_larger() > 1.0
+    assert smaller_after_larger() <= 1.0
+
+
+def smaller_after_larger() -> float:
+    """The most in use where the answer to a smaller ask is lost."""
+    world = Small.begin()
+    world.want(0, 0.9)
+    for _ in range(2):
+        world.deliver(0, keep=False)
+    while world.flying:
+        world.deliver(0, keep=False)
+    for _ in range(2):
+        world.tick()
+    world.want(0, 0.4)
+    for _ in range(2):
+        world.deliver(0, keep=False)
+    world.flying = ()
+    return world.used()
+
+
+class Drawn(RuleBasedStateMachine):
+    """Longer histories than the search reaches, with clocks of different rates."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = 0.0
+        self.rates = [1.0, 1.04, 0.96]
+        self.held: list[list[Parts]] = [[Parts(-1000.0, 1 / COUNT, 0, SETTINGS)] for _ in range(COUNT)]
+        self.flying: list[tuple[int, int, Ask | Grant]] = []
+        self.lives = 1
+
+    def clock(self, i: int) -> float:
+        return 1000.0 * i + self.now * self.rates[i]
+
+    @rule(ms=st.floats(0.1, 15.0))
+    def pass_time(self, ms: float) -> None:
+        self.now += ms
+
+    @rule(i=st.integers(0, COUNT - 1), share=st.floats(0.0, 1.0))
+    def ask(self, i: int, share: float) -> None:
+        demand = {m: share if m == i else (1 - share) / (COUNT - 1) for m in range(COUNT)}
+        for to in self.held[i][-1].want(self.clock(i), ZONE, demand, i):
+            self.flying.append((i, to.member, to.what))
+
+    @rule(place=st.integers(0, 20), keep=st.booleans())
+    def deliver(self, place: int, keep: bool) -> None:
+        if place < len(self.flying):
+            sender, target, what = self.flying[place] if keep else self.flying.pop(place)
+            for to in self.held[target][-1].receive(self.clock(target), sender, what):
+                self.flying.append((target, to.member, to.what))
+
+    @rule(i=st.integers(0, COUNT - 1))
+    def restart(self, i: int) -> None:
+        self.lives += 1
+        self.held[i] = [Parts(self.clock(i), 1 / COUNT, 1000 * self.lives, SETTINGS)]
+
+    @rule(i=st.integers(0, COUNT - 1))
+    def upgrade(self, i: int) -> None:
+        """A second process begins beside the first one, which learns of it; then the first one ends."""
+        if len(self.held[i]) == 1:
+            self.lives += 1
+            self.held[i][0].beside = 2
+            self.held[i].append(Parts(self.clock(i), 1 / COUNT, 1000 * self.lives, SETTINGS))
+            self.held[i][1].beside = 2
+        elif self.clock(i) >= self.held[i][1].usable_from:
+            self.held[i] = [self.held[i][1]]
+            self.held[i][0].beside = 1
+
+    @invariant()
+    def never_more_than_the_whole(self) -> None:
+        used = sum(p.usable(self.clock(i), ZONE)[0] for i, there in enumerate(self.held) for p in there)
+        assert used <= 1.0 + 1e-9
+
+
+TestDrawn = Drawn.TestCase
+TestDrawn.settings = settings(max_examples=60, stateful_step_count=50, deadline=None)
+
+
+def test_one_with_most_of_the_clients_gets_most_of_the_budget() -> None:
+    world = Small.begin()
+    world.want(0, 0.8)
+    while world.flying:
+        world.deliver(0, keep=False)
+    part, ends = world.members[0].usable(world.now, ZONE)
+    assert part > 0.75 and ends == world.now + SETTINGS.last and world.used() <= 1.0
+    world.now += 2 * SETTINGS.last
+    assert abs(world.used() - 1.0) < COUNT / STEPS + 1e-9, "loans that ran out are the lenders' again"
--- /dev/null
+++ b/tests/fleet/test_words.py
@@ -0,0 +1,141 @@
+"""Words and orders between instances: any order, any number of times; forged, cut and replayed ones."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from cottonhold.fleet.orders import MOST_ORDERS, Mode, Order, Orders, pack_orders, read_orders
+from cottonhold.fleet.parts import Ask, Grant, pack_loan, read_loan
+from cottonhold.fleet.words import (
+    Vote,
+    Word,
+    WordError,
+    Words,
+    ZoneWord,
+    pack_word,
+    pack_words,
+    read_words,
+    zone_number,
+)
+
+SMALL = st.integers(0, 255)
+ZONE = st.builds(
+    ZoneWord,
+    st.sampled_from(Vote),
+    SMALL,
+    SMALL,
+    SMALL,
+    SMALL.map(lambda n: n / 255),
+    st.booleans(),
+    st.booleans(),
+)
+WORD = st.builds(
+    Word,
+    st.integers(1, 5),
+    st.integers(0, 3),
+    st.integers(0, 3),
+    st.integers(0, 65535),
+    st.integers(0, 2**32 - 1),
+    st.dictionaries(st.integers(0, 65535), ZONE, max_size=4),
+)
+ORDER = st.builds(
+    Order,
+    st.integers(0, 3),
+    st.sampled_from(Mode),
+    st.integers(0, 3),
+    st.integers(1, 4),
+    st.integers(0, 10**6).map(float),
+    st.text(max_size=6),
+    st.text(max_size=20),
+)
+
+
+@given(st.lists(WORD, max_size=6))
+def test_words_come_back_as_they_went(words: list[Word]) -> None:
+    data = pack_words(words, 200)
+    assert len(data) <= 200
+    got = read_words(data)
+    left = iter(words)
+    assert all(any(word == other for other in left) for word in got), "in their order"
+    assert got[:1] == words[:1]
+
+
+@given(st.lists(WORD, max_size=12), st.randoms())
+def test_words_merge_in_any_order_and_any_number_of_times(words: list[Word], draw: random.Random) -> None:
+    newest = dict[object, Word]()
+    for word in words:  # one stamp, one word: an instance never says two things under one version
+        newest.setdefault((word.member, word.stamp), word)
+    views = []
+    for _ in range(2):
+        told = [*newest.values(), *draw.sample(list(newest.values()), len(newest) // 2)]
+        draw.shuffle(told)
+        view = Words(5)
+        for word in told:
+            view.take(1.0, word)
+        views.append({member: heard.word for member, heard in view.heard.items()})
+    assert views[0] == views[1] and 5 not in views[0]
+
+
+@given(st.lists(ORDER, max_size=10), st.randoms())
+def test_orders_merge_alike_and_travel_whole(orders: list[Order], draw: random.Random) -> None:
+    unique = list({(o.zone, o.stamp): o for o in orders}.values())
+    digests = set()
+    for _ in range(3):
+        draw.shuffle(unique)
+        view = Orders(9)
+        for order in unique:
+            (got,) = read_orders(0.0, pack_orders(0.0, [order], 200))
+            assert got == order
+            view.take(got)
+        digests.add(view.digest())
+    assert len(digests) == 1
+
+
+@given(st.binary(max_size=220))
+@settings(max_examples=300)
+def test_bytes_that_make_no_sense_are_an_error_and_nothing_else(data: bytes) -> None:
+    for read in (read_words, read_loan, lambda d: read_orders(0.0, d)):
+        try:
+            read(data)
+        except WordError:
+            pass
+
+
+@pytest.mark.parametrize("cut", [1, 5, 20, -1])
+def test_a_word_cut_short_or_too_long_counts_for_nothing(cut: int) -> None:
+    data = pack_words([Word(1, 1, 1, 0, 0, {7: ZoneWord()})], 200)
+    with pytest.raises(WordError):
+        read_words(data[:cut] if cut > 0 else data + b"\0")
+
+
+def test_a_replayed_word_changes_nothing_and_a_forged_one_of_its_own_is_passed() -> None:
+    view = Words(1)
+    old, new = Word(2, 1, 5, 0, 0, {}), Word(2, 1, 6, 0, 0, {})
+    assert view.take(1.0, new) and not view.take(2.0, old) and not view.take(3.0, new)
+    assert view.fresh(100.0, 50.0, [2]) == [] and view.fresh(40.0, 50.0, [2]) == [new]
+    assert not view.take(4.0, Word(1, 1, 900, 0, 0, {})) and view.refuted == 900
+
+
+def test_orders_are_bounded_and_the_newest_on_a_zone_counts() -> None:
+    view = Orders(1)
+    first = view.give(zone_number("a"), Mode.LEAVE, 100.0, "x" * 90, "why" * 90)
+    assert view.on(50.0, first.zone) == first and view.on(100.0, first.zone) is None
+    assert len(first.who) == 24 and len(first.why) == 80
+    freed = view.give(first.zone, Mode.FREE, 100.0, "someone", "done")
+    assert view.on(50.0, first.zone) is None and not view.take(first) and freed.serial == 2
+    assert not any([view.take(Order(n, Mode.LEAVE, 9, 9, 1e9, "", "")) for n in range(100)][MOST_ORDERS:])
+
+
+@pytest.mark.parametrize("what", [Ask(7, 2**32 - 1, 65535), Grant(0, 0, 0)])
+def test_loans_travel(what: Ask | Grant) -> None:
+    assert read_loan(pack_loan(what)) == what
+
+
+def test_a_word_of_three_zones_is_small() -> None:
+    """The cost at rest is one such word a second to each of a few members."""
+    word = Word(2**63, 1, 1, 100, 0, {zone_number(z): ZoneWord() for z in "abc"})
+    assert len(pack_word(word)) == 44
--- /dev/null
+++ b/tests/fleet/test_zones.py
@@ -0,0 +1,311 @@
+"""The core of several instances in virtual time: zones fail, links are cut, words are lost, late and
+forged."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import pytest
+
+from cottonhold.discovery.model import Address
+from cottonhold.emulator.fleet import World
+from cottonhold.fleet.core import Bound, Fleet, FleetSettings
+from cottonhold.fleet.evidence import Verdict
+from cottonhold.fleet.orders import Mode
+from cottonhold.fleet.words import Vote, Word, ZoneWord, pack_words, zone_number
+from cottonhold.fleet.zones import Own, Phase, Zones, pool
+
+FAULT, MEND = 4000.0, 10_000.0
+SKEW = (1, 1, 1, 2, 3, 4, 2, 2)
+Fault = Callable[[World, bool], None]
+
+
+def set_zone(**fields: float) -> Fault:
+    """A fault of zone a's engines; taken back at the end."""
+
+    def fault(world: World, on: bool) -> None:
+        usual = {"dead": False, "slow": 1.0, "failing": 0.0, "silent_until": 0.0}
+        for engine in world.engines.values():
+            if engine.zone == "a":
+                for name, value in fields.items():
+                    setattr(engine, name, value if on else usual[name])
+                if not on and "dead" in fields:
+                    engine.busy_until, engine.cold_until = MEND, MEND + 3000.0
+
+    return fault
+
+
+def play(fault: Fault, end: float = 20_000.0, instances: int = 6, loss: float = 0.0, seed: int = 1) -> World:
+    """A fault at 4 s, mended at 10 s."""
+    world = World(seed, instances, 270.0, skew=lambda i: SKEW[i], loss=loss)
+    world.run(FAULT)
+    fault(world, True)
+    world.run(MEND)
+    fault(world, False)
+    world.run(end)
+    return world
+
+
+def left(world: World, zone: str = "a") -> dict[int, float]:
+    """When each instance first left a zone, in ms from the fault."""
+    return {
+        i: min(t for t, turn in node.turns if turn.zone == zone and turn.phase is Phase.OUT) - FAULT
+        for i, node in world.nodes.items()
+        if any(turn.zone == zone and turn.phase is Phase.OUT for _, turn in node.turns)
+    }
+
+
+FAULTS = {
+    "killed": (set_zone(dead=True), 1000.0),
+    "silent": (set_zone(silent_until=MEND), 1000.0),
+    "ten times slower": (set_zone(slow=10.0), 3000.0),
+    "three in ten fail": (set_zone(failing=0.3), 3000.0),
+}
+
+
+@pytest.mark.parametrize("name", FAULTS)
+@pytest.mark.parametrize("loss", [0.0, 0.3])
+def test_all_leave_in_time_and_return_at_a_pace(name: str, loss: float) -> None:
+    fault, within = FAULTS[name]
+    world = play(fault, loss=loss)
+    assert len(left(world)) == 6 and max(left(world).values()) <= within
+    assert world.share("a", FAULT + within, MEND) < 0.05
+    assert not left(world, "b") and not left(world, "c")
+    assert set(world.phases("a").values()) == {"in"}, "all are back"
+    fair = world.share("a", 1000.0, FAULT)
+    shares = [world.share("a", t, t + 1000) for t in range(int(MEND), 20_000, 500)]
+    assert max(shares) < 1.25 * fair and shares[0] < 0.5 * fair, "no herd in the first second"
+
+
+@pytest.mark.parametrize(
+    "cut, instances", [([5], 6), ([0, 1, 2, 3], 8)], ids=["one link", "half of the fleet"]
+)
+def test_those_that_are_cut_off_leave_alone_and_the_others_stay(cut: list[int], instances: int) -> None:
+    def fault(world: World, on: bool) -> None:
+        for i in cut:
+            world.nodes[i].cut = {"a"} if on else set()
+
+    world = play(fault, instances=instances)
+    assert set(left(world)) == set(cut)
+    assert set(world.phases("a").values()) == {"in"}
+
+
+def test_a_fleet_cut_in_halves_leaves_by_each_ones_own_evidence_and_meets_again() -> None:
+    def fault(world: World, on: bool) -> None:
+        set_zone(dead=True)(world, on)
+        world.network.cut = lambda a, b: on and (a.port <= 3) != (b.port <= 3)
+
+    world = play(fault, end=25_000.0)
+    assert len(left(world)) == 6 and set(world.phases("a").values()) == {"in"}
+    assert not any(n.fleet.zones.states["a"].fleet_out for n in world.nodes.values())
+
+
+def test_deaths_while_leaving_do_not_hold_the_others_up() -> None:
+    def fault(world: World, on: bool) -> None:
+        set_zone(slow=10.0)(world, on)
+        for i in (5, 4, 0) if on else ():
+            world.network.at(FAULT + 300.0, lambda i=i: world.kill(i))  # type: ignore[misc]
+
+    world = play(fault, instances=8)
+    assert set(left(world)) == {1, 2, 3, 6, 7} and max(left(world).values()) <= 4000.0
+    assert set(world.phases("a").values()) == {"in"}
+
+
+def test_one_that_stood_still_across_leaving_and_return_brings_no_herd() -> None:
+    def fault(world: World, on: bool) -> None:
+        set_zone(dead=True)(world, on)
+        if on:
+            world.network.stop(Address("fleet", 6), 5000.0)
+
+    world = play(fault)
+    sends = [t for t, zone, _, _ in world.log if zone == "a" and FAULT + 5600 < t < MEND]
+    assert len(sends) <= 12 and set(world.phases("a").values()) == {"in"}
+
+
+def test_all_zones_ill_at_once_is_the_fleets_own_load() -> None:
+    def fault(world: World, on: bool) -> None:
+        for engine in world.engines.values():
+            engine.slow = 4.0 if on else 1.0
+
+    assert not any(left(play(fault), zone) for zone in "abc")
+
+
+def test_two_ill_zones_are_left_and_the_third_is_not() -> None:
+    def fault(world: World, on: bool) -> None:
+        for engine in world.engines.values():
+            engine.dead = on and engine.zone in "ab"
+
+    world = play(fault, end=25_000.0)
+    assert len(left(world, "a")) == len(left(world, "b")) == 6 and not left(world, "c")
+
+
+def test_a_return_that_fails_again_is_held_out_longer() -> None:
+    def fault(world: World, on: bool) -> None:
+        set_zone(slow=10.0)(world, on)
+
+    world = play(fault, end=25_000.0)
+    for node in world.nodes.values():
+        outs = [t for t, turn in node.turns if turn.zone == "a" and turn.phase is Phase.OUT]
+        backs = [t for t, turn in node.turns if turn.zone == "a" and turn.phase is Phase.RETURN]
+        holds = [b - o for o, b in zip(outs, backs, strict=False)]
+        assert len(holds) >= 2 and holds[1] > 1.5 * holds[0]
+
+
+# --- one instance against scripted words ---
+
+
+def lone(count: int = 6, dispatchers: int = 6) -> Fleet:
+    fleet = Fleet(1, 1, 0.0, FleetSettings(dispatchers=dispatchers, probed=False), 1)
+    fleet.know({z: {f"{z}{i}": 1.0 for i in range(3)} for z in "abc"})
+    fleet.members(0.0, range(2, count + 1))
+    return fleet
+
+
+def word(member: int, version: int, vote: Vote = Vote.OUT, life: int = 1, **fields: bool) -> Word:
+    zone = ZoneWord(vote, 0, 0, 5, 0.0, sure=fields.get("sure", True))
+    return Word(member, life, version, 100, 0, {zone_number("a"): zone})
+
+
+def drive(fleet: Fleet, until: float, say: Callable[[float], list[Word]], start: float = 0.0) -> list[Bound]:
+    """Let others say words each 100 ms; the bounds that followed."""
+    bounds, now = list[Bound](), start
+    while now < until:
+        for told in say(now):
+            fleet.hear(now, told.member, pack_words([told], 200))
+        bounds += [a for a in fleet.step(now) if isinstance(a, Bound)]
+        now += 100.0
+    return bounds
+
+
+@pytest.mark.parametrize(
+    "say, moved",
+    [
+        (lambda t: [word(2, int(t))], False),  # one that lies, or has a bad link
+        (lambda t: [word(2, int(t), life=9), word(2, int(t), life=7)], False),  # two lives of one
+        (lambda t: [word(m, 1) for m in (2, 3, 4, 5)] if t == 0 or t > 2500 else [], True),
+        (lambda t: [word(m, 1) for m in (2, 3, 4, 5)] if t > 2500 else [], True),
+        (lambda t: [word(m, int(t)) for m in (2, 3)], False),  # a third, not more
+        (lambda t: [word(m, int(t), sure=False) for m in (2, 3)], False),
+        (lambda t: [word(m, int(t)) for m in (2, 3, 4)], True),
+        (lambda t: [word(m, int(t), Vote(int(t) // 100 % 2)) for m in (2, 3)], False),
+        (lambda t: [word(m, int(t)) for m in (90, 91, 92, 93, 94)], False),  # strangers
+    ],
+    ids=[
+        "liar",
+        "two lives",
+        "told once",
+        "told late",
+        "a third",
+        "joined",
+        "half",
+        "contradicting",
+        "strange",
+    ],
+)
+def test_whose_words_move_an_instance(say: Callable[[float], list[Word]], moved: bool) -> None:
+    fleet = lone()
+    drive(fleet, 4000.0, say)
+    assert (fleet.zones.states["a"].phase is Phase.OUT) is moved
+
+
+def test_replayed_words_of_another_day_move_nobody() -> None:
+    fleet, old = lone(), [pack_words([word(m, 5)], 200) for m in (2, 3, 4, 5)]
+    drive(fleet, 3000.0, lambda t: [word(m, 1000 + int(t), Vote.IN) for m in (2, 3, 4, 5)])
+    for data in old:
+        fleet.hear(3000.0, 2, data)
+    drive(fleet, 4000.0, lambda t: [], 3000.0)
+    assert fleet.zones.states["a"].phase is Phase.IN
+
+
+def test_half_of_a_fleet_that_lost_sight_of_the_other_is_no_majority_for_a_minute() -> None:
+    fleet = lone()
+    drive(fleet, 1000.0, lambda t: [word(m, int(t), Vote.IN) for m in (2, 3, 4, 5, 6)])
+    fleet.members(1000.0, [2, 3])
+    drive(fleet, 5000.0, lambda t: [word(m, int(t), sure=False) for m in (2, 3)], 1000.0)
+    assert not fleet.zones.states["a"].fleet_out
+    drive(fleet, 70_000.0, lambda t: [word(m, int(t), sure=False) for m in (2, 3)], 5000.0)
+    assert fleet.zones.states["a"].fleet_out, "the others are gone for good"
+
+
+def test_one_that_says_good_bye_counts_no_longer() -> None:
+    fleet = lone()
+    drive(fleet, 1000.0, lambda t: [word(m, int(t), Vote.IN) for m in (2, 3, 4, 5, 6)])
+    fleet.members(1000.0, [2, 3], left=[4, 5, 6])
+    drive(fleet, 3000.0, lambda t: [word(m, int(t)) for m in (2, 3)], 1000.0)
+    assert fleet.zones.states["a"].fleet_out
+
+
+def test_one_back_from_nothing_learns_that_a_zone_is_out_from_the_first_words() -> None:
+    fleet = lone()
+    bounds = drive(fleet, 300.0, lambda t: [word(m, int(t)) for m in (2, 3, 4, 5)])
+    assert bounds and bounds[-1].work == {"a0": 0.0, "a1": 0.0, "a2": 0.0}
+
+
+@pytest.mark.parametrize("mode, phase", [(Mode.LEAVE, Phase.OUT), (Mode.RETURN, Phase.IN)])
+def test_by_hand_goes_before_evidence_until_its_end_and_is_told_to_all(mode: Mode, phase: Phase) -> None:
+    fleet, other = lone(), Fleet(2, 1, 0.0, FleetSettings(dispatchers=6, probed=False), 2)
+    other.know(fleet.engines)
+    other.members(0.0, [1])
+    assert not fleet.order(0.0, "nowhere", mode, 1000.0, "me", "no such zone")
+    assert fleet.order(0.0, "a", mode, 5000.0, "someone", "a test")
+    said = []
+    for t in range(0, 20_000, 100):
+        if mode is Mode.RETURN:  # against evidence
+            for i in range(6):
+                fleet.sent(float(t), f"q{t}{i}", f"a{i % 3}", 0)
+                fleet.ended(float(t), f"q{t}{i}", False, 1.0)
+        for action in fleet.step(float(t)):
+            if getattr(action, "member", 0) == 2:
+                other.hear(float(t), 1, action.data)  # type: ignore[union-attr]
+        other.step(float(t))
+        said.append((t, fleet.zones.states["a"].phase, other.zones.states["a"].phase))
+    during = {phases for t, *phases_ in said if 500 < t < 4900 for phases in phases_}
+    assert during == {phase}
+    (row,) = [r for r in other.status(4000.0, {1: "n0"}) if r["zone"] == "a"]
+    assert row["order"]["who"] == "someone" and row["order"]["author"] == "n0"
+    if mode is Mode.LEAVE:
+        assert said[-1][1:] == (Phase.IN, Phase.IN), "it runs out"
+    else:
+        assert said[-1][1] is Phase.OUT, "evidence counts again"
+
+
+def test_a_zone_whose_load_the_others_cannot_carry_is_left_in_part_unless_it_serves_nothing() -> None:
+    for failing, wanted in ((0.4, True), (1.0, False)):
+        world = World(3, 6, 400.0)
+        world.run(FAULT)
+        for engine in world.engines.values():
+            engine.failing = failing if engine.zone == "a" else 0.0
+        world.run(FAULT + 2500.0)
+        share = world.share("a", FAULT + 1500.0, FAULT + 2500.0)
+        assert (share > 0.05) is wanted, (failing, share)
+
+
+def test_a_pool_of_signs_is_not_spoken_for_by_one() -> None:
+    (good, _, bad), accusers = pool([(0, 0, 250), (20, 0, 0), (20, 0, 1)])
+    assert accusers == 2 and bad < 0.4 * (good + bad)
+
+
+def test_a_pace_waits_for_the_lower_middle_of_all() -> None:
+    zones = Zones()
+    zones.know(["a"])
+    state = zones.states["a"]
+    state.phase, state.pace = Phase.RETURN, 0.8
+    told = [ZoneWord(Vote.IN, pace=p) for p in (0.1, 0.2, 1.0)]
+    assert zones.pace("a", told) == 0.2 and zones.pace("nowhere") == 1.0
+
+
+def test_quiet_time_wears_the_hold_off() -> None:
+    zones = Zones()
+    zones.know(["a"])
+    zones.states["a"].hold = 16_000.0
+    own = {"a": Own(Verdict.WELL, (10, 0, 0), False, True)}
+    for t in range(0, 200_000, 1000):
+        zones.step(float(t), own, {}, 1)
+    assert zones.states["a"].hold == zones.settings.hold
+
+
+def test_messages_that_make_no_sense_are_counted_and_change_nothing() -> None:
+    fleet = lone()
+    for data in (b"", b"\x01", b"\x01\xff", b"\x04\x01", b"\x02", b"\x09" * 200):
+        assert fleet.hear(1.0, 2, data) == []
+    assert fleet.counts["malformed"] == 6 and not fleet.words.heard
