Run the fleet's decisions on zones in serve: words, bounds, orders by hand, zone commands

Need: the pure core of fleet/ had no process that uses it. Change: node/fleet.py feeds it requests, attempts and probes, sends its words in membership's datagrams (kind FLEET), and gives its bounds to the module. The section fleet switches it on; the local socket takes calls, and cottonhold zone show|leave|return|free talks to it. peers.announce names where others reach an instance behind translated addresses. The platform's program loads nothing of it; its gateway has one hook, which is empty there.

--- a/cottonhold/cli/main.py
+++ b/cottonhold/cli/main.py
@@ -7,14 +7,14 @@
 from __future__ import annotations
 
 import json
-import socket
 import sys
 from pathlib import Path
-from typing import Annotated, Any
+from typing import Annotated
 
 import typer
 
-from cottonhold.cli import emulate
+from cottonhold.cli import emulate, zone
+from cottonhold.cli.local import JsonOption, SocketOption, ask, table
 
 app = typer.Typer(
     help="A dispatcher between clients and a fleet of query engines.",
@@ -23,6 +23,7 @@
     pretty_exceptions_enable=False,
 )
 app.add_typer(emulate.app, name="emulate")
+app.add_typer(zone.app, name="zone")
 FileArgument = Annotated[Path, typer.Argument(help="A Jsonnet template, or plain JSON.", metavar="FILE")]
 
 
@@ -77,53 +78,26 @@
     print(json.dumps(_hide(shown), indent=2, ensure_ascii=False))
 
 
-SocketOption = Annotated[Path, typer.Option("--socket", help="The instance's status_socket.")]
-JsonOption = Annotated[bool, typer.Option("--json", help="For scripts.")]
-
-
-def _ask(path: Path) -> dict[str, Any]:
-    """An instance's view from its local socket; code 1 where it can't be had."""
-    data = b""
-    try:
-        with socket.socket(socket.AF_UNIX, socket.SOCK_STREAM) as sock:
-            sock.settimeout(5)
-            sock.connect(str(path))
-            while part := sock.recv(65536):
-                data += part
-        view: dict[str, Any] = json.loads(data)
-    except (OSError, ValueError) as error:
-        print(f"{path}: {error}", file=sys.stderr)
-        raise typer.Exit(1) from None
-    return view
-
-
-def _table(rows: list[dict[str, Any]], columns: list[str]) -> None:
-    shown = [columns, *[[str("" if row[c] is None else row[c]) for c in columns] for row in rows]]
-    widths = [max(len(row[i]) for row in shown) for i in range(len(columns))]
-    for row in shown:
-        print("  ".join(text.ljust(width) for text, width in zip(row, widths, strict=True)).rstrip())
-
-
 @app.command()
 def members(path: SocketOption, as_json: JsonOption = False) -> None:
     """Print the other instances as a running one sees them."""
-    view = _ask(path)
+    view = ask(path)
     rows = view.get("members", [])
     if as_json:
         print(json.dumps({"name": view["name"], "members": rows}))
     else:
-        _table(rows, ["name", "address", "status", "incarnation", "since_ms"])
+        table(rows, ["name", "address", "status", "incarnation", "since_ms"])
 
 
 @app.command()
 def duties(path: SocketOption, as_json: JsonOption = False) -> None:
     """Print who holds which duty as a running instance sees it."""
-    view = _ask(path)
+    view = ask(path)
     rows = view.get("duties", [])
     if as_json:
         print(json.dumps({"name": view["name"], "duties": rows, "runs": view.get("runs", {})}))
     else:
-        _table(rows, ["duty", "subject", "holder", "done_ms_ago"])
+        table(rows, ["duty", "subject", "holder", "done_ms_ago"])
 
 
 def _hide(value: object) -> object:
--- a/cottonhold/config/contradictions.py
+++ b/cottonhold/config/contradictions.py
@@ -7,7 +7,8 @@
 import re
 from collections.abc import Callable, Iterable, Sequence
 
-from cottonhold.config.schema import Class, ConsulSource, File, Membership, Register
+from cottonhold.config.schema import Class, ConsulSource, File, Fleet, Membership, Peers, Register
+from cottonhold.fleet.words import MOST_ZONES, zone_number
 
 Path = tuple[str | int, ...]
 Report = Callable[[Path, str], None]
@@ -33,12 +34,20 @@
     if file.peers is not None:
         if len(file.peers.all) != file.dispatchers:
             report(("peers", "all"), f"names {len(file.peers.all)} of {file.dispatchers} dispatchers")
-        elif file.number < file.dispatchers and file.peers.all[file.number] != file.peers.listen:
-            report(("peers", "listen"), f"isn't peers.all[{file.number}], the address of this dispatcher")
+        elif file.number < file.dispatchers and file.peers.all[file.number] != announced(file.peers):
+            field = "announce" if file.peers.announce else "listen"
+            report(("peers", field), f"isn't peers.all[{file.number}], the address of this dispatcher")
     if file.register is not None:
         _check_register(file.register, report)
     if file.membership is not None:
         _check_membership(file.membership, file, report)
+    if file.fleet is not None:
+        _check_fleet(file.fleet, file, report)
+
+
+def announced(peers: Peers) -> str:
+    """Where the others reach this dispatcher."""
+    return peers.announce or peers.listen
 
 
 def _check_class(path: Path, kind: Class, file: File, report: Report) -> None:
@@ -76,6 +85,8 @@
             places.append((("sources", i, "address"), source.address))
     if file.peers is not None:
         places += [(("peers", "all", i), a) for i, a in enumerate(file.peers.all)]
+        if file.peers.announce and not re.fullmatch(r"[0-9.]+:[0-9]{1,5}", file.peers.announce):
+            report(("peers", "announce"), f"'{file.peers.announce}' is no IPv4 address and port")
     if file.register is not None:
         places.append((("register", "agent"), file.register.agent))
     for path, text in places:
@@ -115,8 +126,9 @@
     path: Path = ("membership",)
     if file.peers is None:
         report(path, "needs peers: its datagrams go to peers.listen and peers.all")
-    elif not re.fullmatch(r"[0-9.]+", file.peers.listen.rpartition(":")[0]):
-        report(("peers", "listen"), "must be an IPv4 address where membership is on: others are told of it")
+    elif not re.fullmatch(r"[0-9.]+:[0-9]+", announced(file.peers)):
+        field = "announce" if file.peers.announce else "listen"
+        report(("peers", field), "must be an IPv4 address where membership is on: others are told of it")
     if len(file.name.encode()) > 32:
         report(("name",), "is longer than the 32 bytes that a member's name may have")
     if 2 * membership.timeout_ms > membership.period_ms:
@@ -133,6 +145,22 @@
         report((*path, "voters"), "fewer than three voters bear no loss of one")
 
 
+def _check_fleet(fleet: Fleet, file: File, report: Report) -> None:
+    if file.membership is None:
+        report(("fleet",), "needs membership: its words travel in the same datagrams")
+    if len(file.zones) < 2:
+        report(("zones",), "names fewer than two: the fleet has nowhere to go")
+    if len(file.zones) > MOST_ZONES:
+        report(("zones",), f"names {len(file.zones)}; a datagram has room for {MOST_ZONES}")
+    numbers: dict[int, str] = {}
+    for i, zone in enumerate(file.zones):
+        other = numbers.setdefault(zone_number(zone), zone)
+        if other != zone:
+            report(("zones", i), f"'{zone}' has the number of '{other}' in datagrams: rename one")
+    if fleet.hold_most_ms < fleet.hold_ms:
+        report(("fleet", "hold_most_ms"), f"is shorter than hold_ms, {fleet.hold_ms:g}")
+
+
 def _check_register(register: Register, report: Report) -> None:
     _check_secret(("register",), register.token, register.token_file, report)
     if register.lag_ms >= register.ttl_ms:
--- a/cottonhold/config/installation.py
+++ b/cottonhold/config/installation.py
@@ -59,6 +59,7 @@
     registration_tls: schema.Tls | None
     keys: Keys
     secrets: tuple[str, ...]
+    announce: Address | None = None  # where the other instances reach this one, if not where it listens
 
 
 def read(path: Path) -> Installation:
@@ -141,6 +142,7 @@
         registration_tls=tls,
         keys=keys,
         secrets=tuple(sorted({token for token in tokens if token})),
+        announce=_address(peers.announce) if peers and peers.announce else None,
     )
 
 
--- a/cottonhold/config/schema.py
+++ b/cottonhold/config/schema.py
@@ -84,6 +84,7 @@
     """The other dispatchers of the tier; `all` holds one address each, this one's own included."""
 
     listen: Place
+    announce: str = ""  # where the others reach this one, if that isn't `listen` (translated addresses)
     all: Annotated[tuple[Place, ...], Meta(min_length=1)]
 
 
@@ -109,6 +110,17 @@
     voters: tuple[Name, ...] = ()  # whose majority leases what must not be doubled; empty: nothing is leased
 
 
+class Fleet(Section, frozen=True, kw_only=True):
+    """Leaving a failing zone as one fleet, and returning to it; needs membership."""
+
+    slow: Annotated[float, Meta(ge=1.5)] = 3.0  # times its usual time: such an attempt speaks against its zone
+    hold_ms: Positive = 2000.0  # a zone is left for so long at least: longer than a burst of losses
+    hold_most_ms: Positive = 30_000.0  # each failed return doubles the hold up to this
+    first_share: Annotated[float, Meta(gt=0, le=1)] = 0.03  # of its full load that a return begins with
+    step_ms: Annotated[float, Meta(ge=100)] = 250.0  # the share of a return may double so often
+    reserve: Annotated[float, Meta(gt=0, le=1)] = 0.95  # of the other zones' cores that leaving may plan with
+
+
 class Guard(Section, frozen=True, kw_only=True):
     """How far a source's word is trusted."""
 
@@ -219,6 +231,7 @@
     links: Links = Links()
     peers: Peers | None = None
     membership: Membership | None = None
+    fleet: Fleet | None = None
     status_socket: Annotated[str, Meta(max_length=100)] = ""  # where `members` and `duties` ask; empty: none
     sources: tuple[BusSource | ConsulSource, ...] = ()
     known: tuple[Known, ...] = ()
--- a/cottonhold/emulator/tier.py
+++ b/cottonhold/emulator/tier.py
@@ -17,6 +17,7 @@
 from typing import Any
 
 from cottonhold.emulator.engine import StandInEngine
+from cottonhold.node.status import ask
 
 PROBE_MS = 500
 ENGINES = 6
@@ -84,14 +85,7 @@
         self.loop.close()
 
     def view(self, i: int) -> dict[str, Any]:
-        data = b""
-        with socket.socket(socket.AF_UNIX) as sock:
-            sock.settimeout(5)
-            sock.connect(str(self.folder / f"n{i}.sock"))
-            while part := sock.recv(65536):
-                data += part
-        view: dict[str, Any] = json.loads(data)
-        return view
+        return ask(self.folder / f"n{i}.sock", {"call": "view"})
 
     def views(self) -> dict[int, dict[str, Any]]:
         return {i: self.view(i) for i in self.processes}
--- a/cottonhold/membership/codec.py
+++ b/cottonhold/membership/codec.py
@@ -54,6 +54,7 @@
     LEASE_GRANT = 9
     LEASE_DENY = 10
     DONE = 11  # a duty's subject was done; the sequence is the duty's own detail
+    FLEET = 12  # what fleet/ tells, as bytes of its own in place of updates
 
 
 class Status(IntEnum):
@@ -88,6 +89,7 @@
     sequence: int
     subject: int = 0
     updates: tuple[Update, ...] = ()
+    payload: bytes = b""  # of a FLEET message
 
 
 def member_id(name: str) -> int:
@@ -197,7 +199,7 @@
         return room(bool(self.keys.keys))
 
     def encode(self, message: Message, updates: bytes) -> bytes:
-        """A datagram, with its updates already in bytes."""
+        """A datagram, with its updates or what fleet/ tells already in bytes."""
         number = self.keys.sending if self.keys.keys else 0
         self.count = (self.count + 1) & 0xFFFFFFFF
         data = b"".join(
@@ -243,6 +245,8 @@
             raise CodecError("kind")
         if sender == self.sender or not sender:
             raise CodecError("sender")
+        if kind == Kind.FLEET:
+            return Message(Kind.FLEET, sender, sequence, subject, payload=data[HEAD.size + BODY.size :])
         reader, updates = _Reader(data[HEAD.size + BODY.size :]), []
         while reader.at < len(reader.data):
             updates.append(reader.update())
--- a/cottonhold/membership/instance.py
+++ b/cottonhold/membership/instance.py
@@ -27,7 +27,15 @@
     detail: int
 
 
-Action = Send | Changed | Run | Stop | Done
+@dataclass(slots=True, frozen=True)
+class Told:
+    """Bytes of another instance's fleet/."""
+
+    member: int
+    payload: bytes
+
+
+Action = Send | Changed | Run | Stop | Done | Told
 SETTLE_PERIODS = 3.0  # after the start: two tries to meet a seed, and the answers
 
 
@@ -92,6 +100,9 @@
     def _hear(self, now: float, message: Message) -> None:
         sender, number, term = message.sender, message.subject, message.sequence
         match message.kind:
+            case Kind.FLEET:
+                self.actions.append(Told(sender, message.payload))
+                return
             case Kind.LEASE_ASK | Kind.LEASE_RELEASE:
                 what: Ask | Word = Ask(number, term, message.kind is Kind.LEASE_RELEASE)
             case Kind.LEASE_GRANT | Kind.LEASE_DENY:
--- a/cottonhold/membership/swim.py
+++ b/cottonhold/membership/swim.py
@@ -387,6 +387,13 @@
         updates = self._take_updates(self.codec.room(), member)
         return Send(self.codec.encode(Message(kind, self.id, sequence, subject), updates), there.address)
 
+    def say_payload(self, payload: bytes, member: int) -> Send | None:
+        """Bytes of fleet/ to a member; None where its address isn't known or they are too long."""
+        there = self.members.get(member)
+        if there is None or len(payload) > self.codec.room():
+            return None
+        return Send(self.codec.encode(Message(Kind.FLEET, self.id, 0), payload), there.address)
+
     # --- updates ---
 
     def _apply(self, update: Update) -> None:
--- /dev/null
+++ b/cottonhold/node/fleet.py
@@ -0,0 +1,164 @@
+"""The rim of the fleet's decisions on zones: timers, words, bounds, orders by hand. Decides nothing."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable, Iterable, Mapping
+from typing import Any
+
+from cottonhold.config.installation import Installation
+from cottonhold.decide import interface as io
+from cottonhold.decide.interface import Outcome
+from cottonhold.fleet.core import Action, Bound, Fleet, FleetSettings, Say
+from cottonhold.fleet.evidence import EvidenceSettings
+from cottonhold.fleet.orders import Mode
+from cottonhold.fleet.zones import Turn, ZoneSettings
+from cottonhold.membership.codec import Status
+from cottonhold.membership.swim import Swim
+from cottonhold.node.clock import Clock, Timer
+from cottonhold.node.engines import Attempt
+from cottonhold.observe.counters import Counters
+
+# What an end says of the engine; one turned away, given up or never sent says nothing.
+SAYS = {
+    Outcome.OK: True,
+    Outcome.ERROR: False,
+    Outcome.TIMEOUT: False,
+    Outcome.CONNECT_FAILED: False,
+    Outcome.RESET: False,
+}
+MODES = {"leave": Mode.LEAVE, "return": Mode.RETURN, "free": Mode.FREE}
+LONGEST_MS = 7 * 86_400_000.0  # an order by hand that nobody remembers ends at last
+
+
+class OrderError(Exception):
+    """An order by hand that can't be taken, with what is wrong in it."""
+
+
+def make_fleet(installation: Installation, me: int, now: float) -> Fleet:
+    """The pure part for an installation that has a section `fleet`."""
+    file, section = installation.file, installation.file.fleet
+    assert section is not None and file.membership is not None
+    settings = FleetSettings(
+        dispatchers=file.dispatchers,
+        probed=file.permits.probes,
+        answers=max(3000.0, 2.5 * file.membership.probe_ms),
+        evidence=EvidenceSettings(slow=section.slow),
+        zones=ZoneSettings(
+            hold=section.hold_ms,
+            hold_most=section.hold_most_ms,
+            first=section.first_share,
+            step=section.step_ms,
+            reserve=section.reserve,
+        ),
+    )
+    # Danger: of two lives the later one has to count; a second is enough, since none starts twice in one.
+    return Fleet(me, int(time.time()), now, settings, installation.config.seed ^ time.time_ns() & 0xFFFFFFFF)
+
+
+class FleetRim:
+    """Runs a fleet core: feeds it what happens here, keeps its timer, carries out what it says."""
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        swim: Swim,
+        clock: Clock,
+        counters: Counters,
+        say: Callable[[int, bytes], None],
+        bound: Callable[[io.Bounds], None],
+        note: Callable[..., None],
+    ) -> None:
+        self.fleet, self.swim, self.clock, self.counters = fleet, swim, clock, counters
+        self.say, self.bound, self.note = say, bound, note
+        self.timer: Timer | None = None
+
+    def start(self) -> None:
+        """Begin; from now on it steps by its own timer."""
+        self._step()
+
+    # --- what happens here ---
+
+    def arrived(self, query_class: int) -> None:
+        """A request has come."""
+        self.fleet.arrived(self.clock.now(), query_class)
+
+    def sent(self, attempt: Attempt, query_class: int) -> None:
+        """An attempt has gone out."""
+        self.fleet.sent(self.clock.now(), _ref(attempt), attempt.engine, query_class)
+
+    def ended(self, attempt: Attempt, event: io.AttemptEnded) -> None:
+        """An attempt has ended."""
+        self.fleet.ended(self.clock.now(), _ref(attempt), SAYS.get(event.outcome), event.elapsed)
+
+    def probed(self, engine: str, outcome: Outcome) -> None:
+        """A probe has ended here, or a good one elsewhere."""
+        self.fleet.probed(self.clock.now(), engine, outcome is Outcome.OK)
+
+    def engines(self, zones: Mapping[str, Mapping[str, float]]) -> None:
+        """Exactly these zones with the cores of their engines are there."""
+        self.fleet.know(zones)
+
+    def told(self, member: int, payload: bytes) -> None:
+        """Bytes from another instance."""
+        self._carry_out(self.fleet.hear(self.clock.now(), member, payload))
+        self._arm()
+
+    def beside(self, processes: int) -> None:
+        """So many processes stand for this dispatcher now."""
+        self.fleet.parts.beside = processes
+
+    # --- by hand ---
+
+    def order(self, call: Mapping[str, Any]) -> dict[str, Any]:
+        """An order from this instance's socket. Raises OrderError."""
+        zone, mode = call.get("zone"), MODES.get(str(call.get("mode")))
+        last, who, why = call.get("for_ms"), call.get("who"), call.get("why")
+        if mode is None:
+            raise OrderError(f"mode {call.get('mode')!r} is none of {', '.join(MODES)}")
+        if not isinstance(last, int | float) or isinstance(last, bool) or not 0 < last <= LONGEST_MS:
+            raise OrderError("for_ms has to be a number above 0 and within a week")
+        if not isinstance(who, str) or not who or not isinstance(why, str) or not why:
+            raise OrderError("who and why have to be given")
+        if not isinstance(zone, str) or zone not in self.fleet.numbers:
+            raise OrderError(f"there is no zone {zone!r}; there are: {', '.join(sorted(self.fleet.numbers))}")
+        self.fleet.order(self.clock.now(), zone, mode, float(last), who, why)
+        self.counters.add("zone_orders")
+        self.note("zone_order", zone=zone, mode=mode.name.lower(), who=who, why=why, for_ms=round(last))
+        self._step()
+        return self.status()
+
+    def status(self) -> dict[str, Any]:
+        """What `cottonhold zone show` prints."""
+        names = {self.swim.id: self.swim.name, **{m.id: m.name for m in self.swim.members.values()}}
+        rows = self.fleet.status(self.clock.now(), names)
+        return {"zones": rows, "fleet_counts": dict(self.fleet.counts)}
+
+    # --- steps ---
+
+    def _step(self) -> None:
+        now = self.clock.now()
+        left = (m.id for m in self.swim.view() if m.status is Status.LEFT)
+        self.fleet.members(now, self.swim.live(), left)
+        self._carry_out(self.fleet.step(now))
+        self._arm()
+
+    def _arm(self) -> None:
+        if self.timer is not None:
+            self.timer.cancel()
+        self.timer = self.clock.call_in(max(self.fleet.next_at() - self.clock.now(), 0.0) + 0.5, self._step)
+
+    def _carry_out(self, actions: Iterable[Action]) -> None:
+        for action in actions:
+            match action:
+                case Say(member, data):
+                    self.say(member, data)
+                case Bound(work, until):
+                    self.bound(io.Bounds(work, until))
+                case Turn(zone, phase, why):
+                    self.counters.add(f"zones_{phase.value}")
+                    self.note("zone", zone=zone, phase=phase.value, why=why)
+
+
+def _ref(attempt: Attempt) -> str:
+    return f"{attempt.query}/{attempt.number}"
--- a/cottonhold/node/gateway.py
+++ b/cottonhold/node/gateway.py
@@ -30,6 +30,19 @@
 HeardProbe = Callable[[str, Outcome, dict[str, float]], None]
 
 
+class Watch(Protocol):
+    """Who is told of requests and attempts as they come and end; it decides nothing about them."""
+
+    def arrived(self, query_class: int) -> None:
+        """A request has come."""
+
+    def sent(self, attempt: Attempt, query_class: int) -> None:
+        """An attempt has gone out."""
+
+    def ended(self, attempt: Attempt, event: io.AttemptEnded) -> None:
+        """An attempt has ended."""
+
+
 class Client(Protocol):
     """The way back to the client of one request; called once at most."""
 
@@ -98,6 +111,7 @@
         self.open = 0
         self.tell: Callable[[io.Tell], None] = lambda tell: None
         self.heard_probe: HeardProbe = lambda engine, outcome, report: None
+        self.watch: Watch | None = None
         engines.listener = self
 
     def retune(self, settings: io.Settings) -> None:
@@ -128,6 +142,8 @@
         request = self.requests[taken.ref] = Request(taken, due, client)
         self.open += 1
         self.counters.add("requests_taken")
+        if self.watch is not None:
+            self.watch.arrived(taken.query_class)
         self.push(
             io.Arrival(
                 taken.ref,
@@ -150,6 +166,8 @@
 
     def attempt_ended(self, attempt: Attempt, event: io.AttemptEnded) -> None:
         """The engines tell of an attempt's end; a served one answers the client at once."""
+        if self.watch is not None:
+            self.watch.ended(attempt, event)
         request = self.requests.get(attempt.query)
         if request is None:
             return
@@ -231,9 +249,13 @@
             action.query, number, action.engine, taken.service, taken.body, request.priority, now, until
         )
         request.attempt = attempt
+        if self.watch is not None:
+            self.watch.sent(attempt, taken.query_class)
         if not self.engines.send(attempt):
             request.attempt = None
             never = io.AttemptEnded(action.query, number, action.engine, Outcome.CONNECT_FAILED, 0.0)
+            if self.watch is not None:  # nothing was tried: it says nothing of the engine
+                self.watch.ended(attempt, dataclasses.replace(never, outcome=Outcome.MOOT))
             self._report(request, never)
 
     def _terms(self, action: io.Terms) -> None:
--- a/cottonhold/node/installation.py
+++ b/cottonhold/node/installation.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import sys
-from collections.abc import Awaitable, Iterable
+from collections.abc import Awaitable, Iterable, Mapping
 from pathlib import Path
 from typing import Any
 
@@ -21,6 +21,7 @@
 from cottonhold.discovery.model import Address, Change, Event, Publish
 from cottonhold.node import consul, status
 from cottonhold.node.dispatcher import Dispatcher, run_program
+from cottonhold.node.fleet import FleetRim, OrderError, make_fleet
 from cottonhold.node.http import Tls
 from cottonhold.node.membership import MembershipRim, make_instance
 from cottonhold.observe.counters import Counters
@@ -50,6 +51,7 @@
         self.watches: dict[str, tuple[Watched, Watch, asyncio.Task[None]]] = {}
         self.entry: consul.Entry | None = None
         self.membership: MembershipRim | None = None
+        self.fleet: FleetRim | None = None
         if installation.file.membership is not None:
             self._join()
 
@@ -62,17 +64,53 @@
             self.counters,
             self.driver.tell,
             self.engines.probe,
-            lambda engine, report: gateway.push(io.Probed(engine, io.Outcome.OK, report)),
+            self._learned,
             self.log.note,
         )
-        gateway.heard_probe = rim.probed
+        gateway.heard_probe = self._heard_probe
+        if self.installation.file.fleet is not None:
+            swim = rim.instance.swim
+            core = make_fleet(self.installation, swim.id, clock.now())
+            self.fleet = FleetRim(core, swim, clock, self.counters, rim.say, gateway.push, self.log.note)
+            rim.told, gateway.watch = self.fleet.told, self.fleet
+
+    def _learned(self, engine: str, report: dict[str, float]) -> None:
+        """Another instance's probe had a good end."""
+        self.gateway.push(io.Probed(engine, io.Outcome.OK, report))
+        if self.fleet is not None:
+            self.fleet.probed(engine, io.Outcome.OK)
+
+    def _heard_probe(self, engine: str, outcome: io.Outcome, report: dict[str, float]) -> None:
+        """A probe of this instance has ended."""
+        if self.membership is not None:
+            self.membership.probed(engine, outcome, report)
+        if self.fleet is not None:
+            self.fleet.probed(engine, outcome)
+
+    def retune(self) -> None:
+        """As the dispatcher does; the parts of budgets follow as well."""
+        super().retune()
+        if self.fleet is not None:
+            self.fleet.beside(1 + self.beside)
 
     def publish(self, change: Change) -> None:
         """Engines in service are also what the duty of probing is about."""
         super().publish(change)
         if self.membership is not None:
             places = self.engines.places.items()
-            self.membership.engines(id for id, p in places if p.info.state is io.EngineState.LIVE)
+            live = {id: p.info for id, p in places if p.info.state is io.EngineState.LIVE}
+            self.membership.engines(live)
+            if self.fleet is not None:
+                self.fleet.engines(self._by_zone(live))
+
+    def _by_zone(self, live: Mapping[str, io.Engine]) -> dict[str, dict[str, float]]:
+        """Engines by the name of their zone, with the cores of each."""
+        zones, models = self.installation.file.zones, self.config.settings.models
+        found: dict[str, dict[str, float]] = {}
+        for id, info in live.items():
+            cores = models[info.model].cores if info.model < len(models) else 0
+            found.setdefault(zones[info.zone], {})[id] = float(cores) or max(info.size, 1.0)
+        return found
 
     def hear_others(self, data: bytes, sender: Address) -> bool:
         """Membership's datagrams begin with a byte of their own."""
@@ -101,14 +139,26 @@
             self.driver.spawn(self.entry.keep())
         if self.membership is not None:
             self.membership.start()
+        if self.fleet is not None:
+            self.fleet.start()
         if self.installation.file.status_socket:
             path = self.path.parent / self.installation.file.status_socket
-            self.driver.spawn(status.serve(self.driver, status.listen(path), self._status))
+            self.driver.spawn(status.serve(self.driver, status.listen(path), self._answer))
         self.driver.loop.call_later(FIRST_ANSWER_S, self._report_silence)
 
-    def _status(self) -> dict[str, Any]:
-        """What `cottonhold members` and `duties` show."""
-        return self.membership.status() if self.membership is not None else {"name": self.config.name}
+    def _answer(self, call: dict[str, Any]) -> dict[str, Any]:
+        """A call at the local socket: what `cottonhold members`, `duties` and `zone` ask."""
+        view = self.membership.status() if self.membership is not None else {"name": self.config.name}
+        if call.get("call") == "order":
+            if self.fleet is None:
+                return {"error": "this instance has no section 'fleet'"}
+            try:
+                return view | self.fleet.order(call)
+            except OrderError as error:
+                return {"error": str(error)}
+        if call.get("call") != "view":
+            return {"error": f"there is no call {call.get('call')!r}"}
+        return view | (self.fleet.status() if self.fleet is not None else {})
 
     def believe_known(self) -> None:
         """The list from the file stands for the answer that no source has given yet."""
--- a/cottonhold/node/membership.py
+++ b/cottonhold/node/membership.py
@@ -11,7 +11,7 @@
 from cottonhold.discovery.model import Address
 from cottonhold.membership.codec import MAGIC, member_id
 from cottonhold.membership.duties import Duties, Duty, Run, Stop
-from cottonhold.membership.instance import Action, Done, Instance
+from cottonhold.membership.instance import Action, Done, Instance, Told
 from cottonhold.membership.leases import LeaseSettings
 from cottonhold.membership.swim import Changed, Datagram, Send, Swim, SwimSettings
 from cottonhold.node.clock import Clock, Timer
@@ -48,7 +48,7 @@
     life = time.time_ns()
     swim = Swim(
         file.name,
-        config.peer_listen,
+        installation.announce or config.peer_listen,
         settings,
         config.seed ^ (life & 0xFFFFFFFF),
         max(int(now), 1),
@@ -82,6 +82,7 @@
     ) -> None:
         self.instance, self.clock, self.counters = instance, clock, counters
         self.send, self.probe, self.learned, self.note = send, probe, learned, note
+        self.told: Callable[[int, bytes], None] = lambda member, payload: None
         self.came: list[Datagram] = []
         self.timer: Timer | None = None
         self.stepping = False
@@ -117,6 +118,11 @@
             self._carry_out(self.instance.done(self.clock.now(), run, detail))
             self._arm()
 
+    def say(self, member: int, payload: bytes) -> None:
+        """Bytes of fleet/ to a member."""
+        if (send := self.instance.swim.say_payload(payload, member)) is not None:
+            self.send(send.data, send.address)
+
     def leave(self) -> None:
         """Say good-bye."""
         self._carry_out(self.instance.leave(self.clock.now()))
@@ -179,6 +185,8 @@
                     self._run(action)
                 case Stop(_, subject, _):
                     self.probing.pop(subject, None)
+                case Told(member, payload):
+                    self.told(member, payload)
                 case Done(duty, subject, _, detail):
                     if duty == PROBE:
                         self.learned(subject, unpack_report(detail))
