--- a/cottonhold/cli/main.py
+++ b/cottonhold/cli/main.py
@@ -13,7 +13,7 @@
 
 import typer
 
-from cottonhold.cli import emulate, zone
+from cottonhold.cli import emulate, trial, zone
 from cottonhold.cli.local import JsonOption, SocketOption, ask, table
 
 app = typer.Typer(
@@ -24,6 +24,7 @@
 )
 app.add_typer(emulate.app, name="emulate")
 app.add_typer(zone.app, name="zone")
+app.add_typer(trial.app, name="trial")
 FileArgument = Annotated[Path, typer.Argument(help="A Jsonnet template, or plain JSON.", metavar="FILE")]
 
 
--- a/cottonhold/config/schema.py
+++ b/cottonhold/config/schema.py
@@ -113,7 +113,7 @@
 class Fleet(Section, frozen=True, kw_only=True):
     """Leaving a failing zone as one fleet, and returning to it; needs membership."""
 
-    slow: Annotated[float, Meta(ge=1.5)] = 3.0  # times its usual time: such an attempt speaks against its zone
+    slow: Annotated[float, Meta(ge=1.5)] = 3.0  # times its usual time: it speaks against its zone
     hold_ms: Positive = 2000.0  # a zone is left for so long at least: longer than a burst of losses
     hold_most_ms: Positive = 30_000.0  # each failed return doubles the hold up to this
     first_share: Annotated[float, Meta(gt=0, le=1)] = 0.03  # of its full load that a return begins with
--- /dev/null
+++ b/cottonhold/emulator/rig/__init__.py
@@ -0,0 +1,3 @@
+"""Processes of the program, engines and clients with scripted faults between them, and a judge from
+outside.
+"""
--- /dev/null
+++ b/cottonhold/emulator/rig/clients.py
@@ -0,0 +1,208 @@
+"""Clients as a process: open-loop arrivals in the MySQL protocol, retries, a front that notices late, a
+ledger.
+
+    python -m cottonhold.emulator.rig.clients '{"ports": [...], "rate": 270, ...}'
+
+The ledger has one JSON array a line: [seconds (monotonic), what, reference, more].
+"""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import json
+import random
+import re
+import sys
+import time
+from dataclasses import dataclass, field
+from io import TextIOWrapper
+from typing import Any
+
+LOGIN = (0x8208).to_bytes(4, "little") + bytes(28) + b"app\0\0dw\0"
+COOLDOWN = re.compile(r"cooldown=(\d+)")
+MOST_IDLE, IDLE_S = 64, 2.0  # an instance closes idle connections after 5 s: a request must not cross that
+LATE_S = 0.5  # an answer so long after the client's time is still an answer, later none
+
+
+@dataclass(slots=True)
+class Kind:
+    """A class of requests: its share of all, patience and work in ms, and whether it writes."""
+
+    name: str
+    share: float
+    patience: float
+    effort: float
+    load: bool = False
+
+
+@dataclass(slots=True)
+class Manner:
+    """How clients behave. tries: at most. wait: ms before the next try. honours: share of clients that stay
+    away as long as advised. notice: ms until the front stops leading clients to an instance that is gone."""
+
+    tries: int = 1
+    wait: float = 200.0
+    honours: float = 1.0
+    notice: float = 1000.0
+
+
+@dataclass(slots=True)
+class Load:
+    """All of it. steps: (seconds from the start, times the rate) that hold from then on."""
+
+    ports: list[int]
+    rate: float
+    seconds: float
+    kinds: list[Kind]
+    weights: list[float]
+    ledger: str
+    seed: int
+    manner: Manner = field(default_factory=Manner)
+    steps: list[tuple[float, float]] = field(default_factory=list)
+
+
+class Session:
+    """One connection to an instance."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.reader, self.writer, self.used_at = reader, writer, 0.0
+
+    @classmethod
+    async def open(cls, port: int) -> Session:
+        """A session that is logged in. Raises OSError and IncompleteReadError."""
+        session = cls(*await asyncio.open_connection("127.0.0.1", port))
+        await session._read()
+        session._write(1, LOGIN)
+        await session._read()
+        return session
+
+    def _write(self, sequence: int, body: bytes) -> None:
+        self.writer.write(len(body).to_bytes(3, "little") + bytes([sequence]) + body)
+
+    async def _read(self) -> bytes:
+        head = await self.reader.readexactly(4)
+        return await self.reader.readexactly(int.from_bytes(head[:3], "little"))
+
+    async def query(self, sql: str) -> tuple[str, str]:
+        """served with the first cell, or refused or failed with the text."""
+        self._write(0, b"\x03" + sql.encode())
+        ends, rows = 0, []
+        while ends < 2:
+            body = await self._read()
+            if body[:1] == b"\xff":
+                number = int.from_bytes(body[1:3], "little")
+                return "refused" if number == 1226 else "failed", body[9:].decode("utf-8", "replace")
+            if body[:1] == b"\xfe" and len(body) < 9:
+                ends += 1
+            elif ends == 1:
+                rows.append(body)
+        return "served", rows[0][1 : 1 + rows[0][0]].decode() if rows else ""
+
+
+class Clients:
+    """All clients of a run."""
+
+    def __init__(self, load: Load, ledger: TextIOWrapper) -> None:
+        self.load, self.ledger, self.draw = load, ledger, random.Random(load.seed)
+        self.idle: dict[int, list[Session]] = {i: [] for i in range(len(load.ports))}
+        self.failed_at: dict[int, float] = {}
+        self.refs, self.keys = itertools.count(1), itertools.count(1)
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    def note(self, what: str, ref: str, *more: object) -> None:
+        """A line of the ledger."""
+        self.ledger.write(json.dumps([round(time.monotonic(), 6), what, ref, *more]) + "\n")
+
+    async def run(self) -> None:
+        """Requests come as they come, whatever becomes of those before."""
+        begun, at = time.monotonic(), 0.0
+        while at < self.load.seconds:
+            times = [n for since, n in self.load.steps if at >= since]
+            at += self.draw.expovariate(self.load.rate * (times[-1] if times else 1.0))
+            await asyncio.sleep(max(begun + at - time.monotonic(), 0))
+            task = asyncio.create_task(self._request())
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+        if self.tasks:
+            await asyncio.wait(self.tasks, timeout=max(k.patience for k in self.load.kinds) / 1000 + 2)
+
+    async def _request(self) -> None:
+        kind = self.draw.choices(self.load.kinds, [k.share for k in self.load.kinds])[0]
+        client = next(self.keys)
+        honours = self.draw.random() < self.load.manner.honours
+        until, tries = time.monotonic() + kind.patience / 1000, self.load.manner.tries
+        for n in range(tries):
+            left = (until - time.monotonic()) * 1000
+            if left < 20:
+                return
+            word, text = await self._try(kind, client, n, left)
+            if word not in ("refused", "unreached"):
+                return
+            advised = COOLDOWN.search(text)
+            wait = float(advised[1]) if advised and honours else self.load.manner.wait
+            await asyncio.sleep(wait * (0.75 + 0.5 * self.draw.random()) / 1000)
+
+    def _instance(self) -> int:
+        """By weight, among those that the front believes to be there."""
+        now, notice = time.monotonic(), self.load.manner.notice / 1000
+        weights = [
+            0.0 if now - self.failed_at.get(i, now) > notice else weight
+            for i, weight in enumerate(self.load.weights)
+        ]
+        return self.draw.choices(range(len(weights)), weights if sum(weights) else self.load.weights)[0]
+
+    def _idle(self, i: int) -> Session | None:
+        while self.idle[i]:
+            session = self.idle[i].pop()
+            if time.monotonic() - session.used_at < IDLE_S:
+                return session
+            session.writer.close()
+        return None
+
+    async def _try(self, kind: Kind, client: int, n: int, left: float) -> tuple[str, str]:
+        i, ref = self._instance(), f"{self.load.seed & 0xFFFF:04x}{next(self.refs):012x}"
+        fields = f"service={kind.name},ref={ref},allow={left:.0f},effort={kind.effort:g}"
+        fields += ",dup=1" if n else ""
+        body = f"SELECT a FROM sales_{client % 7}.t"
+        if kind.load:
+            fields += f",lookup=k{client % 50}"
+            body = f"INSERT INTO sales_{client % 7}.t VALUES ('k{client % 50}', {client})"
+        self.note("ask", ref, kind.name, i, n, client, round(left))
+        word, text = "unreached", ""
+        try:
+            async with asyncio.timeout(left / 1000 + LATE_S):
+                session = self._idle(i) or await Session.open(self.load.ports[i])
+                try:
+                    word, text = await session.query(f"/* {fields} */ {body}")
+                    session.used_at = time.monotonic()
+                    if len(self.idle[i]) < MOST_IDLE:
+                        self.idle[i].append(session)
+                    else:
+                        session.writer.close()
+                except BaseException:
+                    word = "broken"  # it was sent, and nothing came
+                    session.writer.close()
+                    raise
+            self.failed_at.pop(i, None)
+        except TimeoutError:
+            word = "nothing" if word == "broken" else "unreached"
+            self.failed_at.setdefault(i, time.monotonic())
+        except (OSError, asyncio.IncompleteReadError):
+            self.failed_at.setdefault(i, time.monotonic())
+            asyncio.get_running_loop().call_later(3.0, self.failed_at.pop, i, None)  # it looks again
+        self.note(word, ref, text[:80])
+        return word, text
+
+
+async def main(settings: dict[str, Any]) -> None:
+    """Run a load to its end."""
+    kinds = [Kind(**k) for k in settings.pop("kinds")]
+    load = Load(kinds=kinds, manner=Manner(**settings.pop("manner", {})), **settings)
+    with open(load.ledger, "a", buffering=1) as ledger:
+        print("ready", flush=True)
+        await Clients(load, ledger).run()
+
+
+if __name__ == "__main__":
+    asyncio.run(main(json.loads(sys.argv[1])))
--- /dev/null
+++ b/cottonhold/emulator/rig/days.py
@@ -0,0 +1,151 @@
+"""The days of trials, by name. All play the load that the operators measured: six instances, nine engines in
+three zones, 270 requests a second, two classes worth 1 and 6.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+from cottonhold.emulator.rig.clients import Manner
+from cottonhold.emulator.rig.script import Day, Fault
+
+OUT, BACK = 5.0, 13.0
+
+
+def zone_day(name: str, about: str, *faults: Fault, **fields: Any) -> Day:
+    """A day on which zone a fails at 5 s and is well again at 13 s."""
+    return Day(name=name, about=about, out=OUT, back=BACK, faults=faults, **({"seconds": 24.0} | fields))
+
+
+def killed(target: str = "a") -> tuple[Fault, Fault]:
+    """Engines killed, and started again from nothing."""
+    return Fault(OUT, "kill", target), Fault(BACK, "start", target)
+
+
+SLOW = (Fault(OUT, "traits", "a", words={"slow": 10}), Fault(BACK, "traits", "a", words={"slow": 1}))
+CUT = {"cut": True}
+HEAL = {"heal": True}
+
+DAYS = [
+    Day(name="calm", about="nothing fails", seconds=12.0),
+    zone_day("zone-killed", "a zone is killed and returns cold", *killed()),
+    zone_day("zone-silent", "a zone stalls and goes on", Fault(OUT, "stop", "a"), Fault(BACK, "go", "a")),
+    zone_day("zone-slow", "a zone is ten times slower", *SLOW),
+    zone_day(
+        "zone-failing",
+        "a zone fails three in ten",
+        Fault(OUT, "traits", "a", words={"failing": 0.3}),
+        Fault(BACK, "traits", "a", words={"failing": 0.0}),
+    ),
+    zone_day(
+        "zone-flapping",
+        "a zone stalls and goes on each three seconds",
+        *(Fault(OUT + 3 * i, "go" if i % 2 else "stop", "a") for i in range(4)),
+        seconds=30.0,
+    ),
+    zone_day(
+        "returns-and-falls",
+        "a killed zone falls again a second after its return",
+        *killed(),
+        Fault(BACK + 1.5, "kill", "a"),
+        Fault(BACK + 4.0, "start", "a"),
+        seconds=32.0,
+    ),
+    zone_day(
+        "one-link",
+        "one instance's way to a zone is cut",
+        Fault(OUT, "link", "n5", "a", CUT),
+        Fault(BACK, "link", "n5", "a", HEAL),
+    ),
+    zone_day(
+        "half-cut",
+        "a zone is cut from one half of the fleet",
+        Fault(OUT, "link", "n0-2", "a", CUT),
+        Fault(BACK, "link", "n0-2", "a", HEAL),
+    ),
+    zone_day(
+        "lossy-words",
+        "30% of datagrams are lost, and a zone slows",
+        Fault(0.0, "peers", "*", "*", {"loss": 0.3}),
+        *SLOW,
+    ),
+    zone_day(
+        "late-words",
+        "datagrams take a second, and a zone slows",
+        Fault(3.0, "peers", "*", "*", {"delay": 1000}),
+        *SLOW,
+    ),
+    zone_day(
+        "two-halves",
+        "datagrams are cut between two halves, and a zone is killed",
+        Fault(OUT - 1.0, "peers", "n0-2", "n3-5", CUT),
+        *killed(),
+        Fault(BACK + 3.0, "peers", "n0-2", "n3-5", HEAL),
+    ),
+    zone_day(
+        "three-of-eight",
+        "three of eight instances are killed while a zone is left",
+        *SLOW,
+        *(Fault(OUT + 0.4, "kill", f"n{i}") for i in (0, 3, 5)),
+        instances=8,
+    ),
+    zone_day(
+        "one-stands-still",
+        "one instance is stopped for 5 s across leaving, and again across the return",
+        *SLOW,
+        Fault(OUT + 0.2, "stop", "n4"),
+        Fault(OUT + 5.2, "go", "n4"),
+        Fault(BACK - 0.5, "stop", "n5"),
+        Fault(BACK + 4.5, "go", "n5"),
+    ),
+    zone_day(
+        "forged",
+        "one instance's words are forged",
+        Fault(OUT, "forge", "n2", words={"zone": "a"}),
+        seconds=14.0,
+    ),
+    zone_day(
+        "replayed",
+        "words of a slow zone are sent again when it is long well",
+        *SLOW,
+        *(Fault(20.0 + i, "replay") for i in range(3)),
+        seconds=26.0,
+    ),
+    zone_day("too-small", "the zones that remain can't carry all", *killed(), rate=400.0),
+    zone_day(
+        "storm",
+        "two of three zones are killed at 380 a second, and clients come again",
+        *killed("a"),
+        *killed("b"),
+        rate=380.0,
+        manner=Manner(tries=3),
+        seconds=30.0,
+    ),
+    zone_day(
+        "by-hand",
+        "a zone is left by hand, and the instance that took the order dies",
+        Fault(OUT, "order", "n1", words={"zone": "a", "mode": "leave"}),
+        Fault(OUT + 2.0, "kill", "n1"),
+        Fault(BACK, "order", "n2", words={"zone": "a", "mode": "free"}),
+    ),
+]
+BY_NAME = {day.name: day for day in DAYS}
+SHORT = ("zone-killed", "zone-slow", "one-link")
+
+
+def without_fleet(day: Day) -> Day:
+    """The same day with the section `fleet` off, for comparison."""
+    return msgspec.structs.replace(day, fleet=False)
+
+
+def shorter(day: Day, times: float) -> Day:
+    """The same day with its time pressed together, for tests that assert no times."""
+    faults = tuple(msgspec.structs.replace(f, at=f.at * times) for f in day.faults)
+    return msgspec.structs.replace(
+        day, seconds=day.seconds * times, out=day.out * times, back=day.back * times, faults=faults
+    )
+
+
+__all__ = ["BY_NAME", "DAYS", "SHORT", "shorter", "without_fleet"]
--- /dev/null
+++ b/cottonhold/emulator/rig/engine.py
@@ -0,0 +1,198 @@
+"""An engine as a process: servers and a line, a cold start, faults by lines on standard input, a ledger.
+
+    python -m cottonhold.emulator.rig.engine '{"id": "a0", "port": 0, "ledger": "a0.jsonl", ...}'
+
+Standard output says where it listens. A line on standard input is a JSON object of fields to change. The
+ledger has one JSON array a line: [seconds (monotonic), what, reference, more].
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+import re
+import sys
+import time
+from collections import deque
+from dataclasses import dataclass, field
+from io import TextIOWrapper
+from typing import Any
+
+from cottonhold.node.resp import RespError, RespReader, encode
+
+KEY = re.compile(rb"'(k\d+)', (\d+)")
+
+
+@dataclass(slots=True)
+class Traits:
+    """What an engine is, and what is wrong with it. Times in ms; work of a class is a multiple of `work`.
+
+    cold, warm: how many times slower a started process is at first, and how long until it is not. tip: work
+    in ms that may come within `tip_window` while it is cold, else it falls over for good; 0: it never does.
+    """
+
+    work: float = 20.0
+    spread: float = 0.4
+    servers: int = 1
+    line: int = 100
+    cold: float = 3.0
+    warm: float = 3000.0
+    tip: float = 0.0
+    tip_window: float = 1000.0
+    slow: float = 1.0
+    failing: float = 0.0
+    classes: dict[str, float] = field(default_factory=dict)
+
+
+@dataclass(slots=True, eq=False)
+class Job:
+    """A request that runs or waits."""
+
+    ref: bytes
+    kind: str
+    writer: asyncio.StreamWriter
+    work: float
+    timer: asyncio.TimerHandle | None = None
+
+
+class RigEngine:
+    """One engine."""
+
+    def __init__(self, id: str, ledger: TextIOWrapper, traits: Traits, seed: int) -> None:
+        self.id, self.ledger, self.traits = id, ledger, traits
+        self.draw, self.started = random.Random(seed), time.monotonic()
+        self.running: dict[tuple[int, bytes], Job] = {}
+        self.waiting: deque[Job] = deque()
+        self.came: deque[tuple[float, float]] = deque()
+        self.tipped = False
+
+    def note(self, what: str, ref: bytes = b"", *more: object) -> None:
+        """A line of the ledger."""
+        self.ledger.write(json.dumps([round(time.monotonic(), 6), what, ref.decode(), *more]) + "\n")
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """One connection."""
+        words = RespReader()
+        try:
+            while data := await reader.read(65536):
+                for request in words.feed(data):
+                    self._take(request, writer)
+                while words.partial() and (more := words.feed(b"")):
+                    for request in more:
+                        self._take(request, writer)
+        except (OSError, RespError):
+            pass
+        finally:
+            for job in [j for j in (*self.running.values(), *self.waiting) if j.writer is writer]:
+                self._give_up(job, "broke")
+            writer.close()
+
+    def _take(self, words: list[bytes], writer: asyncio.StreamWriter) -> None:
+        verb, ref = words[0], words[1]
+        if verb == b"GET":
+            self._get(ref, words, writer)
+        elif verb in (b"PING", b"LOAD"):
+            self.note("probe", ref)
+            if not self.tipped:
+                writer.write(encode(ref, b"green", self._gauges(), b""))
+        elif verb in (b"DROP", b"CLOSE"):
+            job = self.running.get((id(writer), ref))
+            job = job or next((j for j in self.waiting if j.ref == ref and j.writer is writer), None)
+            if job is not None:
+                self._give_up(job, "drop")
+
+    def _get(self, ref: bytes, words: list[bytes], writer: asyncio.StreamWriter) -> None:
+        fields = dict(part.split(b"=", 1) for part in words[2].split(b","))
+        kind, t = fields[b"kind"].decode(), self.traits
+        key = KEY.search(words[3])
+        work = t.work * t.classes.get(kind, 1.0) * self.draw.lognormvariate(-(t.spread**2) / 2, t.spread)
+        self.note("get", ref, kind, key[1].decode() if key else "", int(key[2]) if key else 0, round(work, 2))
+        if self._pushed_over(work):
+            return
+        if self.draw.random() < t.failing:
+            self.note("crashed", ref)
+            writer.write(encode(ref, b"crashed", self._gauges(), b""))
+        elif len(self.running) >= t.servers and len(self.waiting) >= t.line:
+            self.note("overload", ref)
+            writer.write(encode(ref, b"overload", self._gauges(), b""))
+        else:
+            self.waiting.append(Job(ref, kind, writer, work))
+            self._run()
+
+    def _pushed_over(self, work: float) -> bool:
+        """A cold engine that is sent too much within its window falls over, and says nothing any more."""
+        t, now = self.traits, time.monotonic()
+        self.came.append((now, work))
+        while self.came and self.came[0][0] < now - t.tip_window / 1000:
+            self.came.popleft()
+        cold = (now - self.started) * 1000 < t.warm
+        if t.tip and cold and not self.tipped and sum(w for _, w in self.came) > t.tip:
+            self.tipped = True
+            self.note("tipped")
+        return self.tipped
+
+    def _speed(self) -> float:
+        t, age = self.traits, (time.monotonic() - self.started) * 1000
+        cold = 1 + (t.cold - 1) * max(0.0, 1 - age / t.warm) if t.warm > 0 else 1.0
+        return t.slow * cold
+
+    def _run(self) -> None:
+        while self.waiting and len(self.running) < self.traits.servers and not self.tipped:
+            job = self.waiting.popleft()
+            self.running[id(job.writer), job.ref] = job
+            self.note("run", job.ref)
+            seconds = job.work * self._speed() / 1000
+            job.timer = asyncio.get_running_loop().call_later(seconds, self._done, job)
+
+    def _done(self, job: Job) -> None:
+        self.running.pop((id(job.writer), job.ref), None)
+        self.note("done", job.ref)
+        if not job.writer.is_closing():
+            fields = b"count=1,ticks=%d,footprint=1,%b" % (round(job.work), self._gauges())
+            job.writer.write(
+                encode(job.ref, b"served", fields, b"%b\t%b\tok\n" % (self.id.encode(), job.ref))
+            )
+        self._run()
+
+    def _give_up(self, job: Job, why: str) -> None:
+        self.note(why, job.ref)
+        if job.timer is not None:
+            job.timer.cancel()
+        self.running.pop((id(job.writer), job.ref), None)
+        if job in self.waiting:
+            self.waiting.remove(job)
+        self._run()
+
+    def _gauges(self) -> bytes:
+        out = len(self.running) + len(self.waiting)
+        busy = min(1.0, len(self.running) / self.traits.servers)
+        return f"gauges=inflight:{out};util:{busy:.2f}".encode()
+
+
+async def control(engine: RigEngine) -> None:
+    """Take changes from standard input until it ends: then the rig is gone."""
+    reader = asyncio.StreamReader()
+    await asyncio.get_running_loop().connect_read_pipe(
+        lambda: asyncio.StreamReaderProtocol(reader), sys.stdin
+    )
+    while line := await reader.readline():
+        for name, value in json.loads(line).items():
+            setattr(engine.traits, name, value)
+            engine.note("set", b"", name, value)
+
+
+async def main(settings: dict[str, Any]) -> None:
+    """Serve until standard input ends."""
+    with open(settings["ledger"], "a", buffering=1) as ledger:
+        traits = Traits(**settings.get("traits", {}))
+        engine = RigEngine(settings["id"], ledger, traits, settings.get("seed", 0))
+        engine.note("start")
+        server = await asyncio.start_server(engine.serve, "127.0.0.1", settings["port"])
+        print(server.sockets[0].getsockname()[1], flush=True)
+        await control(engine)
+        server.close()
+
+
+if __name__ == "__main__":
+    asyncio.run(main(json.loads(sys.argv[1])))
--- /dev/null
+++ b/cottonhold/emulator/rig/judge.py
@@ -0,0 +1,362 @@
+"""What a run was, from the ledgers of engines and clients alone. Pure.
+
+A finding is a rule that was broken, with its evidence. What was served is compared with the most that could
+have been: the offered requests, dearest a ms of work first, against what the engines that were well could do.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import Counter, defaultdict
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+from typing import Any
+
+from cottonhold.emulator.rig.script import Day
+
+Line = list[Any]  # [seconds, what, reference, more]
+ENDS = {"served", "refused", "failed", "nothing", "broken", "unreached"}
+BIN = 0.5
+SLACK_S = 0.5
+
+
+@dataclass(slots=True)
+class Ledgers:
+    """All that was seen. Times are seconds of one clock; `begun`: when the load began. marks: what the rig
+    did to processes, as (time, verb, name)."""
+
+    engines: Mapping[str, list[Line]]
+    clients: list[Line]
+    begun: float
+    marks: list[tuple[float, str, str]] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class Verdict:
+    """Findings, figures, and series by time for the charts."""
+
+    findings: list[str] = field(default_factory=list)
+    figures: dict[str, float] = field(default_factory=dict)
+    series: dict[str, list[float]] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class Asked:
+    """One try of a client."""
+
+    at: float
+    kind: str
+    instance: int
+    number: int
+    client: int
+    left: float
+    ended: float = math.inf
+    word: str = ""
+    text: str = ""
+    ends: int = 0
+
+
+def judge(day: Day, seen: Ledgers) -> Verdict:
+    """Everything about a run."""
+    verdict = Verdict()
+    asks = _asks(seen, verdict)
+    runs = _runs(seen)
+    _check_answers(day, seen, asks, runs, verdict)
+    _check_loads(day, asks, runs, verdict)
+    _check_one_out(runs, verdict)
+    _check_order(day, asks, runs, verdict)
+    _check_tipped(seen, verdict)
+    _weigh_worth(day, seen, asks, verdict)
+    _weigh_sends(day, seen, runs, verdict)
+    _weigh_fairness(day, asks, verdict)
+    return verdict
+
+
+# --- reading ---
+
+
+def _asks(seen: Ledgers, verdict: Verdict) -> dict[str, Asked]:
+    asks: dict[str, Asked] = {}
+    for at, what, ref, *more in seen.clients:
+        if what == "ask":
+            kind, instance, number, client, left = more
+            asks[ref] = Asked(at, kind, instance, number, client, left)
+        elif what in ENDS and ref in asks:
+            ask = asks[ref]
+            ask.ended, ask.word, ask.text, ask.ends = at, what, more[0] if more else "", ask.ends + 1
+    return asks
+
+
+@dataclass(slots=True)
+class Execution:
+    """One attempt as its engine saw it. `ended`: when it no longer was there; `how`: done, drop, broke,
+    ...
+    """
+
+    engine: str
+    came: float
+    kind: str = ""
+    key: str = ""
+    number: int = 0
+    work: float = 0.0
+    began: float = math.inf
+    ended: float = math.inf
+    how: str = ""
+
+
+def _runs(seen: Ledgers) -> dict[str, list[Execution]]:
+    """By request, in the order in which the attempts came. A killed engine ends all that it had."""
+    runs: dict[str, list[Execution]] = defaultdict(list)
+    for engine, lines in seen.engines.items():
+        there: dict[str, Execution] = {}
+        deaths = sorted(t for t, verb, name in seen.marks if verb == "kill" and name == engine)
+        for at, what, ref, *more in lines:
+            while deaths and deaths[0] <= at:
+                death = deaths.pop(0)
+                for run in there.values():
+                    run.ended, run.how = death, "killed"
+                there.clear()
+            if what == "get":
+                run = there[ref] = Execution(engine, at, *more)
+                runs[ref].append(run)
+            elif what == "run" and ref in there:
+                there[ref].began = at
+            elif what in ("done", "drop", "broke", "crashed", "overload") and ref in there:
+                run = there.pop(ref)
+                run.ended, run.how = at, what
+        for run in there.values() if deaths else ():
+            run.ended, run.how = deaths[0], "killed"
+    for found in runs.values():
+        found.sort(key=lambda r: r.came)
+    return runs
+
+
+# --- rules ---
+
+
+def _disturbed(seen: Ledgers, name: str, begin: float, end: float) -> bool:
+    """Whether a process was killed or stood still within a time: nobody can answer then."""
+    stopped = None
+    for at, verb, who in sorted(seen.marks):
+        if who != name:
+            continue
+        if verb == "stop":
+            stopped = at
+        elif verb == "go" and stopped is not None:
+            if stopped <= end and at >= begin:
+                return True
+            stopped = None
+        elif verb == "kill" and begin <= at <= end:
+            return True
+    return stopped is not None and stopped <= end
+
+
+def _check_answers(
+    day: Day, seen: Ledgers, asks: Mapping[str, Asked], runs: Mapping[str, list[Execution]], verdict: Verdict
+) -> None:
+    """One final answer in time, and nothing served that no engine made."""
+    for ref, ask in asks.items():
+        if ask.ends > 1:
+            verdict.findings.append(f"answers: {ref} has {ask.ends} ends")
+        limit = ask.at + ask.left / 1000 + SLACK_S
+        name = f"n{ask.instance}"
+        if ask.word in ("nothing", "broken", "") and not _disturbed(seen, name, ask.at - 1.0, limit):
+            verdict.findings.append(f"answers: {ref} at {name} got none in its time")
+        if ask.word == "served":
+            made = [r for r in runs.get(ref, []) if r.engine == ask.text and r.how == "done"]
+            if not made:
+                verdict.findings.append(f"made: {ref} was served as by '{ask.text}', which did not make it")
+
+
+def _check_loads(
+    day: Day, asks: Mapping[str, Asked], runs: Mapping[str, list[Execution]], verdict: Verdict
+) -> None:
+    """No load goes out again once it may have run."""
+    loads = {k.name for k in day.kinds if k.load}
+    for ref, found in runs.items():
+        if ref in asks and asks[ref].kind in loads:
+            maybe = [r for r in found if r.how != "overload"]
+            if len(maybe) > 1:
+                where = ", ".join(f"{r.engine} ({r.how or 'open'})" for r in maybe)
+                verdict.findings.append(f"loads: {ref} may have run more than once: {where}")
+
+
+def _check_one_out(runs: Mapping[str, list[Execution]], verdict: Verdict) -> None:
+    """One attempt of a request is out at a time, but for the moment in which a drop is under way."""
+    for ref, found in runs.items():
+        for one, other in zip(found, found[1:], strict=False):
+            if one.how in ("done", "") and one.ended > other.came + SLACK_S:
+                verdict.findings.append(f"one out: {ref} was at {one.engine} and {other.engine} at once")
+
+
+def _check_order(
+    day: Day, asks: Mapping[str, Asked], runs: Mapping[str, list[Execution]], verdict: Verdict
+) -> None:
+    """Loads on one key, taken by one instance one after another, begin in that order."""
+    keyed: dict[tuple[int, str], list[tuple[float, float, str]]] = defaultdict(list)
+    for ref, found in runs.items():
+        began = [r for r in found if r.key and r.began < math.inf]
+        if began and ref in asks:
+            keyed[asks[ref].instance, began[0].key].append((asks[ref].at, began[0].began, ref))
+    for (instance, key), rows in keyed.items():
+        rows.sort()
+        for (asked, start, ref), (later, sooner, other) in zip(rows, rows[1:], strict=False):
+            if sooner < start and later - asked > 0.05:  # closer ones may come in either order
+                verdict.findings.append(f"order: {other} overtook {ref} on {key} at n{instance}")
+
+
+def _check_tipped(seen: Ledgers, verdict: Verdict) -> None:
+    """No cold engine is pushed over by all together."""
+    for engine, lines in seen.engines.items():
+        for at, what, *_ in lines:
+            if what == "tipped":
+                verdict.findings.append(
+                    f"cold: {engine} was pushed over {at - seen.begun:.1f} s into the day"
+                )
+
+
+# --- figures ---
+
+
+def _bins(day: Day) -> int:
+    return math.ceil(day.seconds / BIN)
+
+
+def capacity(day: Day, seen: Ledgers) -> list[float]:
+    """Work in ms that the engines could do, by bin: those that are there, at the speed that they have."""
+    room = [0.0] * _bins(day)
+    for engine, lines in seen.engines.items():
+        traits = {"servers": 1, "slow": 1.0, "failing": 0.0, "cold": 3.0, "warm": 3000.0, **day.traits}
+        events = [(at, what, more) for at, what, _, *more in lines if what in ("start", "set", "tipped")]
+        events += [(at, verb, []) for at, verb, who in seen.marks if who == engine and verb != "start"]
+        events.sort(key=lambda e: e[0])
+        there, started, at_event = False, -math.inf, 0
+        for b in range(len(room)):
+            middle = seen.begun + (b + 0.5) * BIN
+            while at_event < len(events) and events[at_event][0] <= middle:
+                at, what, more = events[at_event]
+                at_event += 1
+                if what == "start":
+                    there, started = True, at
+                elif what == "set":
+                    traits[more[0]] = more[1]
+                elif what in ("kill", "stop", "tipped"):
+                    there = False
+                elif what == "go":
+                    there = True
+            age = (middle - started) * 1000
+            cold = 1 + (traits["cold"] - 1) * max(0.0, 1 - age / traits["warm"]) if traits["warm"] else 1.0
+            speed = (1 - traits["failing"]) / (traits["slow"] * cold)
+            room[b] += traits["servers"] * BIN * 1000 * speed if there else 0.0
+    return room
+
+
+def _weigh_worth(day: Day, seen: Ledgers, asks: Mapping[str, Asked], verdict: Verdict) -> None:
+    """Worth that was served, against the most that could be: bin by bin, what is worth most a ms first."""
+    bins, room = _bins(day), capacity(day, seen)
+    efforts = {k.name: k.effort for k in day.kinds}
+    offered = [Counter[str]() for _ in range(bins)]
+    served = [Counter[str]() for _ in range(bins)]
+    first: dict[int, Asked] = {}
+    good: set[int] = set()
+    for ask in sorted(asks.values(), key=lambda a: a.at):
+        first.setdefault(ask.client, ask)
+        if ask.word == "served":
+            good.add(ask.client)
+    for client, ask in first.items():
+        b = min(int((ask.at - seen.begun) / BIN), bins - 1)
+        offered[b][ask.kind] += 1
+        served[b][ask.kind] += client in good
+    most, got, left = [0.0] * bins, [0.0] * bins, 0.0
+    for b in range(bins):
+        space = room[b] + left
+        for kind in sorted(efforts, key=lambda k: -day.worth[k] / efforts[k]):
+            fits = min(offered[b][kind], space / efforts[kind])
+            space -= fits * efforts[kind]
+            most[b] += fits * day.worth[kind]
+        left = min(space, 0.0)
+        got[b] = sum(n * day.worth[kind] for kind, n in served[b].items())
+    verdict.series["worth most"], verdict.series["worth served"] = most, got
+    verdict.series["capacity"] = room
+    verdict.figures["worth"] = _ratio(got, most, 0, bins)
+    if day.out:
+        begin, end = int((day.out + 1.0) / BIN), int(day.back / BIN)
+        verdict.figures["worth_out"] = _ratio(got, most, begin, end)
+        verdict.figures["worth_after_5s"] = _ratio(got, most, int((day.back + 5.0) / BIN), bins)
+    for kind in efforts:
+        total = sum(o[kind] for o in offered)
+        verdict.figures[f"served_{kind}"] = sum(s[kind] for s in served) / max(total, 1)
+    times = sorted(a.ended - a.at for a in asks.values() if a.word == "served")
+    for share in (50, 99):
+        verdict.figures[f"p{share}_ms"] = 1000 * times[int(len(times) * share / 100)] if times else 0.0
+    words = Counter(a.word for a in asks.values())
+    verdict.figures |= {f"asks_{word or 'open'}": float(n) for word, n in words.items()}
+
+
+def _ratio(got: list[float], most: list[float], begin: int, end: int) -> float:
+    return sum(got[begin:end]) / sum(most[begin:end]) if sum(most[begin:end]) else 1.0
+
+
+def _weigh_sends(day: Day, seen: Ledgers, runs: Mapping[str, list[Execution]], verdict: Verdict) -> None:
+    """Sends by zone over time, and for the zone that was out: when they ended, and how they came back."""
+    bins = _bins(day)
+    sends = {zone: [0.0] * bins for zone in day.zones}
+    times = sorted((r.came - seen.begun, r.engine) for found in runs.values() for r in found)
+    for at, engine in times:
+        if 0 <= at < day.seconds:
+            sends[engine.rstrip("0123456789")][int(at / BIN)] += 1
+    for zone, row in sends.items():
+        verdict.series[f"sends {zone}"] = row
+    total = [sum(row[b] for row in sends.values()) for b in range(bins)]
+    served = sum(1 for found in runs.values() for r in found if r.how == "done")
+    verdict.figures["attempts_per_served"] = len(times) / max(served, 1)
+    probes = sum(1 for lines in seen.engines.values() for line in lines if line[1] == "probe")
+    verdict.figures["probes"] = float(probes)
+    if not day.out:
+        return
+
+    def share(begin: float, end: float) -> float:
+        b, e = int(begin / BIN), max(int(end / BIN), int(begin / BIN) + 1)
+        return sum(sends[day.zone][b:e]) / max(sum(total[b:e]), 1)
+
+    figures, fair = verdict.figures, share(1.0, day.out)
+    figures["share_before"] = fair
+    figures["share_out_0_1s"] = share(day.out, day.out + 1.0)
+    figures["share_out_1_3s"] = share(day.out + 1.0, day.out + 3.0)
+    figures["share_out_3s_on"] = share(day.out + 3.0, day.back) if day.back > day.out + 3.5 else 0.0
+    figures["share_back_first_s"] = share(day.back, day.back + 1.0)
+    after = [share(t, t + 1.0) for t in _steps(day.back, day.seconds - 1.0, BIN)]
+    figures["share_back_most"] = max(after, default=0.0)
+    full = [
+        t for t, s in zip(_steps(day.back, day.seconds - 1.0, BIN), after, strict=True) if s >= 0.8 * fair
+    ]
+    figures["back_full_after_s"] = full[0] - day.back if full else math.nan
+
+
+def _steps(begin: float, end: float, step: float) -> list[float]:
+    return [begin + i * step for i in range(max(int((end - begin) / step), 0))]
+
+
+def _weigh_fairness(day: Day, asks: Mapping[str, Asked], verdict: Verdict) -> None:
+    """How differently instances with 100 or more of a class treat it."""
+    worst = 0.0
+    for kind in day.kinds:
+        shares = []
+        for i in range(day.instances):
+            own = [a for a in asks.values() if a.kind == kind.name and a.instance == i and a.number == 0]
+            if len(own) >= 100:
+                shares.append(sum(a.word == "served" for a in own) / len(own))
+        if shares:
+            worst = max(worst, max(shares) - min(shares))
+    verdict.figures["unlike_between_instances"] = worst
+
+
+def summary(rows: Iterable[tuple[str, Verdict]]) -> list[str]:
+    """A table of runs, as lines of Markdown."""
+    columns = ["worth", "worth_out", "worth_after_5s", "share_out_0_1s", "share_out_1_3s", "share_out_3s_on"]
+    columns += ["share_back_first_s", "share_back_most", "back_full_after_s", "p99_ms"]
+    lines = ["| day | findings | " + " | ".join(columns) + " |", "| --- " * (len(columns) + 2) + "|"]
+    for name, verdict in rows:
+        shown = [f"{verdict.figures[c]:.3g}" if c in verdict.figures else "" for c in columns]
+        lines.append(f"| {name} | {len(verdict.findings)} | " + " | ".join(shown) + " |")
+    return lines
--- /dev/null
+++ b/cottonhold/emulator/rig/links.py
@@ -0,0 +1,207 @@
+"""Links between processes on loopback, each faulted by itself and by direction. Runs in the rig's loop.
+
+A TCP link is a listener of its own. The datagrams of all instances go through one switch, which gives each of
+them a public address. Times are ms.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import socket
+import struct
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+RESET = struct.pack("ii", 1, 0)  # SO_LINGER: a close is a reset
+CHUNK = 65536
+
+
+@dataclass(slots=True)
+class Way:
+    """One direction of a link. `cut`: bytes wait, datagrams are lost. `loss`, `twice`: shares of datagrams.
+    `slow`: bytes a second, 0 without a limit."""
+
+    cut: bool = False
+    loss: float = 0.0
+    twice: float = 0.0
+    delay: float = 0.0
+    jitter: float = 0.0
+    slow: float = 0.0
+
+    def wait(self, draw: random.Random, size: int) -> float:
+        """How long so many bytes take."""
+        return self.delay + self.jitter * draw.random() + (1000 * size / self.slow if self.slow else 0.0)
+
+
+@dataclass(slots=True)
+class Link:
+    """Both directions of a TCP link, and what happens to connects. `refuse`: nobody listens. `reset`: each
+    connection is reset as soon as it is up."""
+
+    forth: Way = field(default_factory=Way)
+    back: Way = field(default_factory=Way)
+    refuse: bool = False
+    reset: bool = False
+
+
+class TcpLink:
+    """A listener that leads to one address."""
+
+    def __init__(self, target: tuple[str, int], seed: int) -> None:
+        self.target, self.draw = target, random.Random(seed)
+        self.link, self.changed = Link(), asyncio.Event()
+        self.port = 0
+        self.server: asyncio.Server | None = None
+        self.writers: set[asyncio.StreamWriter] = set()
+        self.connects = 0
+
+    async def start(self) -> int:
+        """Listen; returns the port, which stays the same."""
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", self.port, limit=CHUNK)
+        self.port = int(self.server.sockets[0].getsockname()[1])
+        return self.port
+
+    async def set(self, link: Link) -> None:
+        """Another state from now on. What is held back goes on once nothing is cut."""
+        was, self.link = self.link, link
+        self.changed.set()
+        self.changed = asyncio.Event()
+        if link.refuse and not was.refuse and self.server is not None:
+            self.server.close()
+            self.server = None
+        if link.reset or link.refuse:
+            for writer in list(self.writers):
+                _reset(writer)
+        if was.refuse and not link.refuse:
+            await self.start()
+
+    async def stop(self) -> None:
+        """End, and all connections with it."""
+        if self.server is not None:
+            self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.connects += 1
+        self.writers.add(writer)
+        there: asyncio.StreamWriter | None = None
+        try:
+            if self.link.reset:
+                _reset(writer)
+                return
+            back, there = await asyncio.open_connection(*self.target, limit=CHUNK)
+            self.writers.add(there)
+            ways = (
+                asyncio.create_task(self._pump(reader, there, lambda: self.link.forth)),
+                asyncio.create_task(self._pump(back, writer, lambda: self.link.back)),
+            )
+            try:
+                await asyncio.wait(ways, return_when=asyncio.FIRST_COMPLETED)
+            finally:
+                for way in ways:
+                    way.cancel()
+                await asyncio.gather(*ways, return_exceptions=True)
+        except OSError:
+            _reset(writer)  # nobody is there: the caller is to see a connection that breaks
+        except asyncio.CancelledError:
+            pass
+        finally:
+            for end in (writer, there):
+                if end is not None:
+                    self.writers.discard(end)
+                    end.close()
+
+    async def _pump(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, way: Callable[[], Way]
+    ) -> None:
+        while True:
+            data = await reader.read(CHUNK)
+            while way().cut:
+                await self.changed.wait()
+            if not data:
+                return
+            if (ms := way().wait(self.draw, len(data))) > 0:
+                await asyncio.sleep(ms / 1000)
+            writer.write(data)
+            await writer.drain()
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    sock = writer.get_extra_info("socket")
+    if sock is not None:
+        try:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+        except OSError:
+            pass
+    writer.transport.abort()
+
+
+class _Port(asyncio.DatagramProtocol):
+    def __init__(self, switch: Switch, number: int) -> None:
+        self.switch, self.number = switch, number
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        self.switch.pass_on(addr[1], self.number, data)
+
+    def error_received(self, exc: Exception) -> None:
+        """An instance that isn't there: its port is closed."""
+
+
+class Switch:
+    """Public addresses of instances, and the ways between them. `ports`: the instances' own UDP ports."""
+
+    def __init__(self, ports: list[int], seed: int) -> None:
+        self.ports, self.draw = ports, random.Random(seed)
+        self.numbers = {port: number for number, port in enumerate(ports)}
+        self.public: list[asyncio.DatagramTransport] = []
+        self.addresses: list[int] = []
+        self.ways: dict[tuple[int, int], Way] = {}
+        self.passed = self.lost = self.strangers = self.bytes = 0
+        self.kept: deque[tuple[int, int, bytes]] = deque(maxlen=2000)  # to be sent once more by a fault
+
+    async def start(self) -> list[int]:
+        """Open the public addresses; returns their ports."""
+        loop = asyncio.get_running_loop()
+        for number in range(len(self.ports)):
+            transport, _ = await loop.create_datagram_endpoint(
+                lambda number=number: _Port(self, number),  # type: ignore[misc]
+                local_addr=("127.0.0.1", 0),
+            )
+            self.public.append(transport)
+            self.addresses.append(int(transport.get_extra_info("sockname")[1]))
+        return self.addresses
+
+    def stop(self) -> None:
+        """Close all."""
+        for transport in self.public:
+            transport.close()
+
+    def way(self, sender: int, receiver: int) -> Way:
+        """The way from one instance to another, to be changed in place."""
+        return self.ways.setdefault((sender, receiver), Way())
+
+    def pass_on(self, port: int, receiver: int, data: bytes) -> None:
+        """A datagram that came to an instance's public address."""
+        sender = self.numbers.get(port)
+        if sender is None:
+            self.strangers += 1
+            return
+        self.kept.append((sender, receiver, data))
+        way = self.way(sender, receiver)
+        if way.cut or self.draw.random() < way.loss:
+            self.lost += 1
+            return
+        for _ in range(2 if self.draw.random() < way.twice else 1):
+            ms = way.wait(self.draw, len(data))
+            if ms > 0:  # one with jitter may overtake another: that is the reordering
+                asyncio.get_running_loop().call_later(ms / 1000, self._send, sender, receiver, data)
+            else:
+                self._send(sender, receiver, data)
+
+    def _send(self, sender: int, receiver: int, data: bytes) -> None:
+        self.passed, self.bytes = self.passed + 1, self.bytes + len(data)
+        if not self.public[sender].is_closing():
+            self.public[sender].sendto(data, ("127.0.0.1", self.ports[receiver]))
--- /dev/null
+++ b/cottonhold/emulator/rig/report.py
@@ -0,0 +1,92 @@
+"""One self-contained HTML page of a played day: what happened, what the judge found, charts over time."""
+
+from __future__ import annotations
+
+import html
+import io
+import json
+import math
+from pathlib import Path
+from typing import Any
+
+import matplotlib
+
+from cottonhold.emulator.rig.judge import BIN
+from cottonhold.emulator.rig.script import Day, read
+
+matplotlib.use("Agg")
+from matplotlib import pyplot  # noqa: E402
+
+STYLE = """body{font:15px/1.5 sans-serif;max-width:60em;margin:2em auto;color:#222}
+table{border-collapse:collapse}td,th{padding:.2em .8em;border-bottom:1px solid #ddd;text-align:left}
+pre{background:#f4f4f4;padding:.8em;overflow:auto}.bad{color:#b00020;font-weight:bold}.good{color:#1a7f37}"""
+COLOURS = ("#0072b2", "#d55e00", "#009e73", "#cc79a7", "#e69f00", "#56b4e9")
+
+
+def charts(day: Day, series: dict[str, list[float]]) -> str:
+    """Sends by zone and worth served, over time, with the day's faults as marks; one SVG."""
+    times = [i * BIN for i in range(len(next(iter(series.values()), [])))]
+    figure, (upper, lower) = pyplot.subplots(2, 1, figsize=(9, 6), sharex=True)
+    for colour, zone in zip(COLOURS, day.zones, strict=False):
+        row = [n / BIN for n in series[f"sends {zone}"]]
+        upper.step(times, row, where="post", label=f"zone {zone}", color=colour)
+    upper.set_ylabel("sends a second")
+    lower.step(times, series["worth most"], where="post", label="most possible", color="#999999")
+    lower.step(times, series["worth served"], where="post", label="served", color="#0072b2")
+    lower.set_ylabel("worth each half second")
+    lower.set_xlabel("seconds")
+    for axes in (upper, lower):
+        for at in sorted({fault.at for fault in day.faults}):
+            axes.axvline(at, color="#b00020", linewidth=0.8, linestyle=":")
+        axes.set_ylim(bottom=0)
+        axes.legend(loc="upper right", frameon=False)
+        axes.spines[["top", "right"]].set_visible(False)
+    figure.tight_layout()
+    out = io.StringIO()
+    figure.savefig(out, format="svg", metadata={"Date": None})
+    pyplot.close(figure)
+    return out.getvalue()[out.getvalue().index("<svg") :]
+
+
+def page(folder: Path) -> str:
+    """The page of a run's folder. Raises OSError and ScriptError."""
+    day = read((folder / "day.json").read_bytes())
+    kept: dict[str, Any] = json.loads((folder / "result.json").read_bytes())
+    verdict = kept["verdict"]
+    found = verdict["findings"]
+    state = (
+        f'<p class="bad">{len(found)} findings</p><ul>'
+        + "".join(f"<li>{html.escape(f)}</li>" for f in found[:50])
+        + "</ul>"
+        if found
+        else '<p class="good">No rule was broken.</p>'
+    )
+    figures = "".join(
+        f"<tr><td>{html.escape(name)}</td><td>{_number(value)}</td></tr>"
+        for name, value in sorted(verdict["figures"].items())
+    )
+    zones = "".join(
+        f"<tr><td>{html.escape(name)}</td><td>{html.escape(row['zone'])}</td><td>{html.escape(row['phase'])}</td>"
+        f"<td>{html.escape(row['why'])}</td></tr>"
+        for name, view in sorted(kept["views"].items())
+        for row in view.get("zones", [])
+    )
+    parts = [
+        "<!doctype html><html lang=en><meta charset=utf-8>",
+        f"<title>{html.escape(day.name)}</title><style>{STYLE}</style>",
+        f"<h1>{html.escape(day.name)}</h1><p>{html.escape(day.about)}. {day.instances} instances, "
+        f"{len(day.zones) * day.engines} engines, {day.rate:g} requests a second, seed {day.seed}, "
+        f"fleet {'on' if day.fleet else 'off'}.</p>",
+        state,
+        charts(day, verdict["series"]),
+        f"<h2>What happened</h2><pre>{html.escape(chr(10).join(kept['timeline'])) or 'nothing'}</pre>",
+        f"<h2>Figures</h2><table>{figures}</table>",
+        f"<h2>Zones at the end</h2><table><tr><th>instance<th>zone<th>phase<th>why</tr>{zones}</table>",
+    ]
+    return "\n".join(parts)
+
+
+def _number(value: float | None) -> str:
+    if value is None or math.isnan(value):
+        return "never"
+    return f"{value:.3f}" if abs(value) < 100 else f"{value:.0f}"
--- /dev/null
+++ b/cottonhold/emulator/rig/script.py
@@ -0,0 +1,124 @@
+"""A day of the rig as values: the deployment, its load, and faults by time. Pure; printed as JSON and read
+again.
+
+A fault's `target` names what it is about: an instance (`n3`), several (`n0-2`), an engine (`a1`), a zone
+(`a`), or `*`. Verbs and their words:
+
+    traits ENGINES name=value ...       what an engine process is, from now on
+    kill|start|stop|go PROCESSES        SIGKILL; a new process from nothing; SIGSTOP; SIGCONT
+    link INSTANCES ENGINES state ...    instance to engine: cut, forth, back (one way), refuse, reset,
+    delay, heal door INSTANCES state ...            client to instance peers INSTANCES INSTANCES state ...
+    datagrams both ways: cut, loss, twice, delay, jitter, heal; `forth` one way forge INSTANCE zone=Z
+    that instance's words are said falsely, with a key, from now on replay                              all
+    datagrams of fleet words so far are sent once more, in disorder order INSTANCE zone=Z mode=M        an
+    order by hand at its local socket
+"""
+
+from __future__ import annotations
+
+import re
+from typing import Any
+
+import msgspec
+
+from cottonhold.emulator.rig.clients import Kind, Manner
+
+
+class Fault(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """What happens at a time, in seconds from the start of the load."""
+
+    at: float
+    verb: str
+    target: str = "*"
+    other: str = "*"
+    words: dict[str, Any] = {}
+
+    def __str__(self) -> str:
+        words = " ".join(f"{k}={v}" if v is not True else k for k, v in self.words.items())
+        other = f" {self.other}" if self.verb in ("link", "peers") else ""
+        return f"{self.at:5.1f} s  {self.verb} {self.target}{other} {words}".rstrip()
+
+
+class Day(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """A deployment, a load and its faults. Rates are requests a second over all instances.
+
+    out, back: seconds in which a zone was out and from which it was well again, for what the judge tells of
+    it.
+    """
+
+    name: str
+    about: str
+    seed: int = 1
+    instances: int = 6
+    zones: tuple[str, ...] = ("a", "b", "c")
+    engines: int = 3
+    rate: float = 270.0
+    seconds: float = 20.0
+    weights: tuple[float, ...] = (1, 1, 1, 2, 3, 4, 2, 2)
+    kinds: tuple[Kind, ...] = (Kind("cheap", 0.6, 2000.0, 20.0), Kind("dear", 0.4, 2000.0, 20.0))
+    worth: dict[str, float] = msgspec.field(default_factory=lambda: {"cheap": 1.0, "dear": 6.0, "load": 6.0})
+    manner: Manner = Manner()
+    # A cold engine that gets more work within 1.5 s than twice what it could do then falls over.
+    traits: dict[str, Any] = msgspec.field(default_factory=lambda: {"tip": 1000.0, "tip_window": 1500.0})
+    fleet: bool = True
+    zone: str = "a"
+    out: float = 0.0
+    back: float = 0.0
+    faults: tuple[Fault, ...] = ()
+
+    def engine_names(self) -> list[str]:
+        """All engines, zone by zone."""
+        return [f"{zone}{i}" for zone in self.zones for i in range(self.engines)]
+
+    def instance_names(self) -> list[str]:
+        """All instances."""
+        return [f"n{i}" for i in range(self.instances)]
+
+    def pick(self, target: str) -> list[str]:
+        """The processes that a target names. Raises ScriptError."""
+        names = [*self.instance_names(), *self.engine_names()]
+        if target == "*":
+            return names
+        if target in names:
+            return [target]
+        if target in self.zones:
+            return [name for name in self.engine_names() if name.startswith(target)]
+        if found := re.fullmatch(r"n(\d+)-(\d+)", target):
+            some = [f"n{i}" for i in range(int(found[1]), int(found[2]) + 1)]
+            if some and set(some) <= set(names):
+                return some
+        raise ScriptError(f"day '{self.name}': '{target}' names no process")
+
+
+class ScriptError(Exception):
+    """A day that can't be played, with what is wrong in it."""
+
+
+VERBS = {"traits", "kill", "start", "stop", "go", "link", "door", "peers", "forge", "replay", "order"}
+
+
+def check(day: Day) -> Day:
+    """The day, if it can be played. Raises ScriptError."""
+    if not 1 <= day.instances <= 16 or not 1 <= len(day.zones) * day.engines <= 64:
+        raise ScriptError(f"day '{day.name}': 1 to 16 instances and 1 to 64 engines can be played")
+    if len(day.weights) < day.instances or day.seconds > 600 or day.rate > 5000:
+        raise ScriptError(f"day '{day.name}': a weight for each instance, 600 s and 5000/s at most")
+    for fault in day.faults:
+        if fault.verb not in VERBS:
+            raise ScriptError(f"day '{day.name}': there is no verb '{fault.verb}'")
+        for target in (fault.target, fault.other):
+            day.pick(target)
+    return day
+
+
+def write(day: Day) -> bytes:
+    """A day as JSON."""
+    return msgspec.json.format(msgspec.json.encode(day))
+
+
+def read(data: bytes) -> Day:
+    """A day from JSON. Raises ScriptError."""
+    try:
+        return check(msgspec.json.decode(data, type=Day))
+    except msgspec.MsgspecError as error:
+        raise ScriptError(f"the day can't be read: {error}") from None
--- /dev/null
+++ b/cottonhold/emulator/rig/trial.py
@@ -0,0 +1,392 @@
+"""Puts a day together from processes, plays its faults, and keeps what was seen. Ends only what it
+started.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import dataclasses
+import json
+import os
+import random
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from cottonhold.emulator.rig.clients import Load
+from cottonhold.emulator.rig.judge import Ledgers, Line, Verdict, judge
+from cottonhold.emulator.rig.links import Link, Switch, TcpLink, Way
+from cottonhold.emulator.rig.script import Day, Fault, check, write
+from cottonhold.emulator.tier import free_ports
+from cottonhold.fleet.words import Vote, Word, ZoneWord, pack_words, zone_number
+from cottonhold.membership.codec import Codec, Keys, Kind, Message, member_id
+from cottonhold.node.status import ask
+
+KEY = b"a shared key of the rig"
+START_S = 30.0
+PROBE_MS = 500
+Progress = Callable[[float, str], None]
+
+
+class TrialError(Exception):
+    """A day that could not be played."""
+
+
+@dataclass(slots=True)
+class Result:
+    """A played day: where its ledgers are, and what the judge says."""
+
+    day: Day
+    folder: Path
+    verdict: Verdict
+    timeline: list[str] = field(default_factory=list)
+    views: dict[str, dict[str, Any]] = field(default_factory=dict)
+
+
+class Trial:
+    """One run of a day in a folder."""
+
+    def __init__(self, day: Day, folder: Path, progress: Progress = lambda share, text: None) -> None:
+        self.day, self.folder, self.progress = check(day), folder, progress
+        self.processes: dict[str, subprocess.Popen[bytes]] = {}
+        self.engines: dict[str, TcpLink] = {}  # "n0>a1": the link from an instance to an engine
+        self.doors: dict[str, TcpLink] = {}
+        self.ports = dict(zip(day.engine_names(), free_ports(len(day.engine_names()), socket.SOCK_STREAM)))  # noqa: B905
+        self.listens = free_ports(day.instances, socket.SOCK_STREAM)
+        self.switch = Switch(free_ports(day.instances, socket.SOCK_DGRAM), day.seed)
+        self.marks: list[tuple[float, str, str]] = []
+        self.timeline: list[str] = []
+        self.lies: list[asyncio.Task[None]] = []
+        self.begun = 0.0
+
+    # --- processes ---
+
+    def _spawn(self, name: str, program: list[str], **streams: Any) -> subprocess.Popen[bytes]:
+        guard = [sys.executable, "-m", "cottonhold.emulator.rig.guard", str(os.getpid()), sys.executable]
+        log = (self.folder / f"{name}.log").open("ab")
+        process = subprocess.Popen([*guard, *program], stderr=log, **streams)
+        log.close()
+        self.processes[name] = process
+        return process
+
+    def start_engine(self, name: str) -> None:
+        """An engine from nothing, at its port."""
+        number = self.day.engine_names().index(name)
+        settings = {
+            "id": name,
+            "port": self.ports[name],
+            "ledger": str(self.folder / f"{name}.jsonl"),
+            "traits": self.day.traits,
+            "seed": self.day.seed * 100 + number,
+        }
+        program = ["-m", "cottonhold.emulator.rig.engine", json.dumps(settings)]
+        self._spawn(name, program, stdin=subprocess.PIPE, stdout=subprocess.PIPE)
+
+    def start_instance(self, name: str) -> None:
+        """An instance from nothing, at its addresses."""
+        path = self.folder / f"{name}.json"
+        path.write_text(json.dumps(self._config(name)))
+        self._spawn(name, ["-m", "cottonhold.cli.main", "serve", "--config", str(path)])
+
+    def _config(self, name: str) -> dict[str, Any]:
+        day, i = self.day, int(name[1:])
+        public = [f"127.0.0.1:{port}" for port in self.switch.addresses]
+        known = [
+            {
+                "id": e,
+                "address": f"127.0.0.1:{self.engines[f'{name}>{e}'].port}",
+                "zone": e.rstrip("0123456789"),
+            }
+            for e in day.engine_names()
+        ]
+        classes = [
+            {
+                "name": k.name,
+                "aim_ms": k.patience / 2,
+                "deadline_ms": k.patience,
+                "worth": day.worth[k.name],
+                "late_worth": 1.0,
+                "effect": "unsafe" if k.load else "safe",
+                "in_order": k.load,
+                "loads": k.load,
+            }
+            for k in day.kinds
+        ]
+        config: dict[str, Any] = {
+            "name": name,
+            "seed": day.seed * 100 + i,
+            "listen": f"127.0.0.1:{self.listens[i]}",
+            "number": i,
+            "dispatchers": day.instances,
+            "zones": day.zones,
+            "machine_types": [{"name": "std", "cores": day.traits.get("servers", 1)}],
+            "classes": classes,
+            "known": [k | {"machine_type": "std"} for k in known],
+            "permits": {"cooldown_most_ms": 1000},
+            "peers": {"listen": f"127.0.0.1:{self.switch.ports[i]}", "announce": public[i], "all": public},
+            "membership": {"keys": [{"number": 1, "secret": KEY.decode()}], "probe_ms": PROBE_MS},
+            "status_socket": f"{name}.sock",
+        }
+        return config | ({"fleet": {}} if day.fleet else {})
+
+    def end(self) -> None:
+        """Kill what was started and is still there."""
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.kill()
+        for process in self.processes.values():
+            process.wait()
+            for stream in (process.stdin, process.stdout):
+                if stream is not None:
+                    with contextlib.suppress(OSError):
+                        stream.close()
+
+    # --- a run ---
+
+    async def play(self) -> Result:
+        """The whole day. Raises TrialError."""
+        self.folder.mkdir(parents=True, exist_ok=True)
+        (self.folder / "day.json").write_bytes(write(self.day))
+        try:
+            await self._start()
+            await self._run()
+            views = {name: self.view(name) for name in self._instances_there()}
+        finally:
+            for lie in self.lies:
+                lie.cancel()
+            self.end()
+            for link in (*self.engines.values(), *self.doors.values()):
+                await link.stop()
+            self.switch.stop()
+        seen = self._ledgers()
+        result = Result(self.day, self.folder, judge(self.day, seen), self.timeline, views)
+        kept = {
+            "begun": self.begun,
+            "marks": self.marks,
+            "timeline": self.timeline,
+            "verdict": dataclasses.asdict(result.verdict),
+            "datagrams": {"passed": self.switch.passed, "lost": self.switch.lost, "bytes": self.switch.bytes},
+            "views": views,
+        }
+        (self.folder / "result.json").write_bytes(msgspec.json.format(msgspec.json.encode(kept)))
+        return result
+
+    async def _start(self) -> None:
+        day, serial = self.day, 0
+        for engine in day.engine_names():
+            for instance in day.instance_names():
+                serial += 1
+                link = self.engines[f"{instance}>{engine}"] = TcpLink(
+                    ("127.0.0.1", self.ports[engine]), day.seed + serial
+                )
+                await link.start()
+        await self.switch.start()
+        for engine in day.engine_names():
+            self.start_engine(engine)
+        for engine in day.engine_names():
+            stdout = self.processes[engine].stdout
+            assert stdout is not None
+            if not await asyncio.to_thread(stdout.readline):
+                raise TrialError(f"{engine} did not start: {(self.folder / f'{engine}.log').read_text()}")
+        for i, name in enumerate(day.instance_names()):
+            self.doors[name] = TcpLink(("127.0.0.1", self.listens[i]), day.seed + 1000 + i)
+            await self.doors[name].start()
+            self.start_instance(name)
+        warm = time.monotonic() + float(day.traits.get("warm", 3000.0)) / 1000
+        await self.until(self.agreed, "all instances know one another")
+        await asyncio.sleep(max(warm - time.monotonic(), 0.0))
+        self.begun = time.monotonic() + 0.5
+        load = {
+            "ports": [door.port for door in self.doors.values()],
+            "rate": day.rate,
+            "seconds": day.seconds,
+            "kinds": [dataclasses.asdict(k) for k in day.kinds],
+            "weights": day.weights[: day.instances],
+            "ledger": str(self.folder / "clients.jsonl"),
+            "seed": day.seed,
+            "manner": dataclasses.asdict(day.manner),
+        }
+        assert set(load) <= {f.name for f in dataclasses.fields(Load)}
+        program = ["-m", "cottonhold.emulator.rig.clients", json.dumps(load)]
+        clients = self._spawn("clients", program, stdout=subprocess.PIPE)
+        assert clients.stdout is not None
+        await asyncio.to_thread(clients.stdout.readline)
+        self.begun = time.monotonic()
+
+    async def _run(self) -> None:
+        day = self.day
+        faults = sorted(day.faults, key=lambda f: f.at)
+        longest = day.seconds + max(k.patience for k in day.kinds) / 1000 + 5.0
+        while (now := time.monotonic() - self.begun) < longest:
+            while faults and faults[0].at <= now:
+                fault = faults.pop(0)
+                self.timeline.append(str(fault))
+                self.progress(min(now / day.seconds, 1.0), str(fault))
+                await self.apply(fault)
+            if self.processes["clients"].poll() is not None and not faults:
+                return
+            self.progress(min(now / day.seconds, 1.0), "")
+            await asyncio.sleep(min(faults[0].at - now, 0.1) if faults else 0.1)
+
+    async def until(self, holds: Callable[[], bool], what: str, seconds: float = START_S) -> None:
+        """Wait for a state. Raises TrialError if it doesn't come."""
+        end = time.monotonic() + seconds
+        while not await asyncio.to_thread(holds):
+            if time.monotonic() > end:
+                raise TrialError(f"{what}: not within {seconds:g} s (logs in {self.folder})")
+            await asyncio.sleep(0.05)
+
+    def view(self, name: str) -> dict[str, Any]:
+        """What an instance tells at its local socket; nothing if it doesn't."""
+        try:
+            return ask(self.folder / f"{name}.sock", {"call": "view"})
+        except (OSError, ValueError):
+            return {}
+
+    def _instances_there(self) -> list[str]:
+        stopped = {name for _, verb, name in self.marks if verb == "stop"}
+        stopped -= {name for _, verb, name in self.marks if verb == "go"}
+        names = self.day.instance_names()
+        return [n for n in names if n not in stopped and self.processes[n].poll() is None]
+
+    def agreed(self) -> bool:
+        """Whether all instances see all of them."""
+        names = set(self.day.instance_names())
+        for name in names:
+            members = self.view(name).get("members", [])
+            if {m["name"] for m in members if m["status"] == "alive"} | {name} != names:
+                return False
+        return True
+
+    def _ledgers(self) -> Ledgers:
+        engines = {name: _lines(self.folder / f"{name}.jsonl") for name in self.day.engine_names()}
+        return Ledgers(engines, _lines(self.folder / "clients.jsonl"), self.begun, self.marks)
+
+    # --- faults ---
+
+    async def apply(self, fault: Fault) -> None:
+        """Carry one fault out."""
+        verbs: dict[str, Callable[[Fault], Any]] = {
+            "link": self._fault_links,
+            "door": self._fault_doors,
+            "order": self._order,
+            "traits": lambda f: self._each(f, lambda name: self._set_traits(name, f.words)),
+            "peers": self._peers,
+            "forge": lambda f: self.lies.append(asyncio.create_task(self._lie(f.target, f.words["zone"]))),
+            "replay": lambda f: self._replay(),
+        }
+        for verb in ("kill", "start", "stop", "go"):
+            verbs[verb] = lambda f: self._each(f, lambda name: self._process(f.verb, name))
+        done = verbs[fault.verb](fault)
+        if asyncio.iscoroutine(done):
+            await done
+
+    def _each(self, fault: Fault, act: Callable[[str], None]) -> None:
+        for name in self.day.pick(fault.target):
+            act(name)
+
+    async def _fault_links(self, fault: Fault) -> None:
+        for name in self.day.pick(fault.target):
+            for engine in self.day.pick(fault.other):
+                if (link := self.engines.get(f"{name}>{engine}")) is not None:
+                    await link.set(_link(fault.words))
+
+    async def _fault_doors(self, fault: Fault) -> None:
+        for name in self.day.pick(fault.target):
+            if name in self.doors:
+                await self.doors[name].set(_link(fault.words))
+
+    async def _order(self, fault: Fault) -> None:
+        call = {"call": "order", "for_ms": 60_000, "who": "rig", "why": "a trial", **fault.words}
+        with contextlib.suppress(OSError, ValueError):
+            await asyncio.to_thread(ask, self.folder / f"{fault.target}.sock", call)
+
+    def _set_traits(self, name: str, words: dict[str, Any]) -> None:
+        process = self.processes[name]
+        if process.stdin is not None and process.poll() is None:
+            process.stdin.write(json.dumps(words).encode() + b"\n")
+            process.stdin.flush()
+
+    def _process(self, verb: str, name: str) -> None:
+        process = self.processes[name]
+        if verb == "start":
+            if process.poll() is None:
+                return
+            process.wait()
+            self.start_engine(name) if name in self.ports else self.start_instance(name)
+        else:
+            number = {"kill": signal.SIGKILL, "stop": signal.SIGSTOP, "go": signal.SIGCONT}[verb]
+            process.send_signal(number)
+            if verb == "kill":
+                process.wait()
+        self.marks.append((time.monotonic(), verb, name))
+
+    def _peers(self, fault: Fault) -> None:
+        here, there = ([int(n[1:]) for n in self.day.pick(t) if n[0] == "n" and n[1:].isdigit()]
+                       for t in (fault.target, fault.other))  # fmt: skip
+        words = {k: v for k, v in fault.words.items() if k not in ("forth", "heal")}
+        for i in here:
+            for j in there:
+                for pair in ((i, j),) if fault.words.get("forth") else ((i, j), (j, i)):
+                    if pair[0] != pair[1]:
+                        self.switch.ways[pair] = Way(**words)
+
+    async def _lie(self, name: str, zone: str) -> None:
+        """Words in an instance's name that it never said: it is sure that a zone is out."""
+        number, me = int(name[1:]), member_id(name)
+        codec = Codec(me, random.Random(self.day.seed).getrandbits(32), Keys({1: KEY}, 1))
+        said = ZoneWord(Vote.OUT, 0, 0, 200, 0.0, sure=True, accuses=True)
+        for version in range(1_000_000, 2_000_000):
+            word = Word(me, int(time.time()), version, 100, 0, {zone_number(zone): said})
+            data = codec.encode(Message(Kind.FLEET, me, 0), pack_words([word], 200))
+            for j in range(self.day.instances):
+                if j != number:
+                    self.switch.pass_on(self.switch.ports[number], j, data)
+            await asyncio.sleep(0.1)
+
+    def _replay(self) -> None:
+        """Old datagrams once more, in disorder."""
+        kept = list(self.switch.kept)
+        random.Random(self.day.seed).shuffle(kept)
+        for sender, receiver, data in kept:
+            self.switch.pass_on(self.switch.ports[sender], receiver, data)
+
+
+def _link(words: dict[str, Any]) -> Link:
+    """A link's state from a fault's words; `forth` and `back` alone cut that direction."""
+    kept = {k: v for k, v in words.items() if k in ("delay", "jitter", "slow")}
+    cut = bool(words.get("cut"))
+    return Link(
+        forth=Way(cut=cut or bool(words.get("forth")), **kept),
+        back=Way(cut=cut or bool(words.get("back")), **kept),
+        refuse=bool(words.get("refuse")),
+        reset=bool(words.get("reset")),
+    )
+
+
+def _lines(path: Path) -> list[Line]:
+    if not path.exists():
+        return []
+    lines = []
+    for line in path.read_bytes().splitlines():
+        with contextlib.suppress(ValueError):  # one that was being written as its process was killed
+            lines.append(json.loads(line))
+    return lines
+
+
+def play(day: Day, folder: Path, progress: Progress = lambda share, text: None) -> Result:
+    """Play a day. Raises TrialError and ScriptError."""
+    trial = Trial(day, folder, progress)
+    try:
+        return asyncio.run(trial.play())
+    finally:
+        trial.end()
