Let a zone's return follow its pace and not the cold budget's clock; test the rig and judge

Cause: an engine that came back was held to a fixed part of a cold engine's budget for 13 s after its first good answer (EngineView.cold_until), whatever it showed, and stayed doubted for up to 10 s. Change: where the fleet bounds an engine its bound counts, one whose bound is lifted is no longer cold, and a doubt ends when the fleet returns. Nothing of it comes without Bounds, so run decides as before. Also tests of the rig: faulted links, scripts, each check of the judge by a planted defect, ends with its parent; and a benchmark of the core in virtual time.

--- /dev/null
+++ b/benchmarks/fleet/run.py
@@ -0,0 +1,154 @@
+"""Measures the fleet's pure core in virtual time and writes docs/measurements/fleet-core.md:
+
+    python benchmarks/fleet/run.py [--seeds 1000] [--jobs 6]
+
+Leaving and return at 5, 50 and 500 instances, words and CPU each, and false leavings with 30% of words lost.
+"""
+
+from __future__ import annotations
+
+import argparse
+from multiprocessing import Pool
+from pathlib import Path
+
+import numpy as np
+
+from cottonhold.emulator.fleet import World
+from cottonhold.fleet.zones import Phase
+
+OUT = Path(__file__).resolve().parents[2] / "docs" / "measurements" / "fleet-core.md"
+FAULT, MEND, END = 4000.0, 10_000.0, 20_000.0
+SKEW = (1, 1, 1, 2, 3, 4)
+PER_INSTANCE = 45.0  # requests a second
+FAULTS: dict[str, dict[str, float]] = {
+    "killed": {"dead": True},
+    "silent": {"silent_until": MEND},
+    "ten times slower": {"slow": 10.0},
+    "three in ten fail": {"failing": 0.3},
+}
+
+
+def world(seed: int, instances: int, rate: float, loss: float) -> World:
+    """Engines in three zones for a load of 0.6 of what they can do at 45 requests a second an instance."""
+    engines = max(round(instances * PER_INSTANCE / 0.6 / 50 / 3), 2)
+    return World(seed, instances, rate, engines=engines, skew=lambda i: SKEW[i % 6], loss=loss)
+
+
+def calm(job: tuple[int, float]) -> tuple[int, int]:
+    """Leavings of single instances, and of a fleet, in 20 s without a fault and with 30% of words lost."""
+    seed, times = job
+    w = world(seed, 6, 6 * PER_INSTANCE * times, 0.3)
+    w.run(END)
+    outs = [turn for node in w.nodes.values() for _, turn in node.turns if turn.phase is Phase.OUT]
+    fleet = any(state.fleet_out for node in w.nodes.values() for state in node.fleet.zones.states.values())
+    return len(outs), int(fleet or any("own" not in turn.why for turn in outs))
+
+
+def faulty(job: tuple[int, int, str, float]) -> dict[str, float]:
+    """One run with a fault from 4 s to 10 s."""
+    seed, instances, fault, loss = job
+    w = world(seed, instances, instances * PER_INSTANCE, loss)
+    w.run(FAULT)
+    calm_bytes, calm_cpu = w.network.bytes, sum(n.cpu for n in w.nodes.values())
+    for engine in w.engines.values():
+        for name, value in FAULTS[fault].items() if engine.zone == "a" else ():
+            setattr(engine, name, value)
+    w.run(MEND)
+    bytes_, cpu = w.network.bytes - calm_bytes, sum(n.cpu for n in w.nodes.values()) - calm_cpu
+    for engine in w.engines.values():
+        if engine.zone == "a":
+            engine.dead, engine.slow, engine.failing = False, 1.0, 0.0
+            if fault == "killed":
+                engine.busy_until, engine.cold_until = MEND, MEND + 3000.0
+    w.run(END)
+    left = [
+        min((t for t, turn in n.turns if turn.zone == "a" and turn.phase is Phase.OUT), default=np.inf)
+        - FAULT
+        for n in w.nodes.values()
+    ]
+    fair = w.share("a", 1000.0, FAULT)
+    after = [w.share("a", t, t + 1000) for t in range(int(MEND), int(END) - 1000, 250)]
+    full = [i * 250 for i, share in enumerate(after) if share >= 0.8 * fair]
+    return {
+        "first": min(left),
+        "all": max(left),
+        "share out": w.share("a", FAULT + 3000, MEND),
+        "first second back": after[0],
+        "most": max(after) / fair,
+        "full": full[0] if full else np.inf,
+        "wrong": sum(t.zone != "a" and t.phase is Phase.OUT for n in w.nodes.values() for _, t in n.turns),
+        "calm bytes": calm_bytes / instances / (FAULT / 1000),
+        "bytes": bytes_ / instances / ((MEND - FAULT) / 1000),
+        "calm cpu": 1000 * calm_cpu / instances / (FAULT / 1000),
+        "cpu": 1000 * cpu / instances / ((MEND - FAULT) / 1000),
+    }
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seeds", type=int, default=1000)
+    parser.add_argument("--jobs", type=int, default=6)
+    given = parser.parse_args()
+    lines = [
+        "# The fleet's core in virtual time: measured",
+        "",
+        f"By `python benchmarks/fleet/run.py --seeds {given.seeds}` (the model of `emulator/fleet.py`; "
+        "faults from 4 s to 10 s; engines cold for 3 s after a kill). Times in ms from the fault or its end, "
+        "each the median and the worst of all runs.",
+        "",
+        "| instances | fault | words lost | first leaves | all have left | sends there from 3 s on "
+        "| back: first second | most, of the fair share | 0.8 of it after | wrong zones left |",
+        "| --- " * 10 + "|",
+    ]
+    costs = []
+    with Pool(given.jobs) as pool:
+        for instances, seeds in ((5, 20), (50, 3), (500, 1)):
+            for fault in FAULTS:
+                for loss in (0.0, 0.3):
+                    jobs = [(seed, instances, fault, loss) for seed in range(seeds)]
+                    rows = pool.map(faulty, jobs, chunksize=1)
+
+                    def cell(name: str, form: str = "{:.0f}", rows: list[dict[str, float]] = rows) -> str:
+                        values = [row[name] for row in rows]
+                        return f"{form} / {form}".format(np.median(values), max(values))
+
+                    cells = [cell("first"), cell("all"), cell("share out", "{:.3f}")]
+                    cells += [cell("first second back", "{:.3f}"), cell("most", "{:.2f}"), cell("full")]
+                    cells.append(str(sum(row["wrong"] for row in rows)))
+                    lines.append(f"| {instances} | {fault} | {loss:.0%} | " + " | ".join(cells) + " |")
+                    print(lines[-1], flush=True)
+                    costs += [(instances, row) for row in rows]
+        lines += [
+            "",
+            "| instances | bytes a second, calm | in trouble | CPU ms a second, calm | in trouble |",
+        ]
+        lines.append("| --- " * 5 + "|")
+        for instances in (5, 50, 500):
+            rows = [row for n, row in costs if n == instances]
+            means = [
+                np.mean([row[name] for row in rows]) for name in ("calm bytes", "bytes", "calm cpu", "cpu")
+            ]
+            lines.append(
+                f"| {instances} | " + " | ".join(f"{m:.0f}" if m > 10 else f"{m:.1f}" for m in means) + " |"
+            )
+            print(lines[-1], flush=True)
+        lines += [
+            "",
+            "Each instance sends and receives as much. CPU is that of the core in this process.",
+            "",
+        ]
+        lines += [
+            "| load, of what engines can do | runs | leavings by one alone | runs in which the fleet left |"
+        ]
+        lines.append("| --- " * 4 + "|")
+        for times in (1.0, 1.6):
+            found = pool.map(calm, [(seed, times) for seed in range(given.seeds)], chunksize=4)
+            alone, fleet = sum(a for a, _ in found), sum(f for _, f in found)
+            lines.append(f"| {0.6 * times:.2f} | {given.seeds} | {alone} | {fleet} |")
+            print(lines[-1], flush=True)
+    lines += ["", "Six instances, skewed 1:1:1:2:3:4, 20 s each without a fault, 30% of words lost.", ""]
+    OUT.write_text("\n".join(lines))
+
+
+if __name__ == "__main__":
+    main()
--- a/cottonhold/decide/scheduler.py
+++ b/cottonhold/decide/scheduler.py
@@ -179,7 +179,8 @@
         # the fleet's word bounds what is sent. May hurt where it is wrong: one that leaves nobody is skipped.
         work = event.work if any(event.work.get(e.id, math.inf) for e in self.live) else {}
         for e in self.engines.values():
-            e.set_bound(self.now, work.get(e.id, math.inf), event.until)
+            if e.set_bound(self.now, work.get(e.id, math.inf), event.until):
+                self._trust(e)  # the fleet returns to it: what it was doubted for is past
         self._count_room()
         for q in [q for e in self.engines.values() if not e.bound for q in e.empty()]:
             self._place(q)
@@ -853,8 +854,8 @@
         cold, bound = self.now < e.cold_until, e.bounded(self.now)
         if not bound or cold and e.id not in self.mine or not cold and bound == math.inf:
             return cold or not bound
-        fill, usual = min(self._cold_fill(e) if cold else bound, bound), q.learned.cost or q.cost
-        free = bound == math.inf
+        free, usual = bound == math.inf, q.learned.cost or q.cost
+        fill = self._cold_fill(e) if free else bound  # the fleet's pace follows what a cold engine shows
         most = fill * self.settings.rules.tip_after if free else max(fill * BOUND_BURST_MS, usual)
         e.allowance, e.allowance_at = min(most, e.allowance + fill * (self.now - e.allowance_at)), self.now
         turn = self.settings.me + math.floor(self.now / self.settings.rules.tip_after)
--- a/cottonhold/decide/state.py
+++ b/cottonhold/decide/state.py
@@ -153,11 +153,17 @@
         """The bound in force: none where the fleet has set none, nothing once it has run out."""
         return self.bound if now < self.bound_until or self.bound == math.inf else 0.0
 
-    def set_bound(self, now: float, bound: float, until: float) -> None:
-        """Another bound; one that was free before starts without anything saved up."""
+    def set_bound(self, now: float, bound: float, until: float) -> bool:
+        """Another bound; true if nothing was allowed before and something is now. One that was free before
+        starts without anything saved up; one whose bound is lifted has shown what it can do."""
+        returns = not self.bound and bound > 0
         if self.bound == math.inf:
             self.allowance, self.allowance_at = 0.0, now
+        elif bound == math.inf:
+            # Danger: back in full by what it showed, it was held to the cold budget by the clock for seconds.
+            self.cold_until = min(self.cold_until, now)
         self.bound, self.bound_until = bound, until
+        return returns
 
     def hear_report(self, now: float, report: dict[str, float]) -> bool:
         """Take in a load report without the values that make no sense; false if none is left."""
--- a/cottonhold/emulator/rig/trial.py
+++ b/cottonhold/emulator/rig/trial.py
@@ -154,20 +154,13 @@
 
     async def play(self) -> Result:
         """The whole day. Raises TrialError."""
-        self.folder.mkdir(parents=True, exist_ok=True)
-        (self.folder / "day.json").write_bytes(write(self.day))
         try:
-            await self._start()
+            await self.start()
             await self._run()
             views = {name: self.view(name) for name in self._instances_there()}
         finally:
-            for lie in self.lies:
-                lie.cancel()
-            self.end()
-            for link in (*self.engines.values(), *self.doors.values()):
-                await link.stop()
-            self.switch.stop()
-        seen = self._ledgers()
+            await self.close()
+        seen = self.ledgers()
         result = Result(self.day, self.folder, judge(self.day, seen), self.timeline, views)
         kept = {
             "begun": self.begun,
@@ -180,7 +173,19 @@
         (self.folder / "result.json").write_bytes(msgspec.json.format(msgspec.json.encode(kept)))
         return result
 
-    async def _start(self) -> None:
+    async def close(self) -> None:
+        """End all that was started, and the links between."""
+        for lie in self.lies:
+            lie.cancel()
+        self.end()
+        for link in (*self.engines.values(), *self.doors.values()):
+            await link.stop()
+        self.switch.stop()
+
+    async def start(self) -> None:
+        """Start everything, and the load once all instances know one another. Raises TrialError."""
+        self.folder.mkdir(parents=True, exist_ok=True)
+        (self.folder / "day.json").write_bytes(write(self.day))
         day, serial = self.day, 0
         for engine in day.engine_names():
             for instance in day.instance_names():
@@ -267,7 +272,8 @@
                 return False
         return True
 
-    def _ledgers(self) -> Ledgers:
+    def ledgers(self) -> Ledgers:
+        """What engines and clients have seen so far."""
         engines = {name: _lines(self.folder / f"{name}.jsonl") for name in self.day.engine_names()}
         return Ledgers(engines, _lines(self.folder / "clients.jsonl"), self.begun, self.marks)
 
--- /dev/null
+++ b/tests/emulator/test_rig.py
@@ -0,0 +1,333 @@
+"""The rig's own parts: links that fail as told, a script that is read again, and a judge that finds each
+defect.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import copy
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import pytest
+from typer.testing import CliRunner
+
+from cottonhold.cli.main import app
+from cottonhold.emulator.rig.clients import Kind
+from cottonhold.emulator.rig.days import DAYS, without_fleet
+from cottonhold.emulator.rig.judge import Ledgers, Line, judge, summary
+from cottonhold.emulator.rig.links import Link, Switch, TcpLink, Way
+from cottonhold.emulator.rig.report import page
+from cottonhold.emulator.rig.script import Day, Fault, ScriptError, check, read, write
+
+# --- links ---
+
+
+async def through(link: TcpLink, data: bytes = b"ask") -> str:
+    """What becomes of a question to an echo behind a link."""
+    try:
+        reader, writer = await asyncio.open_connection("127.0.0.1", link.port)
+    except ConnectionRefusedError:
+        return "refused"
+    try:
+        writer.write(data)
+        return (await asyncio.wait_for(reader.readexactly(len(data)), 0.3)).decode()
+    except TimeoutError:
+        return "silent"
+    except (ConnectionError, asyncio.IncompleteReadError):
+        return "broken"
+    finally:
+        writer.close()
+
+
+@pytest.mark.parametrize(
+    "link, wanted",
+    [
+        (Link(), "ask"),
+        (Link(refuse=True), "refused"),
+        (Link(reset=True), "broken"),
+        (Link(forth=Way(cut=True)), "silent"),
+        (Link(back=Way(cut=True)), "silent"),
+        (Link(forth=Way(delay=5.0), back=Way(slow=1e4)), "ask"),
+    ],
+    ids=["well", "refused", "reset", "cut forth", "cut back", "slow"],
+)
+def test_a_tcp_link_fails_as_told_and_is_well_again(link: Link, wanted: str) -> None:
+    came = list[bytes]()
+
+    async def echo(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while data := await reader.read(100):
+            came.append(data)
+            writer.write(data)
+        writer.close()
+
+    async def scenario() -> tuple[str, str]:
+        server = await asyncio.start_server(echo, "127.0.0.1", 0)
+        tested = TcpLink(("127.0.0.1", server.sockets[0].getsockname()[1]), 1)
+        port = await tested.start()
+        await tested.set(link)
+        found = await through(tested)
+        if link.forth.cut:
+            assert not came, "one way: nothing has come"
+        if link.back.cut:
+            assert came == [b"ask"], "the other way: it came, and no answer went back"
+        await tested.set(Link())
+        assert tested.port == port
+        again = await through(tested)
+        await tested.stop()
+        server.close()
+        return found, again
+
+    assert asyncio.run(scenario()) == (wanted, "ask")
+
+
+@pytest.mark.parametrize(
+    "way, least, most",
+    [
+        (Way(), 100, 100),
+        (Way(cut=True), 0, 0),
+        (Way(loss=0.5), 25, 75),
+        (Way(twice=1.0), 200, 200),
+        (Way(delay=1.0, jitter=5.0), 100, 100),
+    ],
+    ids=["well", "cut", "loss", "twice", "jitter"],
+)
+def test_a_switch_passes_datagrams_from_public_address_to_own_port(way: Way, least: int, most: int) -> None:
+    came = list[tuple[bytes, int]]()
+
+    class Port(asyncio.DatagramProtocol):
+        def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+            came.append((data, addr[1]))
+
+    async def scenario() -> tuple[Switch, list[int]]:
+        loop = asyncio.get_running_loop()
+        ends = [await loop.create_datagram_endpoint(Port, local_addr=("127.0.0.1", 0)) for _ in range(3)]
+        ports = [int(t.get_extra_info("sockname")[1]) for t, _ in ends]
+        switch = Switch(ports[:2], 1)
+        public = await switch.start()
+        switch.ways[0, 1] = way
+        for n in range(100):
+            ends[0][0].sendto(bytes([n]), ("127.0.0.1", public[1]))
+            if n % 20 == 19:
+                await asyncio.sleep(0.01)
+        ends[2][0].sendto(b"?", ("127.0.0.1", public[1]))
+        for _ in range(100):
+            await asyncio.sleep(0.01)
+            if switch.strangers and len(came) >= least:
+                break
+        for transport, _ in ends:
+            transport.close()
+        switch.stop()
+        return switch, public
+
+    switch, public = asyncio.run(scenario())
+    assert least <= len(came) <= most and switch.strangers == 1
+    assert {port for _, port in came} <= {public[0]}, "the receiver knows the sender by its public address"
+    if way.jitter:
+        assert [d for d, _ in came] != sorted(d for d, _ in came), "some have overtaken others"
+
+
+def test_what_the_rig_started_ends_with_it(tmp_path: Path) -> None:
+    """Killed, and not ended in order."""
+    pids = tmp_path / "pids"
+    guard = "cottonhold.emulator.rig.guard"
+    code = (
+        "import os, subprocess, sys, time\n"
+        f"p = subprocess.Popen([sys.executable, '-m', '{guard}', str(os.getpid()), sys.executable,"
+        " '-c', 'import time; print(1, flush=True); time.sleep(600)'], stdout=subprocess.PIPE)\n"
+        "p.stdout.readline()\n"
+        f"open({str(pids)!r}, 'w').write(str(p.pid))\n"
+        "print('ready', flush=True); time.sleep(600)\n"
+    )
+    rig = subprocess.Popen([sys.executable, "-c", code], stdout=subprocess.PIPE)
+    assert rig.stdout is not None and rig.stdout.readline() == b"ready\n"
+    child = int(pids.read_text())
+    os.kill(rig.pid, signal.SIGKILL)
+    rig.wait()
+    rig.stdout.close()
+    for _ in range(500):
+        try:
+            state = Path(f"/proc/{child}/stat").read_text().rpartition(")")[2].split()[0]
+        except OSError:
+            return
+        if state == "Z":  # nobody waits for it any more, but it has ended
+            return
+        time.sleep(0.01)
+    raise AssertionError("the child lives on")
+
+
+# --- script ---
+
+
+@pytest.mark.parametrize("day", DAYS, ids=[d.name for d in DAYS])
+def test_a_day_is_printed_and_read_again(day: Day) -> None:
+    assert read(write(day)) == day
+    assert all(str(fault) for fault in day.faults)
+    assert not without_fleet(day).fleet
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"instances": 0},
+        {"instances": 99},
+        {"rate": 1e9},
+        {"seconds": 1e9},
+        {"faults": [{"at": 1.0, "verb": "explode"}]},
+        {"faults": [{"at": 1.0, "verb": "kill", "target": "nobody"}]},
+        {"faults": [{"at": 1.0, "verb": "kill", "target": "n4-9"}]},
+        {"unknown": 1},
+        {"rate": "many"},
+    ],
+    ids=str,
+)
+def test_a_day_that_cannot_be_played_is_refused_by_name(changes: dict[str, Any]) -> None:
+    with pytest.raises(ScriptError):
+        read(json.dumps({"name": "bad", "about": "bad", **changes}).encode())
+
+
+# --- judge ---
+
+DAY = check(
+    Day(
+        name="judged",
+        about="a run by hand",
+        instances=2,
+        zones=("a", "b"),
+        engines=1,
+        seconds=4.0,
+        kinds=(Kind("cheap", 0.5, 1000.0, 100.0), Kind("load", 0.5, 1000.0, 100.0, load=True)),
+        traits={"cold": 1.0},
+    )
+)
+
+
+def clean() -> Ledgers:
+    """Four requests, one each second, each served by the engine that made it; two of them loads on one
+    key.
+    """
+    engines: dict[str, list[Line]] = {"a0": [[99.0, "start", ""]], "b0": [[99.0, "start", ""]]}
+    clients = list[Line]()
+    for n in range(4):
+        ref, at, kind = f"r{n}", 100.0 + n, "load" if n % 2 else "cheap"
+        engine = "ab"[n % 2] + "0"
+        clients += [[at, "ask", ref, kind, 0, 0, n, 1000], [at + 0.2, "served", ref, engine]]
+        key = ["k1", n] if n % 2 else ["", 0]
+        engines[engine] += [
+            [at + 0.01, "get", ref, kind, *key, 100.0],
+            [at + 0.02, "run", ref],
+            [at + 0.19, "done", ref],
+        ]
+    return Ledgers(engines, clients, 100.0)
+
+
+def drop(lines: list[Line], *words: object) -> None:
+    lines[:] = [line for line in lines if not all(word in line for word in words)]
+
+
+Plant = Callable[[Ledgers], object]
+
+
+def add(lines: list[Line], *line: object) -> None:
+    lines.append(list(line))
+
+
+def at_once(seen: Ledgers) -> None:
+    add(seen.engines["b0"], 100.02, "get", "r0", "cheap", "", 0, 9.0)
+    seen.engines["a0"][3] = [101.9, "done", "r0"]
+
+
+DEFECTS: dict[str, tuple[str, Plant]] = {
+    "no answer": ("answers", lambda s: drop(s.clients, "served", "r1")),
+    "nothing in time": ("answers", lambda s: add(s.clients, 103.0, "nothing", "r2", "")),
+    "two answers": ("answers", lambda s: add(s.clients, 102.5, "refused", "r2", "")),
+    "served by nobody": ("made", lambda s: drop(s.engines["a0"], "done", "r2")),
+    "served as by another": ("made", lambda s: s.clients[1].__setitem__(3, "b0")),
+    "a load twice": ("loads", lambda s: add(s.engines["a0"], 101.05, "get", "r1", "load", "k1", 1, 9.0)),
+    "two at once": (
+        "one out",
+        at_once,
+    ),
+    "out of order": ("order", lambda s: s.engines["b0"].insert(2, [103.5, "run", "r1"])),
+    "pushed over": ("cold", lambda s: add(s.engines["a0"], 102.0, "tipped", "")),
+}
+
+
+def test_a_clean_run_has_no_findings_and_all_its_worth() -> None:
+    verdict = judge(DAY, clean())
+    assert verdict.findings == [] and verdict.figures["worth"] == 1.0
+    assert verdict.figures["attempts_per_served"] == 1.0 and sum(verdict.series["sends a"]) == 2
+    assert len(summary([("judged", verdict)])) == 3
+
+
+@pytest.mark.parametrize("name", DEFECTS)
+def test_the_judge_finds_a_planted_defect(name: str) -> None:
+    kind, plant = DEFECTS[name]
+    seen = clean()
+    if name == "out of order":
+        drop(seen.engines["b0"], "run", "r1")
+    plant(seen)
+    findings = judge(DAY, seen).findings
+    assert findings and all(finding.startswith(kind) for finding in findings)
+
+
+@pytest.mark.parametrize(
+    "excuse",
+    [
+        lambda s: s.marks.append((101.5, "kill", "n0")),
+        lambda s: s.marks.extend([(101.1, "stop", "n0"), (109.0, "go", "n0")]),
+    ],
+    ids=["killed", "stood still"],
+)
+def test_a_dead_instance_owes_no_answer(excuse: Plant) -> None:
+    seen = clean()
+    drop(seen.clients, "served", "r1")
+    excuse(seen)
+    assert judge(DAY, seen).findings == []
+
+
+def test_a_load_turned_away_or_dropped_may_go_elsewhere_in_turn() -> None:
+    seen = clean()
+    seen.engines["a0"] += [[101.001, "get", "r1", "load", "k1", 1, 9.0], [101.002, "overload", "r1"]]
+    seen.engines["b0"][1:1] = [[100.005, "get", "r0", "cheap", "", 0, 9.0], [100.009, "drop", "r0"]]
+    assert judge(DAY, seen).findings == []
+
+
+def test_worth_is_weighed_against_what_the_engines_could_do() -> None:
+    seen = clean()
+    for lines in (seen.engines["a0"], seen.engines["b0"]):
+        lines.insert(1, [99.5, "set", "", "slow", 40.0])
+    half = copy.deepcopy(seen)
+    drop(half.clients, "served", "r3")
+    assert judge(DAY, half).figures["worth"] < judge(DAY, seen).figures["worth"]
+    dead = clean()
+    dead.marks += [(99.9, "kill", "a0"), (99.9, "kill", "b0")]
+    assert sum(judge(DAY, dead).series["worth most"]) == 0.0
+
+
+# --- commands ---
+
+
+def test_a_report_is_one_page_and_bad_calls_say_why(tmp_path: Path) -> None:
+    verdict = judge(DAY, clean())
+    (tmp_path / "day.json").write_bytes(write(DAY))
+    kept = {
+        "verdict": {"findings": ["made: <r1>"], "figures": verdict.figures, "series": verdict.series},
+        "timeline": [str(Fault(1.0, "kill", "a"))],
+        "views": {"n0": {"zones": [{"zone": "a", "phase": "in", "why": ""}]}},
+    }
+    (tmp_path / "result.json").write_text(json.dumps(kept))
+    text = page(tmp_path)
+    assert "<svg" in text and "made: &lt;r1&gt;" in text and "http-equiv" not in text
+    run = CliRunner().invoke
+    assert run(app, ["trial", "report", str(tmp_path)]).exit_code == 0
+    assert run(app, ["trial", "report", str(tmp_path / "none")]).exit_code == 2
+    assert run(app, ["trial", "run", "no-such-day"]).exit_code == 2
+    assert "zone-killed" in run(app, ["trial", "list"]).output
--- /dev/null
+++ b/tests/fleet/test_processes.py
@@ -0,0 +1,133 @@
+"""Several real instances with faults between them: they wait for states and count sends, and assert no times.
+
+The long days, with times, are played by `cottonhold trial run` and benchmarks/fleet.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Callable, Coroutine
+from pathlib import Path
+from typing import Any
+
+import pytest
+from typer.testing import CliRunner
+
+from cottonhold.cli.main import app
+from cottonhold.emulator.rig.judge import judge
+from cottonhold.emulator.rig.script import Day, Fault
+from cottonhold.emulator.rig.trial import Trial
+
+DAY = Day(
+    name="short", about="in CI", instances=4, engines=2, rate=120.0, seconds=120.0, weights=(1, 1, 2, 3)
+)
+ALL = {"n0", "n1", "n2", "n3"}
+Story = Callable[[Trial], Coroutine[Any, Any, None]]
+
+
+def phases(trial: Trial, zone: str = "a") -> dict[str, str]:
+    """Each instance's phase of a zone."""
+    found = {}
+    for name in trial._instances_there():
+        rows = [row for row in trial.view(name).get("zones", []) if row["zone"] == zone]
+        found[name] = rows[0]["phase"] if rows else "unknown"
+    return found
+
+
+def out(*names: str) -> Callable[[dict[str, str]], bool]:
+    """Exactly these have left the zone."""
+    return lambda seen: {n for n, phase in seen.items() if phase != "in"} == set(names)
+
+
+async def until(trial: Trial, holds: Callable[[dict[str, str]], bool], what: str) -> None:
+    await trial.until(lambda: holds(phases(trial)), what, seconds=60.0)
+
+
+async def sends(trial: Trial, count: int) -> dict[str, int]:
+    """How many of the next sends go to each zone."""
+
+    def gets() -> dict[str, int]:
+        lines = trial.ledgers().engines.items()
+        by_zone = dict.fromkeys(DAY.zones, 0)
+        for engine, there in lines:
+            by_zone[engine[0]] += sum(line[1] == "get" for line in there)
+        return by_zone
+
+    before = gets()
+    await trial.until(lambda: sum(gets().values()) >= sum(before.values()) + count, "sends", seconds=60.0)
+    return {zone: n - before[zone] for zone, n in gets().items()}
+
+
+async def killed(trial: Trial) -> None:
+    """All leave a killed zone, send nothing there, and all return to it."""
+    await trial.apply(Fault(0.0, "kill", "a"))
+    await until(trial, out(*ALL), "all leave")
+    assert (await sends(trial, 200))["a"] == 0
+    await trial.apply(Fault(0.0, "start", "a"))
+    await until(trial, out(), "all return")
+    assert (await sends(trial, 200))["a"] > 20
+    assert not any(phase != "in" for zone in "bc" for phase in phases(trial, zone).values())
+
+
+async def one_link(trial: Trial) -> None:
+    """One whose own way is cut leaves alone, and the others stay."""
+    await trial.apply(Fault(0.0, "link", "n3", "a", {"cut": True}))
+    await until(trial, out("n3"), "one leaves")
+    await sends(trial, 200)
+    assert phases(trial) == dict.fromkeys(ALL - {"n3"}, "in") | {"n3": phases(trial)["n3"]}
+    await trial.apply(Fault(0.0, "link", "n3", "a", {"heal": True}))
+    await until(trial, out(), "it returns")
+
+
+async def by_hand(trial: Trial) -> None:
+    """An order reaches all, outlives the instance that took it, and is taken back at another."""
+    run, path = CliRunner().invoke, str(trial.folder / "n1.sock")
+    order = ["zone", "leave", "a", "--socket", path, "--for", "10m", "--why", "work", "--who", "someone"]
+    done = await asyncio.to_thread(run, app, order)
+    assert done.exit_code == 0 and "confirmed by all" in done.output
+    await until(trial, out(*ALL), "all leave by hand")
+    assert (await sends(trial, 100))["a"] == 0
+    await trial.apply(Fault(0.0, "kill", "n1"))
+    await trial.apply(Fault(0.0, "start", "n1"))
+    await until(trial, out(*ALL), "one back from nothing learns of it")
+    shown = await asyncio.to_thread(run, app, ["zone", "show", "--socket", path, "--json"])
+    (row,) = [row for row in json.loads(shown.output) if row["zone"] == "a"]
+    assert row["order"]["who"] == "someone" and row["order"]["mode"] == "leave"
+    for bad in (["zone", "leave", "x", *order[3:]], [*order[:6], "soon", *order[7:]]):
+        assert (await asyncio.to_thread(run, app, bad)).exit_code == 2
+    free = ["zone", "free", "a", "--socket", str(trial.folder / "n2.sock"), "--why", "done"]
+    assert (await asyncio.to_thread(run, app, free)).exit_code == 0
+    await until(trial, out(), "all return")
+
+
+async def no_way_round(trial: Trial) -> None:
+    """With every way between instances cut, nobody sees anybody: no datagram finds a way round the rig."""
+    await trial.apply(Fault(0.0, "peers", "*", "*", {"cut": True}))
+
+    def alone() -> bool:
+        return all(
+            all(m["status"] == "dead" for m in trial.view(name)["members"])
+            for name in trial.day.instance_names()
+        )
+
+    await trial.until(alone, "nobody sees anybody", seconds=60.0)
+    await trial.apply(Fault(0.0, "peers", "*", "*", {"heal": True}))
+    await trial.until(trial.agreed, "all meet again", seconds=60.0)
+
+
+@pytest.mark.parametrize("story", [killed, one_link, by_hand, no_way_round], ids=lambda s: s.__name__)
+def test_a_fleet_of_processes(story: Story, tmp_path: Path) -> None:
+    trial = Trial(DAY, tmp_path)
+
+    async def scenario() -> None:
+        try:
+            await trial.start()
+            await sends(trial, 150)
+            await story(trial)
+        finally:
+            await trial.close()
+
+    asyncio.run(scenario())
+    findings = judge(DAY, trial.ledgers()).findings
+    assert [f for f in findings if not f.startswith("answers")] == []  # asks were open at its end
--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -89,3 +89,26 @@
         for query, there in sends(done):
             s.step(t + 5.0, [ended(query, io.Outcome.OK, engine=there, final=True, report={"util": 0.1})])
     assert engine not in probed
+
+
+def test_an_engine_that_came_back_by_its_pace_is_not_held_to_the_cold_budget_by_the_clock() -> None:
+    """Found on processes: warm after 3 s, back in full by the fleet's pace, and at 0.2 of its load for 13
+    s.
+    """
+    s = started(settings(), "e1", "e2")
+    s.step(1.0, [bound(e1=0.0)])
+    s.step(100.0, [io.EngineList((io.Engine("e1", started_at=90.0),), whole=False), bound(e1=3.0)])
+    bounded = drive(s, 110, 1000)
+    assert 60.0 * sum(e == "e1" for _, e in bounded) > 0.5 * 3.0 * 890, "its bound counts"
+    s.step(1000.0, [io.Bounds({}, 0.0)])
+    late = [e for _, e in drive(s, 1010, 2000)]
+    assert 0.3 < late.count("e1") / len(late) < 0.7
+
+
+def test_a_doubt_ends_when_the_fleet_returns_to_an_engine() -> None:
+    s = started(settings(), "e1", "e2")
+    ((name, engine),) = sends(s.step(5.0, [arrival("q")]))
+    s.step(10.0, [ended(name, io.Outcome.CONNECT_FAILED, engine=engine), io.Bounds({engine: 0.0}, 1e9)])
+    assert s.engines[engine].suspect == "dead"
+    s.step(3000.0, [io.Bounds({engine: 0.5}, 1e9)])
+    assert not s.engines[engine].suspect and any(e == engine for _, e in drive(s, 3010, 4000))
