Start a zone's count anew with its signs: a return was given up before anything was sent

Change: it starts over with the signs; a verdict of failing needs a failure. The test fails without it.

--- a/cottonhold/fleet/evidence.py
+++ b/cottonhold/fleet/evidence.py
@@ -150,6 +150,7 @@
 
     def clear(self) -> None:
         """Begin anew."""
+        self.stood = 0
         for part in (self.sums, self.signs, self.times, self.newest):
             part.clear()
 
@@ -305,7 +306,7 @@
         stands_out = score >= s.enough - 1e-9 and self._stands_out(zone)
         failing = sum(sign is Sign.FAILED for sign in zone.newest)
         zone.stood = min(zone.stood + 1, 2 * STOOD) if stands_out else max(zone.stood - 1, 0)
-        fails = 2 * failing >= sum(sign >= Sign.SLOW for sign in zone.newest)
+        fails = failing > 0 and 2 * failing >= sum(sign >= Sign.SLOW for sign in zone.newest)
         if zone.stood and fails:
             return Verdict.LOST if zone.share() >= s.lost else Verdict.FAILING
         if zone.stood >= STOOD:
--- a/tests/fleet/test_evidence.py
+++ b/tests/fleet/test_evidence.py
@@ -111,3 +111,20 @@
     evidence.ended(5.0, "q", False, 5.0)
     evidence.ended(5.0, "never", False, 5.0)
     assert evidence.weigh(10.0) == {"b": Verdict.UNSURE} and not evidence.open
+
+
+@pytest.mark.parametrize("returning", [True, False])
+def test_a_zone_that_starts_over_is_not_judged_by_what_was_before(returning: bool) -> None:
+    """Found on processes: a zone in return was left again after 100 ms, before anything had been sent
+    there.
+    """
+    evidence = Evidence()
+    evidence.know(ZONES)
+    for n in range(400):
+        engine = f"{'abc'[n % 3]}{n // 3 % 3 + 1}"
+        evidence.sent(5.0 * n, f"q{n}", engine, engine[0], 0)
+        evidence.ended(5.0 * n + 4, f"q{n}", engine[0] != "a" or n < 200, 20.0)
+        verdicts = evidence.weigh(5.0 * n + 4)
+    assert verdicts["a"] is Verdict.LOST
+    evidence.start_over("a", absent=not returning, returning=returning)
+    assert evidence.weigh(2010.0)["a"] is Verdict.UNSURE
