--- a/cottonhold/config/contradictions.py
+++ b/cottonhold/config/contradictions.py
@@ -85,8 +85,8 @@
             places.append((("sources", i, "address"), source.address))
     if file.peers is not None:
         places += [(("peers", "all", i), a) for i, a in enumerate(file.peers.all)]
-        if file.peers.announce and not re.fullmatch(r"[0-9.]+:[0-9]{1,5}", file.peers.announce):
-            report(("peers", "announce"), f"'{file.peers.announce}' is no IPv4 address and port")
+        if file.peers.announce:
+            places.append((("peers", "announce"), file.peers.announce))
     if file.register is not None:
         places.append((("register", "agent"), file.register.agent))
     for path, text in places:
@@ -158,7 +158,7 @@
         if other != zone:
             report(("zones", i), f"'{zone}' has the number of '{other}' in datagrams: rename one")
     if fleet.hold_most_ms < fleet.hold_ms:
-        report(("fleet", "hold_most_ms"), f"is shorter than hold_ms, {fleet.hold_ms:g}")
+        report(("fleet", "hold_ms"), f"is longer than hold_most_ms, {fleet.hold_most_ms:g}")
 
 
 def _check_register(register: Register, report: Report) -> None:
--- a/cottonhold/config/schema.py
+++ b/cottonhold/config/schema.py
@@ -17,6 +17,8 @@
 Name = Annotated[str, Meta(pattern=r"^[A-Za-z0-9][A-Za-z0-9_.\-]{0,63}$")]
 Place = Annotated[str, Meta(pattern=r"^(\[[0-9A-Fa-f:.]+\]|[A-Za-z0-9.\-_]+):\d{1,5}$")]
 
+Public = Annotated[str, Meta(pattern=r"^([0-9.]+:\d{1,5})?$")]
+
 
 class Section(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """What all parts of the file have in common."""
@@ -84,7 +86,7 @@
     """The other dispatchers of the tier; `all` holds one address each, this one's own included."""
 
     listen: Place
-    announce: str = ""  # where the others reach this one, if that isn't `listen` (translated addresses)
+    announce: Public = ""  # where the others reach this one, if that isn't `listen` (translated addresses)
     all: Annotated[tuple[Place, ...], Meta(min_length=1)]
 
 
--- a/cottonhold/emulator/rig/trial.py
+++ b/cottonhold/emulator/rig/trial.py
@@ -165,6 +165,7 @@
         result = Result(self.day, self.folder, judge(self.day, seen), self.timeline, views)
         kept = {
             "begun": self.begun,
+            "begun_unix": self.begun + time.time() - time.monotonic(),
             "marks": self.marks,
             "timeline": self.timeline,
             "verdict": dataclasses.asdict(result.verdict),
--- a/tests/config/test_installation.py
+++ b/tests/config/test_installation.py
@@ -174,6 +174,28 @@
             "F:13: membership.send_key: 2 is none of the keys",
         ],
     ),
+    ("sources: [", "fleet: {}, sources: [", ["F:13: fleet: needs membership"]),
+    (
+        "zones: ['z1', 'z2']",
+        "fleet: { hold_ms: 50000, slow: 1 }, zones: ['z1']",
+        ["F:7: fleet.slow: Expected 'float' >= 1.5"],
+    ),
+    (
+        "zones: ['z1', 'z2']",
+        "fleet: { hold_ms: 50000 }, membership: {}, "
+        "peers: { listen: '10.0.0.1:1', all: ['10.0.0.1:1'] }, zones: ['z1']",
+        ["F:7: fleet.hold_ms: is longer than hold_most_ms", "F:7: zones: names fewer than two"],
+    ),
+    (
+        "sources: [",
+        "membership: {}, peers: { listen: '10.0.0.1:1', announce: 'here', all: ['10.0.0.2:1'] }, sources: [",
+        ["F:13: peers.announce: Expected a text"],
+    ),
+    (
+        "sources: [",
+        "peers: { listen: 'h:1', announce: '10.0.0.1:70000', all: ['10.0.0.2:1'] }, sources: [",
+        ["F:13: peers.announce: '10.0.0.1:70000' names no port", "F:13: peers.announce: isn't peers.all[0]"],
+    ),
     ("name: 'n1'", "name: n1", ["F:4: Unknown variable: n1"]),
     ("name: 'n1'", "name: error 'stop'", ["F:4: stop"]),
     ("name: 'n1'", "name: import 'none.libsonnet'", ['F:4: couldn\'t open import "none.libsonnet"']),
--- /dev/null
+++ b/tests/fleet/test_rim.py
@@ -0,0 +1,158 @@
+"""The rim of the fleet: what the gateway tells it, orders and calls at the local socket, bad ones by name."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import socket
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from cottonhold.decide import interface as io
+from cottonhold.discovery.model import Address
+from cottonhold.fleet.core import Fleet, FleetSettings
+from cottonhold.fleet.zones import Phase
+from cottonhold.membership.codec import Keys
+from cottonhold.membership.swim import Datagram, Heard, Send, Swim, SwimSettings
+from cottonhold.node import status
+from cottonhold.node.driver import Driver
+from cottonhold.node.engines import Attempt
+from cottonhold.node.fleet import FleetRim, OrderError
+from cottonhold.observe.counters import Counters
+from tests.scenario import FakeClock
+
+PLACE = Address("127.0.0.1", 7000)
+
+
+def make(clock: FakeClock) -> tuple[FleetRim, list[io.Bounds]]:
+    bounds = list[io.Bounds]()
+    fleet = Fleet(1, 1, clock.now(), FleetSettings(dispatchers=1, probed=False), 1)
+    rim = FleetRim(
+        fleet,
+        Swim("n0", PLACE, SwimSettings(), 1, 1),
+        clock,
+        Counters(),
+        lambda member, data: None,
+        bounds.append,
+        lambda event, **fields: None,
+    )
+    rim.engines({zone: {f"{zone}{i}": 1.0 for i in range(3)} for zone in "ab"})
+    rim.start()
+    return rim, bounds
+
+
+@pytest.mark.parametrize(
+    "outcome, left",
+    [
+        (io.Outcome.CONNECT_FAILED, True),
+        (io.Outcome.RESET, True),
+        (io.Outcome.ERROR, True),
+        (io.Outcome.FULL, False),
+        (io.Outcome.MOOT, False),
+        (io.Outcome.CANCELLED, False),
+    ],
+)
+def test_how_attempts_end_decides_whether_a_zone_is_left(outcome: io.Outcome, left: bool) -> None:
+    clock = FakeClock()
+    rim, bounds = make(clock)
+    for n in range(300):
+        engine = f"{'ab'[n % 2]}{n // 2 % 3}"
+        attempt = Attempt(f"q{n}", 0, engine, "lookup", b"", 1, clock.now(), 0.0)
+        rim.arrived(0)
+        rim.sent(attempt, 0)
+        bad = n >= 100 and engine[0] == "a"
+        end = io.AttemptEnded(
+            attempt.query, 0, engine, outcome if bad else io.Outcome.OK, 1.0 if bad else 20.0
+        )
+        rim.ended(attempt, end)
+        clock.run_until(clock.now() + 5.0, lambda: None)
+    assert (rim.fleet.zones.states["a"].phase is Phase.OUT) is left
+    assert rim.fleet.zones.states["b"].phase is Phase.IN
+    assert bool(bounds) is left and (not left or set(bounds[-1].work.values()) == {0.0})
+
+
+@pytest.mark.parametrize(
+    "changes, wanted",
+    [
+        ({"zone": "nowhere"}, "no zone"),
+        ({"zone": None}, "no zone"),
+        ({"mode": "explode"}, "mode"),
+        ({"for_ms": 0}, "for_ms"),
+        ({"for_ms": True}, "for_ms"),
+        ({"for_ms": "long"}, "for_ms"),
+        ({"for_ms": 1e12}, "for_ms"),
+        ({"who": ""}, "who"),
+        ({"why": 7}, "why"),
+    ],
+    ids=str,
+)
+def test_an_order_that_makes_no_sense_is_refused_by_name(changes: dict[str, Any], wanted: str) -> None:
+    rim, bounds = make(FakeClock())
+    good = {"zone": "a", "mode": "leave", "for_ms": 1000, "who": "me", "why": "work"}
+    with pytest.raises(OrderError, match=wanted):
+        rim.order(good | changes)
+    assert not bounds
+    (row, _) = rim.order(good)["zones"]
+    assert row["phase"] == "out" and row["order"]["why"] == "work" and bounds
+
+
+@pytest.mark.parametrize(
+    "sent, wanted",
+    [
+        (b"", {"echo": {"call": "view"}}),
+        (b'{"call": "view"}\n', {"echo": {"call": "view"}}),
+        (b'{"call": "order", "zone": "a"}\n', {"echo": {"call": "order", "zone": "a"}}),
+        (b"[1]\n", "not an object"),
+        (b"nonsense\n", "can't be read"),
+        (b"x" * 5000, "too long"),
+    ],
+    ids=["silent", "view", "order", "list", "nonsense", "long"],
+)
+def test_a_call_at_the_local_socket(tmp_path: Path, sent: bytes, wanted: Any) -> None:
+    path = tmp_path / "n.sock"
+
+    async def scenario() -> dict[str, Any]:
+        loop = asyncio.get_running_loop()
+        driver = Driver(loop, Counters(), lambda text: None)
+        serving = asyncio.create_task(status.serve(driver, status.listen(path), lambda call: {"echo": call}))
+
+        def call() -> dict[str, Any]:
+            if sent.startswith(b"{"):
+                return status.ask(path, json.loads(sent))
+            data = b""
+            with socket.socket(socket.AF_UNIX) as sock:
+                sock.settimeout(10)
+                sock.connect(str(path))
+                sock.sendall(sent)
+                while part := sock.recv(65536):
+                    data += part
+            answer: dict[str, Any] = json.loads(data)
+            return answer
+
+        answer = await asyncio.to_thread(call)
+        serving.cancel()
+        return answer
+
+    answer = asyncio.run(scenario())
+    assert answer == wanted if isinstance(wanted, dict) else wanted in answer["error"]
+
+
+def test_bytes_of_the_fleet_travel_in_memberships_datagrams_and_no_longer_than_they_fit() -> None:
+    keys, places = Keys({1: b"a shared key"}, 1), [Address("127.0.0.1", 1), Address("127.0.0.1", 2)]
+    ends = [Swim(f"n{i}", places[i], SwimSettings(), i, 5, keys, places) for i in range(2)]
+    here, there = ends
+    assert here.say_payload(b"x", there.id) is None, "never met"
+    for now in range(0, 3000, 100):
+        for one, other in ((here, there), (there, here)):
+            for action in one.step(float(now)):
+                if isinstance(action, Send):
+                    replies = other.step(float(now), [Datagram(action.data, one.address)])
+                    back = [Datagram(r.data, other.address) for r in replies if isinstance(r, Send)]
+                    one.step(float(now), back)
+    said = here.say_payload(b"x" * here.codec.room(), there.id)
+    assert said is not None and len(said.data) == 256 and said.address == there.address
+    heard = [a for a in there.step(3000.0, [Datagram(said.data, here.address)]) if isinstance(a, Heard)]
+    assert [h.message.payload for h in heard] == [b"x" * here.codec.room()]
+    assert here.say_payload(b"x" * (here.codec.room() + 1), there.id) is None
