--- a/cottonhold/emulator/rig/days.py
+++ b/cottonhold/emulator/rig/days.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from cottonhold.emulator.rig.clients import Manner
+from cottonhold.emulator.rig.clients import Kind, Manner
 from cottonhold.emulator.rig.script import Day, Fault
 
 OUT, BACK = 5.0, 13.0
@@ -16,7 +16,8 @@
 
 def zone_day(name: str, about: str, *faults: Fault, **fields: Any) -> Day:
     """A day on which zone a fails at 5 s and is well again at 13 s."""
-    return Day(name=name, about=about, out=OUT, back=BACK, faults=faults, **({"seconds": 24.0} | fields))
+    usual: dict[str, Any] = {"seconds": 24.0, "out": OUT, "back": BACK}
+    return Day(name=name, about=about, faults=faults, **(usual | fields))
 
 
 def killed(target: str = "a") -> tuple[Fault, Fault]:
@@ -123,6 +124,41 @@
         manner=Manner(tries=3),
         seconds=30.0,
     ),
+    zone_day(
+        "drains",
+        "engines are drained while a zone is left, and one instance's source is cut",
+        *SLOW,
+        Fault(OUT - 1.0, "drain", "b0"),
+        Fault(OUT + 1.0, "drain", "c1"),
+        Fault(OUT + 2.0, "source", "n4", words=CUT),
+        Fault(OUT + 3.0, "undrain", "b0"),
+        Fault(OUT + 4.0, "drain", "b1"),
+        Fault(OUT + 6.0, "source", "n4", words=HEAL),
+        Fault(BACK + 2.0, "undrain", "c1"),
+        Fault(BACK + 3.0, "drain", "a1"),
+        consul=True,
+        rate=200.0,
+    ),
+    zone_day(
+        "loads",
+        "loads on keys while answers are lost, connections reset and engines killed",
+        Fault(4.0, "link", "n0-2", "a", {"back": True}),
+        Fault(7.0, "link", "n0-2", "a", HEAL),
+        Fault(8.0, "kill", "b1"),
+        Fault(10.0, "start", "b1"),
+        Fault(11.0, "link", "n3-5", "c0", {"reset": True}),
+        Fault(13.0, "link", "n3-5", "c0", HEAL),
+        Fault(14.0, "kill", "n4"),
+        Fault(16.0, "start", "n4"),
+        kinds=(
+            Kind("cheap", 0.5, 2000.0, 20.0),
+            Kind("dear", 0.3, 2000.0, 20.0),
+            Kind("load", 0.2, 4000.0, 20.0, True),
+        ),
+        rate=200.0,
+        out=0.0,
+        back=0.0,
+    ),
     zone_day(
         "by-hand",
         "a zone is left by hand, and the instance that took the order dies",
--- a/cottonhold/emulator/rig/judge.py
+++ b/cottonhold/emulator/rig/judge.py
@@ -18,6 +18,7 @@
 ENDS = {"served", "refused", "failed", "nothing", "broken", "unreached"}
 BIN = 0.5
 SLACK_S = 0.5
+START_S = 3.0  # until a process from nothing has heard of the list
 MOMENT = 0.1  # between a drop and its being seen on the link, in a busy rig
 
 
@@ -71,6 +72,7 @@
     _check_one_out(sends, verdict)
     _check_order(day, asks, runs, verdict)
     _check_tipped(seen, verdict)
+    _check_drains(seen, sends, verdict)
     _weigh_worth(day, seen, asks, verdict)
     _weigh_sends(day, seen, sends, verdict)
     _weigh_fairness(day, asks, verdict)
@@ -250,6 +252,39 @@
                 )
 
 
+def _check_drains(seen: Ledgers, sends: Mapping[str, list[Send]], verdict: Verdict) -> None:
+    """Nothing new to an engine from half a second after a told drain on, by whoever could be told."""
+    drained: dict[str, list[tuple[float, float]]] = defaultdict(list)
+    for at, verb, engine in sorted(seen.marks):
+        if verb == "drain":
+            drained[engine].append((at, math.inf))
+        elif verb == "undrain" and drained[engine]:
+            drained[engine][-1] = (drained[engine][-1][0], at)
+    for ref, found in sends.items():
+        for send in found:
+            for begin, end in drained[send.engine]:
+                if _told_by(seen, send.instance, begin) + SLACK_S < send.at < end:
+                    late = send.at - begin
+                    verdict.findings.append(
+                        f"drain: {ref} went to {send.engine} {late:.2f} s after its drain, by {send.instance}"
+                    )
+
+
+def _told_by(seen: Ledgers, instance: str, at: float) -> float:
+    """When an instance can have heard of what was told at a time: later, if it was deaf or stood still
+    then.
+    """
+    since = math.inf
+    for when, verb, who in sorted(seen.marks):
+        if who == instance and verb in ("deaf", "stop", "kill"):
+            since = min(since, when)
+        elif who == instance and verb in ("hears", "go", "start"):
+            if since <= at + SLACK_S and when >= at:
+                return when + (START_S if verb == "start" else 0.0)
+            since = math.inf
+    return at if since > at + SLACK_S else math.inf
+
+
 # --- figures ---
 
 
--- a/cottonhold/emulator/rig/script.py
+++ b/cottonhold/emulator/rig/script.py
@@ -1,17 +1,18 @@
-"""A day of the rig as values: the deployment, its load, and faults by time. Pure; printed as JSON and read
-again.
+"""A day of the rig as values: the deployment, its load, and faults by time. Pure; kept as JSON, read again.
 
 A fault's `target` names what it is about: an instance (`n3`), several (`n0-2`), an engine (`a1`), a zone
 (`a`), or `*`. Verbs and their words:
 
     traits ENGINES name=value ...       what an engine process is, from now on
     kill|start|stop|go PROCESSES        SIGKILL; a new process from nothing; SIGSTOP; SIGCONT
-    link INSTANCES ENGINES state ...    instance to engine: cut, forth, back (one way), refuse, reset,
-    delay, heal door INSTANCES state ...            client to instance peers INSTANCES INSTANCES state ...
-    datagrams both ways: cut, loss, twice, delay, jitter, heal; `forth` one way forge INSTANCE zone=Z
-    that instance's words are said falsely, with a key, from now on replay                              all
-    datagrams of fleet words so far are sent once more, in disorder order INSTANCE zone=Z mode=M        an
-    order by hand at its local socket
+    link INSTANCES ENGINES state ...    instance to engine: cut, forth, back (one way), refuse, reset, heal
+    door INSTANCES state ...            client to instance
+    source INSTANCES state ...          source of the list to instance; needs `consul` of the day
+    drain|undrain ENGINES               told by the source of the list
+    peers INSTANCES INSTANCES state ... datagrams both ways, or `forth`: cut, loss, twice, delay, jitter
+    forge INSTANCE zone=Z               that instance's words are said falsely, with a key, from now on
+    replay                              all datagrams so far are sent once more, in disorder
+    order INSTANCE zone=Z mode=M        an order by hand at its local socket
 """
 
 from __future__ import annotations
@@ -61,6 +62,7 @@
     # A cold engine that gets more work within 1.5 s than twice what it could do then falls over.
     traits: dict[str, Any] = msgspec.field(default_factory=lambda: {"tip": 1000.0, "tip_window": 1500.0})
     fleet: bool = True
+    consul: bool = False  # the list comes from a stand-in Consul of each instance's own, else from the file
     zone: str = "a"
     out: float = 0.0
     back: float = 0.0
@@ -95,6 +97,7 @@
 
 
 VERBS = {"traits", "kill", "start", "stop", "go", "link", "door", "peers", "forge", "replay", "order"}
+SOURCE_VERBS = {"source", "drain", "undrain"}
 
 
 def check(day: Day) -> Day:
@@ -104,7 +107,9 @@
     if len(day.weights) < day.instances or day.seconds > 600 or day.rate > 5000:
         raise ScriptError(f"day '{day.name}': a weight for each instance, 600 s and 5000/s at most")
     for fault in day.faults:
-        if fault.verb not in VERBS:
+        if fault.verb in SOURCE_VERBS and not day.consul:
+            raise ScriptError(f"day '{day.name}': '{fault.verb}' needs a source of the list: consul")
+        if fault.verb not in VERBS | SOURCE_VERBS:
             raise ScriptError(f"day '{day.name}': there is no verb '{fault.verb}'")
         for target in (fault.target, fault.other):
             day.pick(target)
--- a/cottonhold/emulator/rig/trial.py
+++ b/cottonhold/emulator/rig/trial.py
@@ -22,6 +22,8 @@
 
 import msgspec
 
+from cottonhold.emulator.consul.script import Step
+from cottonhold.emulator.consul.server import Server
 from cottonhold.emulator.rig.clients import Load
 from cottonhold.emulator.rig.judge import Ledgers, Line, Verdict, judge
 from cottonhold.emulator.rig.links import Link, Switch, TcpLink, Way
@@ -60,6 +62,8 @@
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self.engines: dict[str, TcpLink] = {}  # "n0>a1": the link from an instance to an engine
         self.doors: dict[str, TcpLink] = {}
+        self.sources: dict[str, TcpLink] = {}
+        self.consuls: dict[str, Server] = {}
         self.ports = dict(zip(day.engine_names(), free_ports(len(day.engine_names()), socket.SOCK_STREAM)))  # noqa: B905
         self.listens = free_ports(day.instances, socket.SOCK_STREAM)
         self.switch = Switch(free_ports(day.instances, socket.SOCK_DGRAM), day.seed)
@@ -131,7 +135,8 @@
             "zones": day.zones,
             "machine_types": [{"name": "std", "cores": day.traits.get("servers", 1)}],
             "classes": classes,
-            "known": [k | {"machine_type": "std"} for k in known],
+            "known": [] if day.consul else [k | {"machine_type": "std"} for k in known],
+            "sources": [self._source(name)] if day.consul else [],
             "permits": {"cooldown_most_ms": 1000},
             "peers": {"listen": f"127.0.0.1:{self.switch.ports[i]}", "announce": public[i], "all": public},
             "membership": {"keys": [{"number": 1, "secret": KEY.decode()}], "probe_ms": PROBE_MS},
@@ -139,6 +144,27 @@
         }
         return config | ({"fleet": {}} if day.fleet else {})
 
+    def _source(self, name: str) -> dict[str, Any]:
+        place = f"127.0.0.1:{self.sources[name].port}"
+        guard = {"quiet_ms": 1, "quiet_most_ms": 1, "jitter": 0}
+        return {"kind": "consul", "name": "dc1", "addresses": [place], "service": "engine", "guard": guard}
+
+    async def _start_sources(self) -> None:
+        """A Consul for each instance, since each reaches the engines by links of its own."""
+        for i, name in enumerate(self.day.instance_names() if self.day.consul else []):
+            server = self.consuls[name] = Server()
+            for engine in self.day.engine_names():
+                place = f"127.0.0.1:{self.engines[f'{name}>{engine}'].port}"
+                server.add_engine(engine, place, zone=engine.rstrip("0123456789"), machine_type="std")
+            port = await server.start("127.0.0.1", 0)
+            self.sources[name] = TcpLink(("127.0.0.1", port), self.day.seed + 2000 + i)
+            await self.sources[name].start()
+
+    def _drain(self, verb: str, engine: str) -> None:
+        for server in self.consuls.values():
+            server.carry_out(Step(0, "maintenance", (engine, "on" if verb == "drain" else "off")))
+        self.marks.append((time.monotonic(), verb, engine))
+
     def end(self) -> None:
         """Kill what was started and is still there."""
         for process in self.processes.values():
@@ -183,8 +209,10 @@
         for lie in self.lies:
             lie.cancel()
         self.end()
-        for link in (*self.engines.values(), *self.doors.values()):
+        for link in (*self.engines.values(), *self.doors.values(), *self.sources.values()):
             await link.stop()
+        for server in self.consuls.values():
+            await server.stop()
         self.switch.stop()
 
     async def start(self) -> None:
@@ -200,6 +228,7 @@
                 self.engines[f"{instance}>{engine}"] = link
                 await link.start()
         await self.switch.start()
+        await self._start_sources()
         for engine in day.engine_names():
             self.start_engine(engine)
         for engine in day.engine_names():
@@ -297,6 +326,9 @@
             "peers": self._peers,
             "forge": lambda f: self.lies.append(asyncio.create_task(self._lie(f.target, f.words["zone"]))),
             "replay": lambda f: self._replay(),
+            "source": self._fault_sources,
+            "drain": lambda f: self._each(f, lambda name: self._drain("drain", name)),
+            "undrain": lambda f: self._each(f, lambda name: self._drain("undrain", name)),
         }
         for verb in ("kill", "start", "stop", "go"):
             verbs[verb] = lambda f: self._each(f, lambda name: self._process(f.verb, name))
@@ -319,6 +351,13 @@
             if name in self.doors:
                 await self.doors[name].set(_link(fault.words))
 
+    async def _fault_sources(self, fault: Fault) -> None:
+        for name in self.day.pick(fault.target):
+            if name in self.sources:
+                await self.sources[name].set(_link(fault.words))
+                cut = any(fault.words.get(word) for word in ("cut", "forth", "back", "refuse", "reset"))
+                self.marks.append((time.monotonic(), "deaf" if cut else "hears", name))
+
     async def _order(self, fault: Fault) -> None:
         call = {"call": "order", "for_ms": 60_000, "who": "rig", "why": "a trial", **fault.words}
         with contextlib.suppress(OSError, ValueError):
--- a/tests/emulator/test_rig.py
+++ b/tests/emulator/test_rig.py
@@ -181,6 +181,7 @@
         {"rate": 1e9},
         {"seconds": 1e9},
         {"faults": [{"at": 1.0, "verb": "explode"}]},
+        {"faults": [{"at": 1.0, "verb": "drain", "target": "a1"}]},
         {"faults": [{"at": 1.0, "verb": "kill", "target": "nobody"}]},
         {"faults": [{"at": 1.0, "verb": "kill", "target": "n4-9"}]},
         {"unknown": 1},
@@ -257,6 +258,11 @@
         at_once,
     ),
     "out of order": ("order", lambda s: s.engines["b0"].insert(2, [103.5, "run", "r1"])),
+    "after a drain": ("drain", lambda s: s.marks.append((101.2, "drain", "a0"))),
+    "after a drain and a deaf spell": (
+        "drain",
+        lambda s: s.marks.extend([(99.5, "drain", "a0"), (99.4, "deaf", "n0"), (101.0, "hears", "n0")]),
+    ),
     "pushed over": ("cold", lambda s: add(s.engines["a0"], 102.0, "tipped", "")),
 }
 
@@ -301,6 +307,24 @@
     assert judge(DAY, seen).findings == []
 
 
+@pytest.mark.parametrize(
+    "marks",
+    [
+        [(101.8, "drain", "a0")],
+        [(101.2, "drain", "a0"), (101.7, "undrain", "a0")],
+        [(101.2, "drain", "a0"), (101.1, "deaf", "n0")],
+        [(101.2, "drain", "a0"), (101.3, "stop", "n0"), (101.9, "go", "n0")],
+    ],
+    ids=["just told", "taken back", "cut off", "stood still"],
+)
+def test_a_send_after_a_drain_that_nobody_could_have_heard_of_is_no_finding(
+    marks: list[tuple[float, str, str]],
+) -> None:
+    seen = clean()
+    seen.marks += marks
+    assert judge(DAY, seen).findings == []
+
+
 def test_worth_is_weighed_against_what_the_engines_could_do() -> None:
     seen = clean()
     for lines in (seen.engines["a0"], seen.engines["b0"]):
