--- a/benchmarks/fleet/trials.py
+++ b/benchmarks/fleet/trials.py
@@ -17,7 +17,7 @@
 
 from cottonhold.emulator.rig.days import DAYS, without_fleet
 from cottonhold.emulator.rig.judge import BIN, Verdict, summary
-from cottonhold.emulator.rig.trial import play
+from cottonhold.emulator.rig.trial import judge_again, play
 
 matplotlib.use("Agg")
 from matplotlib import pyplot  # noqa: E402
@@ -32,9 +32,7 @@
     path = folder / name / "result.json"
     if not path.is_file():
         return None
-    result: dict[str, Any] = json.loads(path.read_bytes())
-    figures = {k: v for k, v in result["verdict"]["figures"].items() if v is not None}
-    return Verdict(result["verdict"]["findings"], figures, result["verdict"]["series"]), result
+    return judge_again(folder / name), json.loads(path.read_bytes())
 
 
 def chart(folder: Path) -> None:
--- a/cottonhold/emulator/rig/judge.py
+++ b/cottonhold/emulator/rig/judge.py
@@ -186,6 +186,11 @@
     return stopped is not None and stopped <= end
 
 
+def _excused(seen: Ledgers, ask: Asked) -> bool:
+    """Whether the instance that was asked was dead or stood still."""
+    return _disturbed(seen, f"n{ask.instance}", ask.at - 1.0, ask.at + ask.left / 1000 + SLACK_S)
+
+
 def _check_answers(
     day: Day, seen: Ledgers, asks: Mapping[str, Asked], runs: Mapping[str, list[Execution]], verdict: Verdict
 ) -> None:
@@ -193,10 +198,8 @@
     for ref, ask in asks.items():
         if ask.ends > 1:
             verdict.findings.append(f"answers: {ref} has {ask.ends} ends")
-        limit = ask.at + ask.left / 1000 + SLACK_S
-        name = f"n{ask.instance}"
-        if ask.word in ("nothing", "broken", "") and not _disturbed(seen, name, ask.at - 1.0, limit):
-            verdict.findings.append(f"answers: {ref} at {name} got none in its time")
+        if ask.word in ("nothing", "broken", "") and not _excused(seen, ask):
+            verdict.findings.append(f"answers: {ref} at n{ask.instance} got none in its time")
         if ask.word == "served":
             made = [r for r in runs.get(ref, []) if r.engine == ask.text and r.how == "done"]
             if not made:
@@ -330,6 +333,9 @@
     first: dict[int, Asked] = {}
     good: set[int] = set()
     for ask in sorted(asks.values(), key=lambda a: a.at):
+        # What only met dead or stopped instances could not have been served by anybody's decision.
+        if ask.word == "unreached" or ask.word in ("nothing", "broken") and _excused(seen, ask):
+            continue
         first.setdefault(ask.client, ask)
         if ask.word == "served":
             good.add(ask.client)
--- a/cottonhold/emulator/rig/trial.py
+++ b/cottonhold/emulator/rig/trial.py
@@ -27,7 +27,7 @@
 from cottonhold.emulator.rig.clients import Load
 from cottonhold.emulator.rig.judge import Ledgers, Line, Verdict, judge
 from cottonhold.emulator.rig.links import Link, Switch, TcpLink, Way
-from cottonhold.emulator.rig.script import Day, Fault, check, write
+from cottonhold.emulator.rig.script import Day, Fault, check, read, write
 from cottonhold.emulator.tier import free_ports
 from cottonhold.fleet.words import Vote, Word, ZoneWord, pack_words, zone_number
 from cottonhold.membership.codec import Codec, Keys, Kind, Message, member_id
@@ -436,6 +436,15 @@
     return lines
 
 
+def judge_again(folder: Path) -> Verdict:
+    """The verdict on a run that was kept. Raises OSError, ScriptError and KeyError."""
+    day, kept = read((folder / "day.json").read_bytes()), json.loads((folder / "result.json").read_bytes())
+    engines = {name: _lines(folder / f"{name}.jsonl") for name in day.engine_names()}
+    marks = [(at, verb, name) for at, verb, name in kept["marks"]]
+    links, clients = _lines(folder / "links.jsonl"), _lines(folder / "clients.jsonl")
+    return judge(day, Ledgers(engines, clients, kept["begun"], marks, links))
+
+
 def play(day: Day, folder: Path, progress: Progress = lambda share, text: None) -> Result:
     """Play a day. Raises TrialError and ScriptError."""
     trial = Trial(day, folder, progress)
