Join others only against no evidence of its own, and follow a return only after a leaving

Change: three served attempts with under a tenth bad speak against joining; the fleet's return counts only for one that was out with the fleet. Both tests fail without it. Ruled out: words in disorder (each merged by its version).

--- a/cottonhold/fleet/zones.py
+++ b/cottonhold/fleet/zones.py
@@ -17,6 +17,7 @@
 from cottonhold.fleet.words import Vote, ZoneWord
 
 Signs = tuple[int, int, int]  # good, late, bad
+WELL_LEAST, WELL_BAD = 3, 0.1  # served attempts, and share of bad signs, that speak against joining others
 
 
 class Phase(Enum):
@@ -71,6 +72,7 @@
     sure: bool = False
     willing: bool = False  # out, and for its return
     fleet_out: bool = False
+    followed: bool = False  # the fleet was out as well while this instance was
     heard_at: float = 0.0  # when a majority's words were last fresh
     pace: float = 1.0
     stepped_at: float = 0.0
@@ -168,6 +170,7 @@
             state.fleet_out = False
         elif self.now - state.heard_at > self.settings.lonely:
             state.fleet_out = False  # cut off for long: own evidence, own part
+        state.followed = state.followed or state.fleet_out
 
     def _decide(self, name: str, state: State, own: Own, told: list[ZoneWord], electorate: int) -> None:
         s = self.settings
@@ -213,8 +216,10 @@
 
     def _others_back(self, state: State, told: list[ZoneWord], electorate: int) -> bool:
         """More than half have gone back while this one still stays out, and it has no evidence of its own."""
+        # Danger: one that had joined a few before there was a majority took the many that had not left yet
+        # for a fleet that returns.
         back = sum(z.vote is Vote.IN for z in told)
-        return back >= majority(electorate) and not state.sure
+        return state.followed and back >= majority(electorate) and not state.sure
 
     def _recovering(self, name: str) -> bool:
         """Another zone comes back, or has just come."""
@@ -228,7 +233,11 @@
         # Danger: those with little traffic need seconds to be sure, and hold the majority up. Two at least,
         # so that one alone, which lies or has a bad link, never moves another.
         # Where nobody is sure yet, as with three in ten failing, it takes half of all to see the same.
-        if own.verdict is Verdict.WELL or own.verdict < Verdict.FAILING and self._recovering(name):
+        # Danger: where the zone was cut from half of the fleet one of the other half joined in a moment of
+        # few signs, and made the majority. So it takes bad signs of its own, or too few to say.
+        good, late, bad = own.signs
+        contrary = good + late >= WELL_LEAST and bad <= WELL_BAD * (good + late + bad)
+        if contrary or own.verdict < Verdict.FAILING and self._recovering(name):
             return False
         sure = sum(z.vote is Vote.OUT and z.sure for z in told)
         accuse = sum(z.accuses or z.vote is Vote.OUT and z.sure for z in told) + own.accuses
@@ -247,7 +256,7 @@
         if phase is Phase.RETURN:
             state.pace, state.stepped_at, state.returned_at = self.settings.first, self.now, self.now
             state.sure = False
-        state.willing = False
+        state.willing, state.followed = False, False
         self.turns.append(Turn(name, phase, why))
 
     # --- return ---
--- a/tests/fleet/test_zones.py
+++ b/tests/fleet/test_zones.py
@@ -162,7 +162,7 @@
 
 
 def word(member: int, version: int, vote: Vote = Vote.OUT, life: int = 1, **fields: bool) -> Word:
-    zone = ZoneWord(vote, 0, 0, 5, 0.0, sure=fields.get("sure", True))
+    zone = ZoneWord(vote, 0, 0, 5, 0.0, fields.get("sure", True), fields.get("accuses", False))
     return Word(member, life, version, 100, 0, {zone_number("a"): zone})
 
 
@@ -208,6 +208,37 @@
     assert (fleet.zones.states["a"].phase is Phase.OUT) is moved
 
 
+@pytest.mark.parametrize(
+    "well, bad, joins",
+    [(0, 0, True), (2, 0, True), (6, 3, True), (6, 0, False), (30, 1, False)],
+    ids=["nothing seen", "too little", "bad signs", "all well", "one bad of many"],
+)
+def test_whether_an_instance_joins_others_depends_on_what_it_sees_itself(
+    well: int, bad: int, joins: bool
+) -> None:
+    """Found on processes (half-cut): three of six were cut off a zone, and one of the others made the
+    majority.
+    """
+    fleet = lone()
+
+    def others(now: float) -> list[Word]:
+        for n in range(well + bad if now == 1000.0 else 0):
+            fleet.sent(now, f"{now}-{n}", f"a{n % 3}", 0)
+            fleet.ended(now, f"{now}-{n}", n < well, 1.0)
+        return [word(m, int(now)) for m in (2, 3, 4)] if now >= 1000.0 else []
+
+    drive(fleet, 2500.0, others)
+    assert (fleet.zones.states["a"].phase is Phase.OUT) is joins
+
+
+def test_one_that_joined_does_not_take_those_that_have_not_left_yet_for_a_return() -> None:
+    """Found on processes (lossy-words): it went back 100 ms after it had joined."""
+    fleet = lone()
+    drive(fleet, 1500.0, lambda t: [word(m, int(t), Vote.IN, accuses=t < 500) for m in range(2, 7)])
+    state = fleet.zones.states["a"]
+    assert state.phase is Phase.OUT and not state.fleet_out and state.since < 500.0
+
+
 def test_replayed_words_of_another_day_move_nobody() -> None:
     fleet, old = lone(), [pack_words([word(m, 5)], 200) for m in (2, 3, 4, 5)]
     drive(fleet, 3000.0, lambda t: [word(m, 1000 + int(t), Vote.IN) for m in (2, 3, 4, 5)])
