Count a cut-short attempt as longer, and the room of left engines as that of doubted ones

Change: a time that was cut short counts twice; full_room counts left engines; a line elsewhere may be long for 6 s after a return. Without bounds the module's room is the same.

--- a/cottonhold/decide/scheduler.py
+++ b/cottonhold/decide/scheduler.py
@@ -216,8 +216,8 @@
         least = min((e.cores for e in self.live), default=1.0)
         self.ring = [e for e in ranked for _ in range(round(e.cores / least))] if len(ranked) > 1 else []
         self.homes.clear()
-        self.full_room = sum(e.room for e in self.live) or 1.0
-        self.full_memory = sum(e.memory_room for e in self.live) or math.inf
+        self.full_room = sum(e.room for e in live) or 1.0  # as with doubted ones: what is left bounds itself
+        self.full_memory = sum(e.memory_room for e in live) or math.inf
         self.own_room, own_memory = self.full_room * self.share, self.full_memory * self.share
         # Own held work is drained by the own part of its engine, by all of it where peers tell of theirs, and
         # by the own part of the whole fleet where engines are unseen.
--- a/cottonhold/fleet/evidence.py
+++ b/cottonhold/fleet/evidence.py
@@ -15,6 +15,9 @@
 from dataclasses import dataclass, field
 from enum import IntEnum
 
+# Danger: attempts at a slow zone are rescued at two or three times the usual, and with the others loaded as
+# well it never stood out. One that was cut short would have taken longer, nobody knows how much.
+CENSORED = 2.0
 TIMES_LEAST = 4  # fewer times of a zone tell nothing
 LOADED = 1.5  # times further a zone has to stand out while another one is out: the rest are loaded
 STOOD = 3  # times that a zone has to stand out by slowness
@@ -203,7 +206,7 @@
             # Danger: attempts at a silent zone were rescued and tried elsewhere before they were overdue
             # here, and nobody had anything to say against it. One given up late speaks as one that is late.
             if usual.seen >= 5 and elapsed > math.exp(usual.log_ms) * self.settings.late:
-                self._timed(now, attempt, elapsed)
+                self._timed(now, attempt, CENSORED * elapsed)
                 self._sign(now, attempt, Sign.SLOW)
             return
         late = elapsed > math.exp(usual.log_ms) * self.settings.late
@@ -227,7 +230,7 @@
         for ref, attempt in list(self.open.items()):
             if now - attempt.sent_at > self._limit(attempt):
                 del self.open[ref]  # judged: its end tells nothing more
-                self._timed(now, attempt, now - attempt.sent_at)
+                self._timed(now, attempt, CENSORED * (now - attempt.sent_at))
                 self._sign(now, attempt, Sign.SLOW)
         s = self.settings
         for zone in self.zones.values():
--- a/cottonhold/fleet/zones.py
+++ b/cottonhold/fleet/zones.py
@@ -60,7 +60,7 @@
     late_most: float = 0.2
     reserve: float = 0.95
     lonely: float = 10_000.0
-    settle: float = 3000.0
+    settle: float = 6000.0
 
 
 @dataclass(slots=True)
