--- a/cottonhold/decide/state.py
+++ b/cottonhold/decide/state.py
@@ -157,9 +157,11 @@
         """Another bound; true if nothing was allowed before and something is now. One that was free before
         starts without anything saved up; one whose bound is lifted has shown what it can do."""
         returns = not self.bound and bound > 0
-        if self.bound == math.inf:
+        # Danger: bounds come ten times a second. One that has none, and is cold, lost what it had saved
+        # each time and got next to nothing.
+        if self.bound == math.inf and bound < math.inf:
             self.allowance, self.allowance_at = 0.0, now
-        elif bound == math.inf:
+        elif self.bound < math.inf and bound == math.inf:
             # Danger: back in full by what it showed, it was held to the cold budget by the clock for seconds.
             self.cold_until = min(self.cold_until, now)
         self.bound, self.bound_until = bound, until
--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -112,3 +112,16 @@
     assert s.engines[engine].suspect == "dead"
     s.step(3000.0, [io.Bounds({engine: 0.5}, 1e9)])
     assert not s.engines[engine].suspect and any(e == engine for _, e in drive(s, 3010, 4000))
+
+
+def test_bounds_of_others_leave_a_cold_engine_its_budget() -> None:
+    """Told ten times a second, they set back each time what an engine without a bound had saved or
+    overdrawn.
+    """
+    s = started(settings(), "e1", "e2")
+    s.step(1.0, [io.EngineList((io.Engine("e2", started_at=0.5),), whole=False)])
+    e2 = s.engines["e2"]
+    e2.allowance = -300.0
+    for t in range(100, 1000, 100):
+        s.step(float(t), [bound(e1=0.0)])
+    assert e2.allowance == -300.0 and e2.cold_until > 5000.0
