Keep left engines in the list as doubted ones are: out of it, the others idled at 0.9

Ruled out: the room alone, engines' ranks, bounds told again and again, cold budgets. Change: left engines stay in the list and are kept out of the draw, as doubted ones. Without bounds nothing changes.

--- a/cottonhold/decide/scheduler.py
+++ b/cottonhold/decide/scheduler.py
@@ -187,8 +187,7 @@
 
     def _count_room(self) -> None:
         """Live engines, weighted in the draw by the cores they have now, and their thread and memory room."""
-        live = [e for e in self.engines.values() if e.info.state is EngineState.LIVE]
-        self.live = [e for e in live if e.bound] or live
+        self.live = [e for e in self.engines.values() if e.info.state is EngineState.LIVE]
         # Danger: engines fill unevenly by chance, what others sent is hardly seen, one that pages jams. So
         # memory is left free for chance the more, the rarer this gateway hears of each engine.
         heard = 1000 * len(self.live) / max(self.traffic.per_s(self.now), 1e-3)  # so often of each engine
@@ -197,7 +196,7 @@
         for e in self.live:
             cold = min(1.0, max(0.0, e.cold_until - self.now) / self.settings.rules.warm_within)
             e.room = e.cores * THREADS_PER_CORE * (1 - (1 - self.settings.rules.cold_from) * cold)
-            e.room *= min(1.0, max(e.bound / (e.cores * self.share), 0.05))
+            e.room *= min(1.0, max(e.bound / (e.cores * self.share), 0.05)) if e.bound else 1.0
             chance = CHANCE * math.sqrt(self.blind / (e.cores * THREADS_PER_CORE))
             e.memory_room = e.memory * MEMORY_ROOM * (1 - min(chance, 0.5)) or math.inf
         # Danger: where engines are rarely heard of, the best of k is the one last seen by luck, and all fill
@@ -209,15 +208,17 @@
         first = round(self.settings.me * len(ranked) / self.settings.gateways)
         count = math.ceil(CANDIDATES * max(1.0, len(ranked) * self.share))
         turned = ranked[first:] + ranked[:first]
-        self.near = [e for e in turned if not e.suspect][:count]
+        # Danger: taken from the list, left engines changed whom peers tell of loads, and the others idled
+        # at 0.9.
+        self.near = [e for e in turned if e.sound()][:count]
         last = self.near[-1].rank if self.near else -1
         self.mine = {e.id for e in turned[: (last - first) % len(ranked) + 1]} if self.near else set[str]()
-        self.reach = min(1.0, sum(not e.suspect for e in ranked) / max(len(self.near), 1) * self.share) or 1.0
+        self.reach = min(1.0, sum(e.sound() for e in ranked) / max(len(self.near), 1) * self.share) or 1.0
         least = min((e.cores for e in self.live), default=1.0)
         self.ring = [e for e in ranked for _ in range(round(e.cores / least))] if len(ranked) > 1 else []
         self.homes.clear()
-        self.full_room = sum(e.room for e in live) or 1.0  # as with doubted ones: what is left bounds itself
-        self.full_memory = sum(e.memory_room for e in live) or math.inf
+        self.full_room = sum(e.room for e in self.live) or 1.0
+        self.full_memory = sum(e.memory_room for e in self.live) or math.inf
         self.own_room, own_memory = self.full_room * self.share, self.full_memory * self.share
         # Own held work is drained by the own part of its engine, by all of it where peers tell of theirs, and
         # by the own part of the whole fleet where engines are unseen.
@@ -463,7 +464,7 @@
         if pool := [e for e in fresh if self.now >= e.rest_until and not self._cold_barred(q, e)]:
             return pool
         live = [e for e in self.live if self._fits(q, e)]
-        sound = [e for e in live if not e.suspect]
+        sound = [e for e in live if e.sound()]
         return [e for e in sound if e.id not in q.tried] or sound or live
 
     def _homes(self, tables: int) -> list[EngineView]:
@@ -474,7 +475,7 @@
         if tables not in self.homes and self.ring:
             first = tables % len(self.ring)
             turn = dict.fromkeys(self.ring[first:] + self.ring[:first])
-            self.homes[tables] = [e for e in turn if not e.suspect][: math.ceil(len(turn) * HOMES)]
+            self.homes[tables] = [e for e in turn if e.sound()][: math.ceil(len(turn) * HOMES)]
         return self.homes.get(tables, [])
 
     def _fits(self, q: Query, e: EngineView) -> bool:
@@ -859,7 +860,6 @@
         most = fill * self.settings.rules.tip_after if free else max(fill * BOUND_BURST_MS, usual)
         e.allowance, e.allowance_at = min(most, e.allowance + fill * (self.now - e.allowance_at)), self.now
         turn = self.settings.me + math.floor(self.now / self.settings.rules.tip_after)
-        # What counts for each query is the usual work of its class.
         return e.allowance < (e.code / 2**32 + turn * GOLDEN) % 1 * usual
 
     def _cold_fill(self, e: EngineView) -> float:
--- a/cottonhold/decide/state.py
+++ b/cottonhold/decide/state.py
@@ -149,6 +149,10 @@
         model = models[info.model] if info.model < len(models) else io.Model()
         return cls(info.id, info, model.cores or max(info.size, 1.0), model.memory, last_word=now)
 
+    def sound(self) -> bool:
+        """Neither doubted here nor left by the fleet."""
+        return not self.suspect and self.bound > 0
+
     def bounded(self, now: float) -> float:
         """The bound in force: none where the fleet has set none, nothing once it has run out."""
         return self.bound if now < self.bound_until or self.bound == math.inf else 0.0
--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -125,3 +125,14 @@
     for t in range(100, 1000, 100):
         s.step(float(t), [bound(e1=0.0)])
     assert e2.allowance == -300.0 and e2.cold_until > 5000.0
+
+
+def test_left_engines_stay_in_the_list_and_the_room_and_out_of_the_draw() -> None:
+    """Found on processes (zone-killed): with zone a out of the list every peer was told of all, and what each
+    takes the others to have sent since came on top: engines idled at 0.9 of the load, 0.95 was served."""
+    s = Scheduler(settings(gateways=6, permits=dataclasses.replace(settings().permits, peers=True)), 1)
+    s.step(0.0, [io.EngineList(tuple(io.Engine(f"e{i}") for i in range(9)), whole=True)])
+    before = [(e.id, e.rank) for e in s.live], s.full_room
+    s.step(1.0, [bound(e0=0.0, e1=0.0, e2=0.0)])
+    assert ([(e.id, e.rank) for e in s.live], s.full_room) == before
+    assert {e.id for e in s.near}.isdisjoint({"e0", "e1", "e2"}) and len(s.near) == 6
