--- a/cottonhold/emulator/rig/days.py
+++ b/cottonhold/emulator/rig/days.py
@@ -168,20 +168,8 @@
     ),
 ]
 BY_NAME = {day.name: day for day in DAYS}
-SHORT = ("zone-killed", "zone-slow", "one-link")
 
 
 def without_fleet(day: Day) -> Day:
     """The same day with the section `fleet` off, for comparison."""
     return msgspec.structs.replace(day, fleet=False)
-
-
-def shorter(day: Day, times: float) -> Day:
-    """The same day with its time pressed together, for tests that assert no times."""
-    faults = tuple(msgspec.structs.replace(f, at=f.at * times) for f in day.faults)
-    return msgspec.structs.replace(
-        day, seconds=day.seconds * times, out=day.out * times, back=day.back * times, faults=faults
-    )
-
-
-__all__ = ["BY_NAME", "DAYS", "SHORT", "shorter", "without_fleet"]
--- a/cottonhold/emulator/rig/trial.py
+++ b/cottonhold/emulator/rig/trial.py
@@ -184,7 +184,7 @@
         try:
             await self.start()
             await self._run()
-            views = {name: self.view(name) for name in self._instances_there()}
+            views = {name: self.view(name) for name in self.instances_there()}
         finally:
             await self.close()
         seen = self.ledgers()
@@ -291,7 +291,8 @@
         except (OSError, ValueError):
             return {}
 
-    def _instances_there(self) -> list[str]:
+    def instances_there(self) -> list[str]:
+        """Those that run and don't stand still."""
         stopped = {name for _, verb, name in self.marks if verb == "stop"}
         stopped -= {name for _, verb, name in self.marks if verb == "go"}
         names = self.day.instance_names()
--- a/tests/fleet/test_processes.py
+++ b/tests/fleet/test_processes.py
@@ -29,7 +29,7 @@
 def phases(trial: Trial, zone: str = "a") -> dict[str, str]:
     """Each instance's phase of a zone."""
     found = {}
-    for name in trial._instances_there():
+    for name in trial.instances_there():
         rows = [row for row in trial.view(name).get("zones", []) if row["zone"] == zone]
         found[name] = rows[0]["phase"] if rows else "unknown"
     return found
