Count by key for how long a moved pin had no owner

Need: the aim is 500 ms at p99, and only what loads waited was known, not what keys had no owner for. Checked against what is seen from outside in virtual time.

--- a/cottonhold/emulator/rig/judge.py
+++ b/cottonhold/emulator/rig/judge.py
@@ -39,6 +39,8 @@
     "off_worth",
     "off_added",
     "off_extra",
+    "pins_moved",
+    "ownerless_p99_ms",
 )
 SLACK_S = 0.5
 START_S = 3.0  # until a process from nothing has heard of the list
@@ -62,6 +64,8 @@
     _weigh_asked(day, seen, asks, verdict)
     _weigh_sends(day, seen, sends, verdict)
     _weigh_fairness(day, asks, verdict)
+    if seen.ownerless:
+        _weigh_moves(seen.ownerless, verdict)
     if day.returns:
         weigh_return(day, seen, asks, verdict)
     if day.homes:
@@ -358,6 +362,18 @@
     verdict.figures["unlike_between_instances"] = worst
 
 
+def _weigh_moves(ownerless: Mapping[float, int], verdict: Verdict) -> None:
+    """Keys that were moved, and for how long at most 99 of 100 of them had no owner: a step of a
+    histogram."""
+    total, passed = sum(ownerless.values()), 0
+    verdict.figures["pins_moved"] = float(total)
+    for ms, count in sorted(ownerless.items()):
+        passed += count
+        if passed >= 0.99 * total:
+            verdict.figures["ownerless_p99_ms"] = ms
+            return
+
+
 def summary(rows: Iterable[tuple[str, Verdict]]) -> list[str]:
     """A table of runs, as lines of Markdown."""
     columns = ["worth", "worth_out", "worth_after_5s", "share_out_0_1s", "share_out_1_3s", "share_out_3s_on"]
--- a/cottonhold/emulator/rig/seen.py
+++ b/cottonhold/emulator/rig/seen.py
@@ -31,6 +31,8 @@
     stalls: list[tuple[float, float]] = field(default_factory=list)
     # What an instance told a second before the day's zone was out: rows of its outlook by zone.
     told: Mapping[str, Any] = field(default_factory=dict)
+    # How many keys that were moved had no owner up to so many ms, as the instances that moved them counted.
+    ownerless: Mapping[float, int] = field(default_factory=dict)
 
     def stood(self, begin: float, end: float) -> float:
         """Seconds within a time in which the rig stood still."""
--- a/cottonhold/emulator/rig/trial.py
+++ b/cottonhold/emulator/rig/trial.py
@@ -9,12 +9,14 @@
 import dataclasses
 import itertools
 import json
+import math
 import os
+import re
 import socket
 import subprocess
 import sys
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -41,6 +43,7 @@
 # The rig's own beat, and how late it may be before that is a stall: two turns that leave no trace stay
 # together below the judge's moment.
 BEAT_S, STALL_S = 0.02, 0.02
+LAST_WORD = re.compile(rb"pins_end.* ownerless=\"?([0-9:,a-z]+)")
 Progress = Callable[[float, str], None]
 
 
@@ -257,6 +260,7 @@
         finally:
             await self.close()
         seen = self.ledgers()
+        seen.ownerless = ownerless(self.folder, views.values())
         result = Result(self.day, self.folder, judge(self.day, seen), self.timeline, views)
         kept = {
             "begun": self.begun,
@@ -268,6 +272,7 @@
             "datagrams": {"passed": self.switch.passed, "lost": self.switch.lost, "bytes": self.switch.bytes},
             "views": views,
             "told": self.told,
+            "ownerless": list(seen.ownerless.items()),
         }
         (self.folder / "links.jsonl").write_bytes(
             b"\n".join(msgspec.json.encode(line) for line in self.sends)
@@ -429,6 +434,19 @@
     return lines
 
 
+def ownerless(folder: Path, views: Iterable[Mapping[str, Any]]) -> dict[float, int]:
+    """How long keys that were moved had no owner: of lives that ended by order, and of those still there."""
+    told = [str(view.get("pins", {}).get("ownerless", "")) for view in views]
+    for log in sorted(folder.glob("n*.log")):
+        told += [row.decode() for row in LAST_WORD.findall(log.read_bytes())]
+    sums: dict[float, int] = {}
+    for row in filter(None, told):
+        for step, count in (part.split(":") for part in row.split(",")):
+            ms = math.inf if step == "more" else float(step)
+            sums[ms] = sums.get(ms, 0) + int(count)
+    return dict(sorted(sums.items()))
+
+
 def judge_again(folder: Path) -> Verdict:
     """The verdict on a run that was kept. Raises OSError, ScriptError and KeyError."""
     day, kept = read((folder / "day.json").read_bytes()), json.loads((folder / "result.json").read_bytes())
@@ -436,8 +454,8 @@
     marks = [(at, verb, name) for at, verb, name in kept["marks"]]
     links, clients = _lines(folder / "links.jsonl"), _lines(folder / "clients.jsonl")
     stalls = [(begin, end) for begin, end in kept.get("stalls", [])]
-    told = kept.get("told", {})
-    return judge(day, Ledgers(engines, clients, kept["begun"], marks, links, stalls, told))
+    told, apart = kept.get("told", {}), dict(kept.get("ownerless", []))
+    return judge(day, Ledgers(engines, clients, kept["begun"], marks, links, stalls, told, apart))
 
 
 def play(day: Day, folder: Path, progress: Progress = lambda share, text: None) -> Result:
--- a/cottonhold/fleet/swap/book.py
+++ b/cottonhold/fleet/swap/book.py
@@ -20,6 +20,7 @@
 FORM = struct.Struct("!QQQQBB")
 TAKEN = struct.Struct("!B")
 PURGE = 1000  # so many that needn't be remembered are forgotten at once
+GAPS_MS = (10.0, 20.0, 50.0, 100.0, 200.0, 500.0, 1000.0)  # steps of the histogram of times without an owner
 
 
 @dataclass(slots=True, frozen=True)
@@ -114,6 +115,7 @@
     gone: bool = False  # of RELEASED: the target is out and never said that it took it
     took: bool = False  # of HELD: it is new here
     since: float = 0.0
+    parted: float = math.nan  # of a mover: since when it starts none; not known after a restart
     due: float = -math.inf
     answer: tuple[int, Entry] | None = None  # what is said once its record is on disk
 
@@ -173,6 +175,9 @@
         self.says: dict[tuple[int, Step], list[Entry]] = {}
         self.actions: list[Action] = []
         self.counts = {"malformed": 0, "said": 0}
+        # By key that was moved from here: how long none started its loads, up to each step, and more. It is
+        # from when this member stopped until it heard that the target has it: a trip too long.
+        self.gaps = [0] * (len(GAPS_MS) + 1)
         self.keeping: dict[int, bytes] = {}  # token -> key
         self.withdrawn: dict[tuple[bytes, int], tuple[int, float]] = {}  # offers taken back: from whom, due
         self.tables: list[frozenset[int]] | None = None  # since the last complete epoch, where all are known
@@ -207,6 +212,17 @@
 
     # --- small things ---
 
+    def _parted(self, now: float, pin: Pin) -> None:
+        """From now on this member starts no load of a key."""
+        if math.isnan(pin.parted):
+            pin.parted = now
+
+    def _met(self, now: float, pin: Pin) -> None:
+        """The target has said that it starts them."""
+        if not math.isnan(pin.parted):
+            self.gaps[sum(now - pin.parted > step for step in GAPS_MS)] += 1
+            pin.parted = math.nan
+
     def _next(self, epoch: int) -> int:
         """An epoch above all that are known here."""
         self.high = max(self.high, epoch, self.standing.past, self.standing.epoch << 32) + 1
--- a/cottonhold/fleet/swap/transfer.py
+++ b/cottonhold/fleet/swap/transfer.py
@@ -62,10 +62,12 @@
             return
         if not self.open.get(key):
             # The record of RELEASED says all that one of FENCED would.
+            self._parted(now, pin)
             pin.state, pin.owner, pin.epoch, pin.taken = Pinned.RELEASED, pin.peer, pin.offered, False
             pin.placed = pin.placed or self.home(key) == self.me
             self._keep(key, pin)
         elif pin.state is Pinned.OFFERED and now >= pin.since + self.settings.hold:
+            self._parted(now, pin)
             pin.state = Pinned.FENCED
             self._keep(key, pin)
 
@@ -74,6 +76,7 @@
         if pin.peer in self.standing.inside:
             self.withdrawn[key, pin.offered] = pin.peer, now
         self._moved(key, pin, False)
+        pin.parted = math.nan
         pin.epoch, pin.state, pin.accepted = self._next(pin.offered), Pinned.HELD, False
         pin.placed, pin.told = self.home(key) == self.me, False
         self._keep(key, pin)
@@ -110,6 +113,7 @@
             return
         if pin.peer == sender and pin.epoch == e.epoch and not pin.token:
             pin.taken = pin.placed = True
+            self._met(now, pin)
             self._moved(e.key, pin, True)
 
     def _dropped(self, now: float, sender: int, e: Entry) -> None:
--- a/cottonhold/node/fleet/pins.py
+++ b/cottonhold/node/fleet/pins.py
@@ -7,7 +7,7 @@
 
 import secrets
 from collections import Counter
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 from typing import Any
 
 from cottonhold.config.installation import Installation
@@ -15,6 +15,7 @@
 from cottonhold.fleet.recovery.census import Census
 from cottonhold.fleet.recovery.words import MemoryState
 from cottonhold.fleet.swap import handon, pinwords, steps, table
+from cottonhold.fleet.swap.book import GAPS_MS
 from cottonhold.fleet.swap.handon import End, HandOn, HandSettings
 from cottonhold.fleet.swap.handwords import U32
 from cottonhold.fleet.swap.pins import Back, Forward, Own
@@ -109,7 +110,7 @@
 
     def close(self) -> None:
         """The end of this life."""
-        self.note("pins_end", **self.service.counts, waits=self._waits())
+        self.note("pins_end", **self.service.counts, waits=self._waits(), ownerless=self._ownerless())
         if self.timer is not None:
             self.timer.cancel()
 
@@ -359,8 +360,12 @@
 
     def _waits(self) -> str:
         """How many requests waited here for an owner, by ms: up to 10, 20 and so on, and longer."""
-        steps = [f"{step:g}" for step in WAITS_MS] + ["more"]
-        return ",".join(f"{step}:{n}" for step, n in zip(steps, self.guard.waits, strict=True) if n)
+        return _histogram(WAITS_MS, self.guard.waits)
+
+    def _ownerless(self) -> str:
+        """The same of keys that were moved from here: how long nobody started their loads."""
+        pins = self.service.pins
+        return _histogram(GAPS_MS, pins.gaps) if pins is not None else ""
 
     def status(self) -> dict[str, Any]:
         """The view of this instance."""
@@ -381,8 +386,14 @@
             "left": service.left(now, service.around.going),
             "waiting": sum(map(len, self.guard.lines.values())),
             "waits": self._waits(),
+            "ownerless": self._ownerless(),
             "why": service.table.why,
             "handed_on": self.handing.status(),
             **service.counts,
         }
         return {"pins": found}
+
+
+def _histogram(steps: Sequence[float], counts: Sequence[int]) -> str:
+    names = [f"{step:g}" for step in steps] + ["more"]
+    return ",".join(f"{name}:{n}" for name, n in zip(names, counts, strict=True) if n)
--- a/tests/emulator/test_judge_loads.py
+++ b/tests/emulator/test_judge_loads.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import json
+import math
 import subprocess
 import sys
 import time
@@ -22,6 +23,7 @@
 from cottonhold.emulator.rig.machines import Machines
 from cottonhold.emulator.rig.script import Day, Fault, ScriptError, check
 from cottonhold.emulator.rig.seen import Ledgers, Line
+from cottonhold.emulator.rig.trial import ownerless
 
 DAY = check(
     Day(
@@ -113,6 +115,26 @@
     assert findings and all(finding.startswith(words) for finding in findings)
 
 
+@pytest.mark.parametrize(
+    "logs, view, moved, p99",
+    [
+        ("", "", None, None),
+        ('event=pins_end took=2 waits="10:4" ownerless="10:98,50:2"\n', "", 100.0, 50.0),
+        ("event=pins_end ownerless=10:98\nevent=pins_end ownerless=20:1\n", "1000:1", 100.0, 20.0),
+        ("event=pins_end ownerless=10:97\n", "500:1,more:2", 100.0, math.inf),
+    ],
+    ids=["none moved", "one life", "two lives and one that goes on", "two without an owner for long"],
+)
+def test_the_time_without_an_owner_is_told_by_key(
+    logs: str, view: str, moved: float | None, p99: float | None, tmp_path: Path
+) -> None:
+    (tmp_path / "n0.log").write_text(logs)
+    seen = clean()
+    seen.ownerless = ownerless(tmp_path, [{"pins": {"ownerless": view}}, {}])
+    figures = judge(DAY, seen).figures
+    assert (figures.get("pins_moved"), figures.get("ownerless_p99_ms")) == (moved, p99)
+
+
 def test_order_across_instances_is_a_figure_where_it_is_no_rule() -> None:
     seen = clean()
     at_once(seen)
--- a/tests/fleet/test_pins.py
+++ b/tests/fleet/test_pins.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 
 import pytest
@@ -99,6 +100,39 @@
     assert {t.key for t in fleet.of(Took)} == set(mine)
 
 
+@pytest.mark.parametrize(
+    "runs, step",
+    [(0.0, 50.0), (200.0, 50.0), (5000.0, 1000.0)],
+    ids=["nothing runs", "loads run for a moment", "loads run on for a while"],
+)
+def test_how_long_a_moved_key_had_no_owner_is_counted_by_key(runs: float, step: float) -> None:
+    """A key whose load runs stays where it is until that ends; after 300 ms nobody starts any of it."""
+    fleet = Fleet()
+    fleet.run(1500)
+    mine = [k for k in fleet.keys if fleet.up[A].owns(fleet.now, k)]
+    for k in mine if runs else ():
+        fleet.act(A, fleet.up[A].opened(fleet.now, k, 1))
+    fleet.move(A, D)
+    truth, since = list[float](), dict[bytes, float]()
+    ends = fleet.now + min(runs, 700.0)
+    while fleet.now < 4000.0:
+        fleet.run(2.0)
+        for k in mine:
+            if not any(p.owns(fleet.now, k) for p in fleet.up.values()):
+                since.setdefault(k, fleet.now)
+            elif k in since:
+                truth.append(fleet.now - since.pop(k))
+        if runs and fleet.now >= ends:
+            for k in mine:
+                fleet.act(A, fleet.up[A].ended(fleet.now, k, 1))
+            runs = 0.0
+    gaps = dict(zip((*book.GAPS_MS, math.inf), fleet.up[A].gaps, strict=True))
+    assert sum(gaps.values()) == len(mine) and 0 < len(truth) <= len(mine)  # some are over between two looks
+    # What is counted is a trip longer than what was seen from outside, and falls into its step or the next.
+    longest = max(edge for edge, n in gaps.items() if n)
+    assert max(truth) <= longest <= max(step, 1.0)
+
+
 @pytest.mark.parametrize("seed", range(6))
 def test_a_dead_movers_pins_are_taken_over_by_the_fence_alone(seed: int) -> None:
     fleet = Fleet(seed=seed)
