Let a returning fleet go on with warmed engines, and small gateways use their whole share

Ruled out: prices (alike), loans, and retries that draw last (apart just the same without them).

Causes, each measured by itself: - The loss of the fleet is known when more than half are back (2.06 s), and then every engine began anew as the coldest and unproven (ramp.py, lost). One that has answered since the first was back goes on as old as that, and all take the age that two others know of. - A share of 1.8 queries was rounded down to one (scheduler.py, _has_room): gateways take turns with what is left. - A gateway that had just started told half of its traffic, and took half of its share (state.py, Traffic). - One that came late knew of nobody for 0.3 to 0.5 s: parts looked for members at their own next round. They are told at once.

--- a/cottonhold/decide/scheduler.py
+++ b/cottonhold/decide/scheduler.py
@@ -87,7 +87,7 @@
         self.queries: dict[str, Query] = {}
         self.homeless: dict[str, Query] = {}
         self.deadlines, self.turns, self.peers = state.Deadlines(), state.Turns(), state.Peers()
-        self.extra, self.taken, self.traffic = state.Window(), state.Window(), state.Traffic(TRAFFIC_MS)
+        self.extra, self.taken, self.traffic = state.Window(), state.Window(), state.Traffic(TRAFFIC_MS, True)
         self.share = 1.0 / settings.gateways
         self.active: dict[str, EngineView] = {}  # engines that hold or run something of ours
         self.doubted: dict[str, EngineView] = {}
@@ -108,7 +108,7 @@
             io.EngineList: self._on_list, io.ClientGone: self._on_gone, io.Probed: self._on_probed,
             io.PeerMessage: self._on_peer, io.StreamStarted: self._on_stream, io.ListFailed: self._on_failed,
             io.Timer: lambda _: None, io.Retune: lambda event: self._adopt(event.settings),
-            io.Bounds: self._on_bounds, io.Price: self._on_price,
+            io.Bounds: self._on_bounds, io.Price: lambda event: setattr(self, "price", event),
             io.Leaving: lambda event: self.deadlines.cut(event.until)}
         self._adopt(settings)
 
@@ -206,8 +206,7 @@
         first = round(self.settings.me * len(ranked) / self.settings.gateways)
         count = math.ceil(CANDIDATES * max(1.0, len(ranked) * self.share))
         turned = ranked[first:] + ranked[:first]
-        # Danger: taken from the list, left engines changed whom peers tell of loads, and the others idled
-        # at 0.9.
+        # Danger: taken from the list, left engines changed whom peers tell of loads, and the others idled.
         self.near = [e for e in turned if e.sound()][:count]
         last = self.near[-1].rank if self.near else -1
         self.mine = {e.id for e in turned[: (last - first) % len(ranked) + 1]} if self.near else set[str]()
@@ -548,13 +547,17 @@
             return False
         # Danger: one query of each gateway on each engine floods the fleet; paging shows only in the jam. So
         # the share is of the whole fleet; any spare above it adds up. What q passes does not hold it back.
+        # Rounded down, 1.8 queries were one, and small gateways let clients wait in vain: so they take turns.
         threads, memory, busy = self.pool.sound.held_by(density, ALPHA)
         # Danger: a timed-out attempt that nothing cancels runs on unseen; it counts for the time planned.
         unseen = [o for until, o in self.unseen if until > self.now]
         filled = (memory + sum(o.memory for o in unseen) + q.memory) / self.full_memory
         used = (threads + sum(o.cls.threads for o in unseen) + q.cls.threads) / self.full_room
         used = max(used, filled) if pressed else filled * math.sqrt(self.blind) * binds
-        return used <= self.share or not busy and self.now >= self.pool_rest
+        if not busy:
+            return used <= self.share or self.now >= self.pool_rest
+        turn = (self.settings.me + self.now // max(REPLAN_MS, q.p)) * GOLDEN % 1
+        return used <= self.share + turn * q.cls.threads / self.full_room
 
     def _release(self) -> None:
         """Send held queries in plan order while there is room; the densest plan goes first."""
@@ -574,12 +577,11 @@
                         break
                     place += 1
                     continue
-                barred = self._barred(q, e)
-                if not barred:
-                    q.leave_plan()
-                    self._send(q, e)
-                else:
+                if self._barred(q, e):
                     place += 1
+                    continue
+                q.leave_plan()
+                self._send(q, e)
 
     def _send(self, q: Query, e: EngineView) -> None:
         permits, now = self.settings.permits, self.now
@@ -646,9 +648,6 @@
         if late or self._underpriced(q, event.draw) or q.density <= 0 and q.began < q.arrived:
             self._answer(q)
 
-    def _on_price(self, event: io.Price) -> None:
-        self.price = event
-
     def _underpriced(self, q: Query, draw: float | None) -> bool:
         # Danger: each shed by its own plan: cheap ones were served at one gateway and dear ones refused at
         # another. May hurt where the price is wrong; it holds for a second at most.
--- a/cottonhold/decide/state.py
+++ b/cottonhold/decide/state.py
@@ -504,20 +504,28 @@
 
 @dataclass(slots=True)
 class Traffic:
-    """An exponentially forgotten count of arrivals."""
+    """An exponentially forgotten count of arrivals. young: it is told in full as soon as it begins."""
 
     memory_ms: float
+    young: bool = False
     count: float = 0.0
     at: float = 0.0
+    began: float = math.inf
 
     def add(self, now: float) -> None:
         """Count one arrival."""
+        if self.young and now < self.began:  # time is counted from the first one on, so it is not
+            self.began = self.at = now
+            return
         self.count = self.count * math.exp((self.at - now) / self.memory_ms) + 1
         self.at = now
 
     def per_s(self, now: float) -> float:
         """Arrivals a second."""
-        return self.count * math.exp((self.at - now) / self.memory_ms) * 1000 / self.memory_ms
+        rate = self.count * math.exp((self.at - now) / self.memory_ms) * 1000 / self.memory_ms
+        # Danger: a gateway that had just started told of half of its traffic, took half of its share of the
+        # engines, and its clients waited out their time beside others' that were served at once.
+        return rate / -math.expm1((self.began - now) / self.memory_ms) if now > self.began else rate
 
 
 @dataclass(slots=True)
--- a/cottonhold/fleet/core.py
+++ b/cottonhold/fleet/core.py
@@ -151,11 +151,14 @@
             cores = {e: n for there in self.engines.values() for e, n in there.items()}
             self.ramp.know(self.started if now is None else now, cores)
 
-    def lost(self, now: float, what: Lost, zones: Iterable[str] | None = None) -> None:
-        """The census tells what has been away: this instance alone, zones, or the fleet."""
+    def lost(
+        self, now: float, what: Lost, zones: Iterable[str] | None = None, since: float = math.inf
+    ) -> None:
+        """The census tells what has been away: this instance alone, zones, or the fleet, and since when the
+        first of those lost is back."""
         if self.ramp is not None:
             of = None if zones is None else [e for z in zones for e in self.engines.get(z, ())]
-            self.ramp.lost(now, what, of)
+            self.ramp.lost(now, what, of, since)
             self.next_step = now
 
     def live_on(self, life: int) -> None:
--- a/cottonhold/fleet/recovery/ramp.py
+++ b/cottonhold/fleet/recovery/ramp.py
@@ -114,6 +114,7 @@
         self.engines: dict[str, float] = {}  # all, with their cores
         self.numbers: set[int] = set()
         self.young: dict[str, Young] = {}
+        self.alive: dict[str, float] = {}  # since when an engine has answered without a fault, as seen here
         self.listed = False  # the own list has been heard since the start
         self.wanted: set[int] = set()  # engines that others hold for young
         self.version = 0
@@ -127,6 +128,7 @@
         self.engines = dict(engines)
         self.numbers = {shown.engine_number(engine) for engine in engines}
         self.young = {e: y for e, y in self.young.items() if e in engines}
+        self.alive = {e: at for e, at in self.alive.items() if e in engines}
         for engine, young in self.young.items():
             young.cores = engines[engine]
         for engine in came:
@@ -139,32 +141,45 @@
             # Danger: a dark zone's engines counted, and were tried again, since the list still named them.
             young.proven = young.proven or not young.tried
 
-    def lost(self, now: float, what: Lost, engines: Iterable[str] | None = None) -> None:
-        """The census tells what has been away; with a zone, its engines.
+    def lost(
+        self, now: float, what: Lost, engines: Iterable[str] | None = None, since: float = math.inf
+    ) -> None:
+        """The census tells what has been away; with a zone, its engines; since: when the first came back.
 
         After the loss of a zone or of all, each of its engines that is free is held for one that starts, and
-        has to answer first. One that is young already goes on. Where this instance alone was away, engines
-        are free that no other holds for young.
+        has to answer first. One that has answered since then goes on as what it is: as old as its first
+        answer at least. So does one that is young already. Where this instance alone was away, engines are
+        free that no other holds for young.
         """
         of = set(self.engines) if engines is None else set(engines) & set(self.engines)
         if what is Lost.ALONE:
             self.young = {e: y for e, y in self.young.items() if e not in of or y.number in self.wanted}
             return
         for engine in sorted(of - set(self.young)):
-            self._start(now, engine, now).proven = False
+            alive = self.alive.get(engine, -math.inf)
+            young = self._start(now, engine, min(now, since))
+            young.proven = alive >= since
+            if young.proven:
+                # Danger: the loss of all is known when more than half are back, two seconds after the first.
+                # Engines that it had warmed up meanwhile began once more as the coldest, and from nothing.
+                young.since = alive
+                young.share = max(young.share, min(self._of_age(now, young), self.settings.bears))
 
     def started(self, now: float, engine: str) -> None:
         """It has just started, as the list tells, or answered a probe for the first time after silence."""
+        self.alive.pop(engine, None)
         if engine in self.engines:
             self._start(now, engine, now).proven = True
 
     def gone(self, now: float, engine: str) -> None:
         """It can't be reached: nothing goes there until it has answered, and then as to one that starts."""
+        self.alive.pop(engine, None)
         if engine in self.engines:
             self._start(now, engine, now).proven = False
 
     def probed(self, now: float, engine: str, good: bool) -> None:
         """A probe has ended, by this instance or, if good, as another tells."""
+        self._lives(now, engine, good)
         young = self.young.get(engine)
         if young is not None:
             young.tried = True
@@ -176,6 +191,7 @@
     def answered(self, now: float, engine: str, good: bool, work: float, elapsed: float) -> None:
         """An attempt has ended with an answer. work: as the engine tells it, else as such a query usually
         is, in ms; 0: not known, and it only proves that the engine answers."""
+        self._lives(now, engine, good)
         young = self.young.get(engine)
         if young is None:
             return
@@ -189,6 +205,12 @@
         if work > 0:
             young.answers.append((now, work, elapsed))
 
+    def _lives(self, now: float, engine: str, good: bool) -> None:
+        if not good:
+            self.alive.pop(engine, None)  # it may have started anew since
+        elif engine in self.engines:
+            self.alive.setdefault(engine, now)
+
     def hear(self, now: float, data: bytes) -> None:
         """A message of ramps. Raises WordError."""
         for word in shown.read_words(data):
@@ -274,6 +296,11 @@
 
     def _weigh(self, now: float, engine: str, young: Young, told: list[Row], unheard: float) -> None:
         """Its share from now on."""
+        # Danger: by its own first answer alone, one that had just come held an engine for colder than others
+        # did. Two must tell of such an age: one that lies would set it free.
+        ages = sorted((row.age for row in told if row.share < FREE), reverse=True)
+        if len(ages) > 1:
+            young.since = min(young.since, now - ages[1])
         own = young.seen = young.row(now)
         if not told and not own.speed and young.proven and now - young.since <= self.settings.longest:
             young.stepped_at = now
@@ -308,7 +335,7 @@
         # Danger: by what it shows alone, one that few requests come to, or whose answers are late from a busy
         # machine, showed less than it was let have, and service never came back. So one that answers, and
         # without a line, bears what the settings say that one of its age does.
-        told = min(s.first + (1 - s.first) * (self.stepped_at - young.since) / s.warm, FREE)
+        told = self._of_age(self.stepped_at, young)
         limit, warm = max(limit, 0.0 if lined else told), warm or told >= FREE
         factor = 2 ** (passed / s.step)
         if lined:
@@ -318,6 +345,11 @@
             young.share = max(min(limit, young.share * factor), young.share)
         return warm and young.share >= s.free
 
+    def _of_age(self, now: float, young: Young) -> float:
+        """What the settings say that one of its age bears, if it is as old as is known."""
+        s = self.settings
+        return min(s.first + (1 - s.first) * (now - young.since) / s.warm, FREE)
+
     def _tell(self, now: float, members: list[int], fresh: list[RampWord]) -> list[tuple[int, bytes]]:
         if not members or not self.growing and not self.wanted & self.numbers:
             return []
--- a/cottonhold/node/fleet/membership.py
+++ b/cottonhold/node/fleet/membership.py
@@ -9,7 +9,7 @@
 from cottonhold.config.installation import Installation
 from cottonhold.decide.interface import Outcome
 from cottonhold.discovery.model import Address
-from cottonhold.membership.codec import MAGIC, member_id
+from cottonhold.membership.codec import MAGIC, Status, member_id
 from cottonhold.membership.duties import Duties, Duty, Run, Stop
 from cottonhold.membership.instance import Action, Done, Instance, Told
 from cottonhold.membership.leases import LeaseSettings
@@ -84,6 +84,7 @@
         self.instance, self.clock, self.counters = instance, clock, counters
         self.send, self.probe, self.learned, self.note = send, probe, learned, note
         self.told: Callable[[int, bytes], None] = lambda member, payload: None
+        self.joined: Callable[[], None] = lambda: None  # somebody is there who was not before
         self.came: list[Datagram] = []
         self.timer: Timer | None = None
         self.stepping = False
@@ -182,6 +183,8 @@
                 case Changed(_, name, status, incarnation):
                     self.counters.add(f"members_{status.name.lower()}")
                     self.note("member", name=name, status=status.name.lower(), incarnation=incarnation)
+                    if status is Status.ALIVE:
+                        self.clock.call_soon(self.joined)
                 case Run():
                     self._run(action)
                 case Stop(_, subject, _):
--- a/cottonhold/node/fleet/recovery.py
+++ b/cottonhold/node/fleet/recovery.py
@@ -136,6 +136,10 @@
         """Begin; from now on it steps by its own timer."""
         self._step()
 
+    def joined(self) -> None:
+        """Another instance is there: it is told of this one at once."""
+        self._arm(LEAST_MS)
+
     def told(self, member: int, payload: bytes) -> bool:
         """Whether bytes from another instance are recovery's; those that make no sense are counted."""
         if not payload or not HERE <= payload[0] <= ANSWER + 1:
@@ -150,6 +154,8 @@
             self.census.hear(now, member, word)
             if self.memory.waiting:
                 self._arm(LEAST_MS)
+            elif not self.census.view.settled:  # what was away is weighed as soon as it can be known
+                self._arm(min(self.census.next_at(), self.memory.next_at()) - now)
             return True
         number = self.census.number_of(member)
         if number is None:
@@ -280,9 +286,9 @@
         now, (verdict, zones) = self.clock.now(), self.away
         self.away = view.verdict, view.zones if view.verdict is Verdict.ZONE else frozenset()
         if view.verdict is Verdict.FLEET and verdict is not Verdict.FLEET:
-            fleet.lost(now, Lost.FLEET)
+            fleet.lost(now, Lost.FLEET, since=view.since)
         elif view.verdict is Verdict.ZONE and view.zones - zones:
-            fleet.lost(now, Lost.ZONE, sorted(view.zones - zones))
+            fleet.lost(now, Lost.ZONE, sorted(view.zones - zones), view.since)
         elif view.verdict in (Verdict.ALONE, Verdict.SOME) and verdict is Verdict.NOTHING:
             if self.census.me in view.lost:
                 fleet.lost(now, Lost.ALONE)
--- a/cottonhold/node/fleet/zones.py
+++ b/cottonhold/node/fleet/zones.py
@@ -96,6 +96,10 @@
         """Begin; from now on it steps by its own timer."""
         self._step()
 
+    def joined(self) -> None:
+        """Another instance is there."""
+        self._step()
+
     # --- what happens here ---
 
     def arrived(self, taken: Taken) -> float | None:
--- a/cottonhold/node/installation.py
+++ b/cottonhold/node/installation.py
@@ -203,7 +203,16 @@
                 self.installation.file.number,
             )
             gateway.watch = self.fleet
-        rim.told = self._told
+        rim.told, rim.joined = self._told, self._joined
+
+    def _joined(self) -> None:
+        """Another instance is there."""
+        # Danger: each part looked for itself, at its next round. One that came back late knew of nobody for
+        # half a second, took itself for the only one, and let in and served what all others turned away.
+        if self.recovery is not None:
+            self.recovery.joined()
+        if self.fleet is not None:
+            self.fleet.joined()
 
     def _learned(self, engine: str, report: dict[str, float]) -> None:
         """Another instance's probe had a good end."""
--- a/tests/fleet/test_rim.py
+++ b/tests/fleet/test_rim.py
@@ -15,10 +15,14 @@
 from cottonhold.fleet.core import Fleet, FleetSettings
 from cottonhold.fleet.zones.leaving import Phase
 from cottonhold.membership.codec import Keys
+from cottonhold.membership.duties import Duties, Duty
+from cottonhold.membership.instance import Instance
+from cottonhold.membership.leases import LeaseSettings
 from cottonhold.membership.swim import Datagram, Heard, Send, Swim, SwimSettings
 from cottonhold.node import status
 from cottonhold.node.driver import Driver
 from cottonhold.node.engines import Attempt
+from cottonhold.node.fleet.membership import REPORT, MembershipRim
 from cottonhold.node.fleet.zones import FleetRim, OrderError
 from cottonhold.node.gateway import Taken
 from cottonhold.observe.counters import Counters
@@ -159,3 +163,28 @@
     heard = [a for a in there.step(3000.0, [Datagram(said.data, here.address)]) if isinstance(a, Heard)]
     assert [h.message.payload for h in heard] == [b"x" * here.codec.room()]
     assert here.say_payload(b"x" * (here.codec.room() + 1), there.id) is None
+
+
+def test_one_that_joins_is_told_of_at_once() -> None:
+    """Looked for by each part at its next round, a late one knew of nobody for half a second."""
+    clock, sent, joined = FakeClock(), list[bytes](), list[float]()
+    swim = Swim("n0", PLACE, SwimSettings(), 1, 1)
+    other = Swim("n1", Address("127.0.0.1", 7001), SwimSettings(), 1, 1, seeds=[PLACE])
+    rim = MembershipRim(
+        Instance(swim, Duties(swim.id, [Duty(REPORT, 1000.0)], [swim.id], LeaseSettings(), clock.now(), 1)),
+        clock,
+        Counters(),
+        lambda data, address: sent.append(data),
+        lambda engine: True,
+        lambda engine, report: None,
+        lambda event, **fields: None,
+    )
+    rim.joined = lambda: joined.append(clock.now())
+    rim.start()
+    clock.run_until(clock.now() + 150.0, lambda: None)
+    assert not joined
+    hello = next(a for a in other.step(clock.now()) if isinstance(a, Send))
+    came = clock.now()
+    assert rim.receive(hello.data, other.address)
+    clock.run_until(came + 1.0, lambda: None)
+    assert joined == [came] and [m.name for m in swim.view()] == ["n1"]
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -270,6 +270,51 @@
     assert 0.4 < s.share < 0.8
 
 
+@pytest.mark.parametrize("begun", [0.0, 8000.0], ids=["both just started", "one back after the other"])
+def test_a_young_gateway_tells_of_its_traffic_in_full(begun: float) -> None:
+    """Counted against the memory of an old one, it told half of its traffic, and took half of its share."""
+    permits = dataclasses.replace(PERMITS, peers=True)
+    old, young = (started(settings(gateways=2, me=me, permits=permits), "e1") for me in (0, 1))
+    for t in range(0, int(begun) + 1500, 50):
+        for s, other, since in ((old, young, 0.0), (young, old, begun)):
+            if t >= since:
+                done = s.step(float(t), [arrival(f"q{t}", due=t + 5000.0)])
+                told = [io.PeerMessage(s.settings.me, a.data) for a in done if isinstance(a, io.Tell)]
+                other.step(float(t), told)
+    assert old.share == pytest.approx(0.5, abs=0.08) and young.share == pytest.approx(0.5, abs=0.08)
+    assert young.traffic.per_s(begun + 1500.0) == pytest.approx(20.0, rel=0.1)
+    assert young.traffic.per_s(begun + 30_000.0) < 0.01
+
+
+@pytest.mark.parametrize("gateways, share", [(12, 1.5), (10, 1.8), (6, 3.0)], ids=str)
+def test_a_share_that_is_no_whole_number_of_queries_is_used_on_the_mean(gateways: int, share: float) -> None:
+    """Rounded down, twelve gateways used 12 of 18 threads, and the clients of small ones waited in vain."""
+    cls = dataclasses.replace(LOOKUP, aim=1e7, deadline=1e7)
+    permits, small = dataclasses.replace(PERMITS, peers=True), (io.Model(1, 2000.0),)
+    most = list[float]()
+    for me in range(gateways):
+        s = started(
+            settings(cls, gateways=gateways, me=me, permits=permits, models=small),
+            *(f"e{i}" for i in range(9)),
+        )
+        out, area, serial = dict[str, tuple[str, float]](), 0.0, 0
+        for t in range(0, 6000, 20):
+            over = {q: e for q, (e, at) in out.items() if t - at >= 100.0}
+            events: list[io.Event] = [
+                ended(q, io.Outcome.OK, engine=e, final=True, elapsed=100.0, report={"util": 1.0})
+                for q, e in over.items()
+            ]
+            for _ in range(6 - len(s.queries) + len(over)):  # some are always held
+                serial += 1
+                events.append(arrival(f"q{serial}", due=1e7, cost=100.0))
+            out = {q: at for q, at in out.items() if q not in over}
+            out |= {q: (e, float(t)) for q, e in sends(s.step(float(t), events))}
+            area += len(out) * (t >= 2000) / 200
+        most.append(area)
+    assert sum(most) / gateways == pytest.approx(share, rel=0.1)
+    assert max(most) - min(most) < 0.3
+
+
 def test_same_events_give_the_same_actions() -> None:
     def play() -> list[io.Action]:
         s = started(settings(), *(f"e{i}" for i in range(9)))
