Begin with the engines that one's own last list named, each once it has answered

Need: the design said that engines' addresses are kept as hints and proven by an answer; no line wrote or read such a record.

fleet/recovery/remembered.py (pure) says what of a source's list is kept and what there is to begin with; the ramp lets nothing go there before an answer, also where an instance takes itself for the only one that was away (before, it freed all engines then, proven or not). Loads wait for a source's first answer, 10 s at most. A story on three processes with their sources cut; tables of what is kept, bad records, and proofs.

--- a/cottonhold/fleet/recovery/ramp.py
+++ b/cottonhold/fleet/recovery/ramp.py
@@ -116,6 +116,7 @@
         self.young: dict[str, Young] = {}
         self.alive: dict[str, float] = {}  # since when an engine has answered without a fault, as seen here
         self.listed = False  # the own list has been heard since the start
+        self.alone = False  # nobody else was away, as far as is known
         self.wanted: set[int] = set()  # engines that others hold for young
         self.version = 0
         self.stepped_at = -math.inf
@@ -137,9 +138,10 @@
     def list_heard(self, now: float) -> None:
         """The own list has been heard: what it names may be tried without a probe, but what failed one."""
         self.listed = True
-        for young in self.young.values():
+        for engine, young in list(self.young.items()):
             # Danger: a dark zone's engines counted, and were tried again, since the list still named them.
-            young.proven = young.proven or not young.tried
+            if not young.proven and not young.tried:
+                self._prove(engine, young, young.since)
 
     def lost(
         self, now: float, what: Lost, engines: Iterable[str] | None = None, since: float = math.inf
@@ -152,8 +154,14 @@
         free that no other holds for young.
         """
         of = set(self.engines) if engines is None else set(engines) & set(self.engines)
-        if what is Lost.ALONE:
-            self.young = {e: y for e, y in self.young.items() if e not in of or y.number in self.wanted}
+        self.alone = what is Lost.ALONE
+        if self.alone:
+            # Danger: one that has answered nothing yet, and that no list names, would be sent to unproven.
+            self.young = {
+                e: y
+                for e, y in self.young.items()
+                if e not in of or y.number in self.wanted or not (self.listed or y.proven)
+            }
             return
         for engine in sorted(of - set(self.young)):
             alive = self.alive.get(engine, -math.inf)
@@ -184,7 +192,7 @@
         if young is not None:
             young.tried = True
         if young is not None and good and not young.proven:
-            young.proven, young.since = True, now
+            self._prove(engine, young, now)
         elif young is not None and not good and not young.answers:
             young.proven = False
 
@@ -201,10 +209,16 @@
             young.proven = young.proven and bool(young.answers)
             return
         if not young.proven:
-            young.proven, young.since = True, now
+            self._prove(engine, young, now)
         if work > 0:
             young.answers.append((now, work, elapsed))
 
+    def _prove(self, engine: str, young: Young, since: float) -> None:
+        """It is there: a list names it, or it has answered."""
+        young.proven, young.since = True, since
+        if self.alone and young.number not in self.wanted:
+            del self.young[engine]  # only this instance was away
+
     def _lives(self, now: float, engine: str, good: bool) -> None:
         if not good:
             self.alive.pop(engine, None)  # it may have started anew since
--- /dev/null
+++ b/cottonhold/fleet/recovery/remembered.py
@@ -0,0 +1,95 @@
+"""Engines that the own list named before the power went: what there is to begin with until a source answers.
+
+Pure. A hint says where an engine was. Whether one is there now only its own answer tells: the ramp lets
+nothing go to it before. The first answer of a source replaces all of it. Engines that were draining, or in
+trouble, are not remembered: nothing new was to go to them.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+import msgspec
+
+from cottonhold.decide import interface as io
+from cottonhold.decide.interface import EngineState
+from cottonhold.discovery.model import Address, Change, Names, Observation, Verdict
+from cottonhold.store.records import MOST, Hint, Kind, Record, RecordError
+from cottonhold.wire import WireError
+
+REASON = "remembered from before the start"
+
+
+class Place(msgspec.Struct, array_like=True, frozen=True):
+    """What is kept of one engine. Zone and machine type by name: their numbers are of one configuration."""
+
+    address: str
+    zone: str
+    model: str
+    cell: int
+    size: float
+
+
+class Remembered:
+    """Feed it changes of the list that a source has answered for; it says what is to be kept.
+
+    kept: the folder's records of engines, by id. `malformed` counts those that can't be read.
+    """
+
+    def __init__(self, kept: Mapping[bytes, bytes], names: Names) -> None:
+        self.names, self.malformed = names, 0
+        self.places: dict[str, Place] = {}
+        for key, value in kept.items():
+            try:
+                place: Place = msgspec.msgpack.decode(Hint.read(value).value, type=Place)
+                Address.parse(place.address)
+                self.places[key.decode()] = place
+            except (RecordError, WireError, msgspec.MsgspecError, UnicodeDecodeError):
+                self.malformed += 1
+
+    def observations(self, known: tuple[Observation, ...] = ()) -> tuple[Observation, ...]:
+        """The list to begin with: engines that the configuration knows, and others that are remembered."""
+        named = {o.id for o in known}
+        # Danger: an address has one engine. What was remembered at one that the file gives to another is old.
+        taken = {o.address for o in known}
+        found = list(known)
+        for id, place in sorted(self.places.items()):
+            address = Address.parse(place.address)
+            # One in a zone that is no longer configured would pass for one of the first zone.
+            if id in named or address in taken or place.zone not in self.names.zones:
+                continue
+            taken.add(address)
+            zone, model = self.names.zone(place.zone), self.names.model(place.model)
+            found.append(Observation(id, Verdict.IN, REASON, address, zone, model, place.cell, place.size))
+        return tuple(found)
+
+    def take(self, change: Change) -> list[Record]:
+        """What has to be written for a change of the list."""
+        records = []
+        if change.whole:
+            gone = self.places.keys() - {engine.id for engine in change.engines}
+            records += [self._forget(id) for id in sorted(gone)]
+        for engine in change.engines:
+            if engine.state is not EngineState.LIVE:
+                records += [self._forget(engine.id)] if engine.id in self.places else []
+            elif (place := self._place(engine, change.addresses.get(engine.id))) is not None:
+                if place != self.places.get(engine.id):
+                    self.places[engine.id] = place
+                    data = Hint(msgspec.msgpack.encode(place), 0.0).pack()
+                    records.append(Record(Kind.ENGINE, engine.id.encode(), data))
+        return records
+
+    def _forget(self, id: str) -> Record:
+        del self.places[id]
+        return Record(Kind.ENGINE, id.encode(), None)
+
+    def _place(self, engine: io.Engine, address: Address | None) -> Place | None:
+        """Where it is; None where that isn't told, or where too many are remembered already."""
+        known = self.places.get(engine.id)
+        where = str(address) if address is not None else known.address if known is not None else ""
+        if not where or known is None and len(self.places) >= MOST[Kind.ENGINE]:
+            return None
+        zones, models = self.names.zones, self.names.models
+        zone = zones[engine.zone] if engine.zone < len(zones) else ""
+        model = models[engine.model] if engine.model < len(models) else ""
+        return Place(where, zone, model, engine.cell, engine.size)
--- a/cottonhold/node/installation.py
+++ b/cottonhold/node/installation.py
@@ -22,6 +22,7 @@
 from cottonhold.discovery.model import Address, Change, Event, Publish
 from cottonhold.fleet.core import Fleet
 from cottonhold.fleet.recovery.found import Verdict
+from cottonhold.fleet.recovery.remembered import Remembered
 from cottonhold.fleet.swap.plan import Machine, Step
 from cottonhold.membership.codec import Status
 from cottonhold.node import consul, status
@@ -37,6 +38,7 @@
 from cottonhold.observe.counters import Counters
 from cottonhold.observe.structured import StructuredLog
 from cottonhold.store.ledger import Ledger, StoreBusy, StoreError
+from cottonhold.store.records import Kind
 
 if TYPE_CHECKING:
     from cottonhold.observe.metrics import Metrics, Readings
@@ -44,6 +46,7 @@
 FIRST_ANSWER_S = (
     10.0  # without a known list: so long a source may take before it is said that nobody is known
 )
+LISTED_MS = 10_000.0  # loads wait so long for a source's first answer
 LEDGER_MS = 250.0  # so often a folder is tried that another process still has, as at an upgrade
 RELOADED = ("sources", "known", "log", "register")  # what a reload takes over; the rest needs a restart
 
@@ -71,6 +74,8 @@
         self.recovery: RecoveryRim | None = None
         self.swap: SwapRim | None = None
         self.pins: PinsRim | None = None
+        self.remembered: Remembered | None = None
+        self.began = self.driver.clock.now()
         self.ledger_why = ""
         self.metrics = self._measure() if installation.file.metrics else None
         ledger = self._open_ledger()
@@ -112,11 +117,16 @@
         )
         self.gateway.loads = self.recovery.loads
         file = self.installation.file
+        if fleet is not None and file.sources:
+            # Without the ramp nobody would await the answer that proves what is remembered.
+            self.remembered = Remembered(ledger.records(Kind.ENGINE), self.config.names)
+            self.counters.add("recovery_malformed", self.remembered.malformed)
         if membership is not None and fleet is not None and file.membership and file.membership.voters:
             drains = DrainRim(self, ledger, membership, fleet.fleet, file.membership.voters)
             # Danger: a load went to an engine that was about to be powered off, before its drain was read of.
             # What may be repeated goes out at once: after a power loss it waited up to 5 s for a majority.
-            self.recovery.knows = drains.knows
+            # Danger: nor by a remembered list, in which an engine may stand that is drained since then.
+            self.recovery.knows = lambda: drains.knows() and self._listed()
             self.swap = SwapRim(
                 self.installation,
                 ledger,
@@ -237,8 +247,19 @@
 
     def publish(self, change: Change) -> None:
         """Engines in service are also what the duty of probing is about."""
+        if self.remembered is not None and self.recovery is not None and self._answered():
+            self.recovery.ledger.put(self.remembered.take(change))
         self.republish(self.held.take(change))
 
+    def _listed(self) -> bool:
+        """The own list is a source's word, or none has come for so long that service must go on without."""
+        sources = self.installation.file.sources
+        return not sources or self._answered() or self.driver.clock.now() - self.began >= LISTED_MS
+
+    def _answered(self) -> bool:
+        """Whether any source has answered since the start."""
+        return any(view.answers for view in self.belief.views.values())
+
     def republish(self, change: Change | None) -> None:
         """What the fleet holds back of the list, or does no longer, is published as a change of it is."""
         if change is None:
@@ -279,11 +300,10 @@
 
     def follow(self) -> None:
         """Serve the known engines, follow all sources, and register."""
-        if self.installation.known:
-            if self.installation.file.sources:
-                self.believe_known()
-            else:
-                self.believe([known_report(self.installation)])
+        if self.installation.file.sources:
+            self.believe_known()
+        elif self.installation.known:
+            self.believe([known_report(self.installation)])
         super().follow()
         for watched in self.installation.watched:
             self._watch(watched)
@@ -360,9 +380,14 @@
         return Metrics(read)
 
     def believe_known(self) -> None:
-        """The list from the file stands for the answer that no source has given yet."""
-        now = self.driver.clock.now()
-        for action in self.belief.seed_known(now, self.installation.known):
+        """The list from the file, and what is remembered, stand for what no source has answered yet."""
+        now, known = self.driver.clock.now(), self.installation.known
+        if self.remembered is not None:
+            known = self.remembered.observations(known)
+            self.log.note("engines_remembered", engines=len(known) - len(self.installation.known))
+        if not known:
+            return
+        for action in self.belief.seed_known(now, known):
             if isinstance(action, Publish):
                 self.publish(action.change)
 
@@ -381,7 +406,7 @@
         """As the dispatcher does; a task that ends late may tell of a source that a reload took out."""
         known = [event for event in events if event.source in self.belief.views]
         super().believe(known)
-        if self.fleet is not None and any(view.answers for view in self.belief.views.values()):
+        if self.fleet is not None and self._answered():
             self.fleet.list_heard()
 
     def confirm(self, source: str, absent: tuple[str, ...]) -> None:
--- a/cottonhold/store/records.py
+++ b/cottonhold/store/records.py
@@ -65,7 +65,7 @@
     Kind.PROMISE: "a voter that forgets its promise lets two decisions stand; only its disk knows it",
     Kind.ORDER: "a person gave it and expects it to stand until a person takes it back",
     Kind.PIN: "on disk before it was said to anyone: others count on it. Only of a whole folder, else all go",
-    Kind.ENGINE: "addresses change hands: used only after the engine there has answered as itself",
+    Kind.ENGINE: "addresses change hands: used only once an engine there has answered, until a source does",
     Kind.RATE: "an engine back from a power loss is cold: an upper bound for its ramp, never a start",
     Kind.WARM: "its data sets may have gone with its power: an order in which to ask, no more",
     Kind.MEMBER: "whom to greet first; that it is there is shown by its own word only",
--- a/tests/fleet/test_ramp.py
+++ b/tests/fleet/test_ramp.py
@@ -99,6 +99,7 @@
 
 def test_of_a_loss_all_engines_start_anew_and_alone_they_are_free() -> None:
     made = ramp()
+    made.list_heard(0.0)
     made.lost(0.0, Lost.ALONE)
     assert not made.active
     made.lost(10.0, Lost.ZONE, ["a1"])
--- a/tests/fleet/test_recovery_processes.py
+++ b/tests/fleet/test_recovery_processes.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 from typing import Any
 
+import msgspec
 import pytest
 
 from cottonhold.emulator.rig.clients import Kind, Manner
@@ -158,13 +159,26 @@
     await until(trial, lambda view: view["verdict"] != "cut_off" and not view["missing"], "all are heard")
 
 
+async def the_source_of_the_list_stays_away(trial: Trial) -> None:
+    """Engines that were known before serve once they have answered; loads wait for the list."""
+    await more(trial, "cheap")
+    await trial.apply(Fault(0.0, "source", "n*", words={"cut": True}))
+    await power(trial)
+    await start(trial)
+    await until(trial, lambda view: view["verdict"] == "fleet", "all see the loss")
+    await more(trial, "cheap")
+    await trial.apply(Fault(0.0, "source", "n*", words={"heal": True}))
+    await more(trial, "load")
+
+
 STORIES = [all_at_once, again_while_it_recovers, an_empty_folder, an_old_folder]
-STORIES += [a_backup_of_one_that_runs, a_full_disk, cut_off]
+STORIES += [a_backup_of_one_that_runs, a_full_disk, cut_off, the_source_of_the_list_stays_away]
 
 
 @pytest.mark.parametrize("story", STORIES, ids=lambda s: s.__name__)
 def test_a_power_loss_on_processes(story: Story, tmp_path: Path) -> None:
-    trial = Trial(DAY, tmp_path, forks=True)
+    day = msgspec.structs.replace(DAY, consul=story is the_source_of_the_list_stays_away)
+    trial = Trial(day, tmp_path, forks=True)
 
     async def scenario() -> None:
         try:
@@ -176,6 +190,6 @@
             await trial.close()
 
     asyncio.run(scenario())
-    found = judge(DAY, trial.ledgers()).findings
+    found = judge(day, trial.ledgers()).findings
     # Asks are open at its end; times are no part of this.
     assert [f for f in found if not f.startswith("answers")] == []
--- /dev/null
+++ b/tests/fleet/test_remembered.py
@@ -0,0 +1,130 @@
+"""Engines remembered over a power loss: what is kept of a list, and what there is to begin with."""
+
+from __future__ import annotations
+
+import pytest
+
+from cottonhold.decide import interface as io
+from cottonhold.decide.interface import EngineState
+from cottonhold.discovery.model import Address, Change, Names, Observation, Verdict
+from cottonhold.fleet.recovery.ramp import Lost, Ramp, RampSettings
+from cottonhold.fleet.recovery.remembered import Remembered
+from cottonhold.store.records import MOST, Hint, Kind, Record
+
+NAMES = Names(("a", "b"), ("small", "large"))
+
+
+def change(*engines: tuple[str, int, EngineState], whole: bool = False, port: int = 7000) -> Change:
+    """Engines by name, number of the zone and state; each at a port of its own."""
+    made = tuple(
+        io.Engine(id, zone=zone, model=1, cell=3, state=state, size=2.0) for id, zone, state in engines
+    )
+    return Change(made, {e.id: Address("10.0.0.1", port + int(e.id[1:])) for e in made}, whole)
+
+
+def kept(records: list[Record], before: dict[bytes, bytes] | None = None) -> dict[bytes, bytes]:
+    """The folder after these records."""
+    folder = dict(before or {})
+    for record in records:
+        assert record.kind is Kind.ENGINE
+        folder.pop(record.key, None)
+        if record.value is not None:
+            folder[record.key] = record.value
+    return folder
+
+
+LIVE, DRAINING, GONE = EngineState.LIVE, EngineState.DRAINING, EngineState.GONE
+FIRST = change(("e1", 0, LIVE), ("e2", 1, LIVE))
+
+
+def ids(remembered: Remembered) -> list[str]:
+    return [o.id for o in remembered.observations()]
+
+
+@pytest.mark.parametrize(
+    "then, left",
+    [
+        (change(("e3", 0, LIVE)), ["e1", "e2", "e3"]),
+        (change(("e1", 0, DRAINING)), ["e2"]),
+        (change(("e1", 0, GONE)), ["e2"]),
+        (change(("e2", 1, LIVE), whole=True), ["e2"]),
+        (change(("e4", 0, DRAINING)), ["e1", "e2"]),
+    ],
+    ids=["one more", "drained", "gone", "a whole list", "met draining"],
+)
+def test_what_is_remembered_is_the_list_without_what_should_get_nothing_new(
+    then: Change, left: list[str]
+) -> None:
+    made = Remembered({}, NAMES)
+    folder = kept(made.take(FIRST))
+    assert made.take(FIRST) == []  # nothing is written twice
+    folder = kept(made.take(then), folder)
+    assert ids(Remembered(folder, NAMES)) == left == ids(made)
+
+
+def test_an_engine_comes_back_as_it_was_and_by_the_names_of_its_zone_and_type() -> None:
+    folder = kept(Remembered({}, NAMES).take(FIRST))
+    [one, two] = Remembered(folder, Names(("b", "c", "a"), ("large",))).observations()
+    assert (one.address, one.zone, one.model, one.cell, one.size) == (Address("10.0.0.1", 7001), 2, 0, 3, 2.0)
+    assert one.verdict is Verdict.IN and two.zone == 0 and not one.process and one.started_at == 0.0
+    assert ids(Remembered(folder, Names(("b",), ("large",)))) == ["e2"]  # a's zone is no longer configured
+
+
+@pytest.mark.parametrize(
+    "known, found",
+    [
+        (Observation("e1", Verdict.IN, address=Address("10.0.0.9", 1)), ["e1", "e2"]),
+        (Observation("new", Verdict.IN, address=Address("10.0.0.1", 7002)), ["new", "e1"]),
+    ],
+    ids=["the same engine elsewhere", "another engine at its address"],
+)
+def test_the_configuration_goes_before_what_is_remembered(known: Observation, found: list[str]) -> None:
+    made = Remembered(kept(Remembered({}, NAMES).take(FIRST)), NAMES)
+    observations = made.observations((known,))
+    assert [o.id for o in observations] == found and observations[0] == known
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        b"",
+        b"\x07",
+        Hint(b"", 0.0).pack(),
+        Hint(b"\x95\xa3abc", 0.0).pack(),
+        Hint(b"\x95\xa3abc\xa1a\xa1b\x01\x02", 0.0).pack(),
+    ],
+    ids=["empty", "version", "nothing", "short", "no address"],
+)
+def test_a_record_that_makes_no_sense_is_counted_and_the_others_count(value: bytes) -> None:
+    folder = kept(Remembered({}, NAMES).take(FIRST))
+    made = Remembered({**folder, b"e1": value}, NAMES)
+    assert made.malformed == 1 and ids(made) == ["e2"]
+
+
+def test_no_more_are_remembered_than_the_store_keeps() -> None:
+    made = Remembered({}, NAMES)
+    many = change(*((f"e{i}", 0, LIVE) for i in range(1, MOST[Kind.ENGINE] + 50)))
+    assert len(made.take(many)) == MOST[Kind.ENGINE] == len(ids(made))
+
+
+@pytest.mark.parametrize("proof", ["probe", "attempt", "another's word of all", "the list"])
+def test_of_what_is_remembered_nothing_is_sent_to_before_it_is_proven(proof: str) -> None:
+    """Also by one that takes itself for the only one that was away: then it is free once it has answered."""
+    made = Ramp(1, 1, 0.0, RampSettings(), 1)
+    made.know(0.0, {"e1": 1.0, "e2": 1.0})
+    made.lost(20.0, Lost.ALONE)
+    assert made.share("e1") == made.share("e2") == 0.0 and max(made.bounds(1.0).values()) < 1e-6
+    if proof == "probe":
+        made.probed(100.0, "e1", True)
+    elif proof == "attempt":
+        made.answered(100.0, "e1", True, 20.0, 60.0)
+    elif proof == "another's word of all":
+        made.lost(100.0, Lost.FLEET, since=0.0)
+        made.probed(110.0, "e1", True)
+        assert made.share("e1") == made.settings.first
+        return
+    else:
+        made.list_heard(100.0)
+        assert not made.active
+        return
+    assert made.share("e1") == 1.0 and made.share("e2") == 0.0
