Tell what a zone's loss adds against where clients are served now

Each instance tells the part of its answers that came from each zone, in the byte of a pace that nobody ever told; kind 49. A liar moves the way by its part of its home, the worth not at all (tests).

--- a/cottonhold/fleet/outlook/outlook.py
+++ b/cottonhold/fleet/outlook/outlook.py
@@ -74,7 +74,6 @@
         self.sets, self.answers = Use(2000.0), Use(s.memory)
         self.work, self.calls = 0.0, 0.0  # of requests, for their mean
         self.trips: dict[str, float] = {}
-        self.paces: dict[str, float] = {}
         self.engines: dict[str, dict[str, float]] = {}
         self.version = 0
         self.said: Site | None = None  # the word of the last round
@@ -110,10 +109,6 @@
         """A zone has answered a probe after `trip` ms: its distance, without any work."""
         self.trips[zone] = self.trips.get(zone, trip) * 0.9 + trip * 0.1
 
-    def paced(self, zone: str, pace: float) -> None:
-        """What a zone gives of its cores as seen here, 0 to 1."""
-        self.paces[zone] = min(max(pace, 0.0), 1.0)
-
     def hear(self, now: float, data: bytes) -> None:
         """A message of sites. Raises WordError."""
         for site in read_sites(data):
@@ -365,14 +360,18 @@
         sets = {used: self.sets.of(now, "", used) for _, used in sorted(self.sets.weights)}
         total = math.fsum(sets.values())
         parts = {used: w / total for used, w in sets.items() if w > 1e-3 * total} if total > 0 else {}
-        zones = {}
+        zones, counts = {}, dict[str, float]()
+        for at, used in self.answers.weights:
+            counts[at] = counts.get(at, 0.0) + self.answers.of(now, at, used)
+        everywhere = max(math.fsum(counts.values()), 1e-9)
         for zone, number in numbers.items():
             warm = 0
             for at, used in self.answers.weights:
                 # Danger: after one answer, a set is warm in one engine, and the next ones still meet it cold.
                 if at == zone and self.answers.of(now, zone, used) >= len(self.engines[zone]):
                     warm |= bits_of(used)
-            zones[number] = Seen(self.trips.get(zone, s.picture.trip), self.paces.get(zone, 1.0), warm)
+            trip = self.trips.get(zone, s.picture.trip)
+            zones[number] = Seen(trip, counts.get(zone, 0.0) / everywhere, warm)
         mean = self.work / self.calls if self.calls > 0 else 20.0
         home = zone_number(self.home)
         return Site(self.me, self.life, self.version, home, mean, self.demand.rates(now), parts, zones)
--- a/cottonhold/fleet/outlook/picture.py
+++ b/cottonhold/fleet/outlook/picture.py
@@ -43,12 +43,14 @@
 @dataclass(frozen=True)
 class Home:
     """The clients of one zone. rates: cores by density step; mean: work of a request in ms; sets: parts of
-    the work by number of data set; trips: ms to each zone."""
+    the work by number of data set; trips: ms to each zone; served: parts of what is served of it by zone, as
+    things are now; empty if nobody knows."""
 
     rates: Mapping[int, float]
     mean: float = 20.0
     sets: Mapping[int, float] = field(default_factory=dict)
     trips: Mapping[str, float] = field(default_factory=dict)
+    served: Mapping[str, float] = field(default_factory=dict)
 
     @functools.cached_property
     def work(self) -> float:
@@ -83,8 +85,7 @@
 ) -> Picture | None:
     """The picture; None where no more than `quorum` of the `alive` instances are told of.
 
-    engines: cores by zone and engine, as the list has them. gives: by zone, what the fleet lets a zone have;
-    what instances tell of its pace can only lower it.
+    engines: cores by zone and engine, as the list has them. gives: by zone, what the fleet lets a zone have.
     """
     s, told = settings or PictureSettings(), sorted(sites, key=lambda site: site.member)
     cores = {zone: math.fsum(engines[zone].values()) for zone in sorted(engines)}
@@ -100,14 +101,16 @@
         by_home.setdefault(names.get(site.home, f"#{site.home}"), []).append(site)
     unheard = max(alive / len(told), 1.0)
     homes = {
-        home: _home(by_home[home], rates, unheard, _trips(told, by_home[home][0].home, list(cores), s.trip))
+        home: _home(
+            by_home[home], rates, unheard, _trips(told, by_home[home][0].home, list(cores), s.trip), names
+        )
         for home in sorted(by_home)
     }
     zones = {
         zone: ZoneView(
             cores[zone],
             len(engines[zone]),
-            min((gives or {}).get(zone, 1.0), _pace(told, zone_number(zone))),
+            (gives or {}).get(zone, 1.0),
             _warm(told, zone_number(zone)),
         )
         for zone in cores
@@ -116,7 +119,11 @@
 
 
 def _home(
-    sites: list[Site], rates: Mapping[int, Mapping[int, float]], unheard: float, trips: dict[str, float]
+    sites: list[Site],
+    rates: Mapping[int, Mapping[int, float]],
+    unheard: float,
+    trips: dict[str, float],
+    names: Mapping[int, str],
 ) -> Home:
     steps = sorted({step for site in sites for step in rates[site.member]})
     total = {s: math.fsum(rates[site.member].get(s, 0.0) for site in sites) * unheard for s in steps}
@@ -126,7 +133,13 @@
     for number in sorted({b for site in sites for b in site.sets}):
         share = math.fsum(site.sets.get(number, 0.0) * work[site.member] for site in sites)
         sets[number] = share / everything if everything > 0 else 0.0
-    return Home(total, lower_middle([site.mean for site in sites]), sets, trips)
+    served = {
+        zone: math.fsum(site.zones[n].served * work[site.member] for site in sites if n in site.zones)
+        for n, zone in names.items()
+    }
+    whole = math.fsum(served.values())
+    parts = {zone: x / whole for zone, x in sorted(served.items()) if x > 0}
+    return Home(total, lower_middle([site.mean for site in sites]), sets, trips, parts)
 
 
 def _trips(sites: list[Site], home: int, zones: list[str], far: float) -> dict[str, float]:
@@ -144,12 +157,6 @@
     return trips
 
 
-def _pace(sites: list[Site], number: int) -> float:
-    """What a zone gives of its cores, as most see it."""
-    told = [site.zones[number].pace for site in sites if number in site.zones]
-    return lower_middle(told) if told else 1.0
-
-
 def _warm(sites: list[Site], number: int) -> int:
     """The data sets that are warm in a zone: two must have seen it, or one that lives there alone.
 
--- a/cottonhold/fleet/outlook/projection.py
+++ b/cottonhold/fleet/outlook/projection.py
@@ -139,7 +139,7 @@
     s = settings or CostSettings()
     base = now if now is not None else settle(picture, {}, s)[1]
     case, found = settled if settled is not None else settle(picture, left, s)
-    flows, usual = by_pair(found.flows), by_pair(base.flows)
+    flows, usual = by_pair(found.flows), as_served(picture, by_pair(base.flows))
     worth = _worth(found.flows)
     asked = picture.total()
     offered = math.fsum(value(step) * work for step, work in asked.items())
@@ -193,6 +193,20 @@
     return {pair: math.fsum(parts) for pair, parts in found.items()}
 
 
+def as_served(picture: Picture, flows: Mapping[tuple[str, str], float]) -> dict[tuple[str, str], float]:
+    """What is served of each home now, by zone: where its instances say that it is, else as divided.
+
+    Danger: taken from the division, calm served each zone's clients at home. In service it takes all zones
+    alike, so the way and the cold work that a loss was said to add were there before it.
+    """
+    found = dict[tuple[str, str], float]()
+    for home, view in picture.homes.items():
+        mine = {pair: x for pair, x in flows.items() if pair[0] == home}
+        work = math.fsum(mine.values())
+        found |= {(home, zone): work * part for zone, part in view.served.items()} if view.served else mine
+    return found
+
+
 def _added(
     picture: Picture, moved: Mapping[tuple[str, str], float], usual: Mapping[tuple[str, str], float]
 ) -> float:
--- a/cottonhold/fleet/outlook/words.py
+++ b/cottonhold/fleet/outlook/words.py
@@ -1,8 +1,8 @@
 """What an instance tells of its site: what its clients ask for, how far zones are, what is warm there. Pure.
 
-    kind 48 | count 1 | sites, each: member 8 | life 4 | version 4 | home 2 | mean 1 | steps 1 | sets 1 |
+    kind 49 | count 1 | sites, each: member 8 | life 4 | version 4 | home 2 | mean 1 | steps 1 | sets 1 |
     zones 1 | steps, each: step 1 | work 1 | sets, each: number 2 | share 1 | zones, each: zone 2 | trip 1 |
-    pace 1 | warm 12
+    served 1 | warm 12
 
 Sites merge by (life, version): in any order, any number of times, with the same result. Data sets are told
 by 16 bits of a hash of their name, and what is warm as a Bloom filter of 96 bits: with a dozen sets
@@ -21,23 +21,23 @@
 from cottonhold.fleet.price import demand
 from cottonhold.fleet.zones.words import ROOM, WordError
 
-SITES = 48  # kind of message
+SITES = 49  # kind of message; 48 were sites that told of paces, not of what is served where
 HEAD = struct.Struct("!QIIHBBBB")
 ZONE = struct.Struct("!HBB12s")
 SET = struct.Struct("!HB")
 BITS = 96  # of the filter
 SETS_MOST, ZONES_MOST = 8, 8  # told of by one word: those most used, and the nearest
-SHARES, PACES = 255.0, 255.0  # of one, on the wire
+SHARES = 255.0  # of one, on the wire
 LEAST_MS, GROWTH = 0.1, 1.05  # times in ms on the wire: LEAST_MS * GROWTH ** (byte - 1), to 24 s; 0 is none
 
 
 @dataclass(slots=True, frozen=True)
 class Seen:
-    """A zone as one instance sees it. trip: round trip to it in ms; pace: share of its cores that it gives,
+    """A zone as one instance sees it. trip: round trip to it in ms; served: part of this one's served work,
     0 to 1; warm: the filter of the data sets that it answered lately."""
 
     trip: float = 0.0
-    pace: float = 1.0
+    served: float = 0.0
     warm: int = 0
 
 
@@ -101,8 +101,8 @@
     data += b"".join(SET.pack(n, min(int(site.sets[n] * SHARES), 255)) for n in sets)
     for number in zones:
         seen = site.zones[number]
-        pace = round(min(max(seen.pace, 0.0), 1.0) * PACES)
-        data += ZONE.pack(number, _time(seen.trip), pace, seen.warm.to_bytes(BITS // 8, "big"))
+        served = round(min(max(seen.served, 0.0), 1.0) * SHARES)
+        data += ZONE.pack(number, _time(seen.trip), served, seen.warm.to_bytes(BITS // 8, "big"))
     return data
 
 
@@ -151,7 +151,7 @@
     parts = {number: part / SHARES for number, part in shares.items()}
     seen = {}
     for _ in range(zones):
-        number, trip, pace, warm = ZONE.unpack_from(data, at)
+        number, trip, served, warm = ZONE.unpack_from(data, at)
         at += ZONE.size
-        seen[number] = Seen(_ms(trip), pace / PACES, int.from_bytes(warm, "big"))
+        seen[number] = Seen(_ms(trip), served / SHARES, int.from_bytes(warm, "big"))
     return Site(member, life, version, home, _ms(mean), rates, parts, seen), at
--- a/tests/fleet/test_outlook.py
+++ b/tests/fleet/test_outlook.py
@@ -35,7 +35,9 @@
     warm = 0
     for number in SETS[home]:
         warm |= bits_of(number)
-    zones = {zone_number(z): Seen(TRIPS[home, z], 1.0, warm if z == home else 0) for z in ZONES}
+    zones = {
+        zone_number(z): Seen(TRIPS[home, z], float(z == home), warm if z == home else 0) for z in ZONES
+    }
     made = Site(member, 1, 1, zone_number(home), 20.0, {DEAR: dear, CHEAP: cheap}, dict(SETS[home]), zones)
     return replace(made, **fields)  # type: ignore[arg-type]
 
@@ -159,10 +161,10 @@
         (lambda s: replace(s, rates={}), 0.05),
         (lambda s: replace(s, zones={n: replace(z, warm=2**BITS - 1) for n, z in s.zones.items()}), 0.001),
         (lambda s: replace(s, zones={n: replace(z, trip=9000.0) for n, z in s.zones.items()}), 0.001),
-        (lambda s: replace(s, zones={n: replace(z, pace=0.0) for n, z in s.zones.items()}), 0.001),
+        (lambda s: replace(s, zones={n: replace(z, served=0.0) for n, z in s.zones.items()}), 0.001),
         (lambda s: replace(s, mean=0.1, sets={1: 1.0}), 0.03),
     ],
-    ids=["much", "nothing", "warm", "far", "ill", "sets"],
+    ids=["much", "nothing", "warm", "far", "served", "sets"],
 )
 def test_what_one_instance_tells_moves_the_projection_by_a_bounded_part(
     lie: Callable[[Site], Site], bound: float
@@ -194,6 +196,40 @@
     assert shown(everywhere, b=0.0).extra == pytest.approx(0.0, abs=1e-9)
 
 
+def spread(s: Site) -> Site:
+    """One whose clients are served in all zones alike."""
+    return replace(s, zones={n: replace(z, served=1 / len(ZONES)) for n, z in s.zones.items()})
+
+
+@pytest.mark.parametrize(
+    "told, added, calm",
+    [
+        (lambda s: s, 20.0, {"a": 1.0}),
+        (spread, -12.0, {"a": 1 / 3, "b": 1 / 3, "c": 1 / 3}),
+        (lambda s: replace(s, zones={n: replace(z, served=0.0) for n, z in s.zones.items()}), 20.0, {}),
+    ],
+    ids=["at home", "in all zones", "not known"],
+)
+def test_a_loss_is_compared_with_where_clients_are_served_now(
+    told: Callable[[Site], Site], added: float, calm: dict[str, float]
+) -> None:
+    sites = [told(s) for s in fleet(dear=0.3, cheap=0.4)]
+    picture = draw(sites, ENGINES, len(sites))
+    assert picture is not None and picture.homes["a"].served == pytest.approx(calm)
+    found = project(picture, {"a": 0.0})
+    assert found.added == pytest.approx(added, abs=6.0)
+    assert found.worth == pytest.approx(found.offered, rel=0.01)  # only what the loss adds differs
+
+
+def test_one_that_tells_wrongly_where_it_is_served_moves_the_way_by_its_part() -> None:
+    honest = [spread(s) for s in fleet(dear=0.3, cheap=0.4)]
+    far = {n: replace(z, served=float(n == zone_number("c"))) for n, z in honest[0].zones.items()}
+    before, after = shown(honest, a=0.0), shown([replace(honest[0], zones=far), *honest[1:]], a=0.0)
+    # It is half of its home, whose mean way can seem longer by half of the longest one at most.
+    assert abs(after.added - before.added) <= TRIPS["a", "c"] / 2
+    assert after.worth == before.worth
+
+
 # --- what it decides ---
 
 
