Let the model's census find one alone and then the fleet, and tell unlike answers by class

The model told each instance of the fleet's loss 800 ms after its own start; on processes the first ones take themselves for alone until more than half are back, which is where engines began anew.

--- a/cottonhold/emulator/recovery.py
+++ b/cottonhold/emulator/recovery.py
@@ -20,7 +20,7 @@
 KINDS = (Kind(1.0, share=0.48), Kind(6.0, share=0.32), Kind(6.0, 60.0, 4000.0, 0.2))
 MEAN = sum(k.work * k.share for k in KINDS)
 COLD = 3.0  # times slower at the start, then evenly faster
-SETTLE, LISTED, CENSUS = 400.0, 300.0, 800.0
+SETTLE, LISTED, ALONE = 100.0, 300.0, 30.0
 OWN = 0.15  # share of a cold engine that the modules of all send by their own rule, without the fleet's word
 DOWN = 400.0  # so long an engine that was not reached is not tried again
 TIP, TIP_WINDOW = 2.0, 1500.0  # so many times what it can do cold, within a window, and it falls over
@@ -59,6 +59,7 @@
         self.loads = self.fleet.loads
         self.allowance = Allowance(number)
         self.down: dict[int, float] = {}
+        self.lost: Lost | None = None  # what its census has found
 
     def _roomy(self) -> int | None:
         world, now = self.back, self.back.network.now
@@ -177,8 +178,7 @@
         if fleet.ramp is not None:
             if age >= LISTED and not fleet.ramp.listed:
                 fleet.ramp.list_heard(now)
-            if CENSUS <= age < CENSUS + STEP:
-                fleet.lost(now, Lost.FLEET)
+            self._judge(now, here, 1 + len(fleet.live))
             self._probe(now, here)
         here.expire(now)
         here.carry_out(now, fleet.step(now))
@@ -189,6 +189,17 @@
         here.send(now)
         self.at(max(fleet.next_at(), now) + 1e-3, lambda t: self._step(t, here))
 
+    def _judge(self, now: float, here: Reborn, heard: int) -> None:
+        """What an instance's census finds: it alone, then the loss of all once more than half are heard,
+        since the first of them came back."""
+        if here.lost is None and now - here.began >= ALONE:
+            here.lost = Lost.ALONE
+            here.fleet.lost(now, Lost.ALONE)
+        if here.lost is Lost.ALONE and 2 * heard > len(self.there):
+            here.lost = Lost.FLEET
+            first = min(o.began for o in self.there if o is not None)
+            here.fleet.lost(now, Lost.FLEET, since=first)
+
     def _probe(self, now: float, here: Reborn) -> None:
         """Its turn at each engine; a good answer is told to all members that are known."""
         turn = int((now - here.began) / 100.0) % len(self.there)
--- a/cottonhold/emulator/rig/returns.py
+++ b/cottonhold/emulator/rig/returns.py
@@ -22,7 +22,7 @@
     met nobody, and (`_of_most`) of what of that the engines could have done, cold as they are.
 
     unlike_*: the largest difference between instances in what became of equal requests: over the whole return
-    (`unlike_error`: its standard error) and in any one second.
+    (`unlike_error`: its standard error), by class, and in any one second.
     """
     most = verdict.series["worth possible"] = possible(day, seen, asks, verdict.series["capacity"])
     served, asked = verdict.series["worth of asked"], verdict.series["worth asked"]
@@ -44,7 +44,10 @@
         verdict.figures[f"return_{word}"] = float(words[word])
     up = max((at - seen.begun for at, verb, who in seen.marks if verb == "start"), default=day.returns)
     tries = _tries(since, seen.begun, max(up, warm) + SETTLED_S)
-    verdict.figures["unlike_return"], verdict.figures["unlike_error"] = _unlike(tries)
+    apart = {kind.name: _unlike(tries, kind.name) for kind in day.kinds}
+    for name, (most, _) in apart.items():
+        verdict.figures[f"unlike_return_{name}"] = most
+    verdict.figures["unlike_return"], verdict.figures["unlike_error"] = max(apart.values())
     verdict.figures["unlike_second"] = max((_unlike_now(by) for by in tries.values()), default=0.0)
     sums = [_most_of_budget(day, lines) for lines in seen.engines.values()]
     verdict.figures["budget_most"] = max(sums, default=0.0)
@@ -94,27 +97,25 @@
     return max(shares) - min(shares) if shares else 0.0
 
 
-def _unlike(tries: Tries) -> tuple[float, float]:
-    """The largest difference between two instances in one class, each compared with what all got in the same
-    seconds: an instance that came late is not held against what was served before it came."""
-    worst = 0.0, 0.0
-    for kind in sorted({kind for kind, _ in tries}):
-        above: dict[int, float] = defaultdict(float)
-        count: Counter[int] = Counter()
-        spread: dict[int, float] = defaultdict(float)
-        for (name, _), by_instance in tries.items():
-            if name == kind:
-                everybody = sum(by_instance.values(), Counter[str]())
-                share = everybody["served"] / everybody.total()
-                for i, ends in by_instance.items():
-                    above[i] += ends["served"] - share * ends.total()
-                    count[i] += ends.total()
-                    spread[i] += share * (1 - share) * ends.total()
-        rest = sorted((above[i] / n, spread[i] / n**2) for i, n in count.items() if n >= ENOUGH_OVERALL)
-        if rest:
-            (low, one), (high, other) = rest[0], rest[-1]
-            worst = max(worst, (high - low, math.sqrt(one + other)))
-    return worst
+def _unlike(tries: Tries, kind: str) -> tuple[float, float]:
+    """The largest difference between two instances in one class, and its standard error; each is compared
+    with what all got in the same seconds: one that came late is not held against what was served before."""
+    above: dict[int, float] = defaultdict(float)
+    count: Counter[int] = Counter()
+    spread: dict[int, float] = defaultdict(float)
+    for (name, _), by_instance in tries.items():
+        if name == kind:
+            everybody = sum(by_instance.values(), Counter[str]())
+            share = everybody["served"] / everybody.total()
+            for i, ends in by_instance.items():
+                above[i] += ends["served"] - share * ends.total()
+                count[i] += ends.total()
+                spread[i] += share * (1 - share) * ends.total()
+    rest = sorted((above[i] / n, spread[i] / n**2) for i, n in count.items() if n >= ENOUGH_OVERALL)
+    if not rest:
+        return 0.0, 0.0
+    (low, one), (high, other) = rest[0], rest[-1]
+    return high - low, math.sqrt(one + other)
 
 
 def _most_of_budget(day: Day, lines: Iterable[Line]) -> float:
--- a/tests/emulator/test_judge_returns.py
+++ b/tests/emulator/test_judge_returns.py
@@ -92,6 +92,7 @@
     figures = judge(RETURN, returned(lambda second, i, n: not (second == 3 and i == 1 and n % 2))).figures
     assert figures["unlike_second"] == pytest.approx(0.5)
     assert figures["unlike_return"] == pytest.approx(10 / 120), "from 2 s to 8 s"
+    assert figures["unlike_return_cheap"] == figures["unlike_return"]
 
 
 def test_who_came_late_is_not_held_against_what_was_served_before() -> None:
