--- a/cottonhold/emulator/rig/returns.py
+++ b/cottonhold/emulator/rig/returns.py
@@ -45,8 +45,7 @@
     up = max((at - seen.begun for at, verb, who in seen.marks if verb == "start"), default=day.returns)
     tries = _tries(since, seen.begun, max(up, warm) + SETTLED_S)
     apart = {kind.name: _unlike(tries, kind.name) for kind in day.kinds}
-    for name, (most, _) in apart.items():
-        verdict.figures[f"unlike_return_{name}"] = most
+    verdict.figures |= {f"unlike_return_{name}": found[0] for name, found in apart.items()}
     verdict.figures["unlike_return"], verdict.figures["unlike_error"] = max(apart.values())
     verdict.figures["unlike_second"] = max((_unlike_now(by) for by in tries.values()), default=0.0)
     sums = [_most_of_budget(day, lines) for lines in seen.engines.values()]
