--- a/cottonhold/decide/state.py
+++ b/cottonhold/decide/state.py
@@ -504,17 +504,18 @@
 
 @dataclass(slots=True)
 class Traffic:
-    """An exponentially forgotten count of arrivals. young: it is told in full as soon as it begins."""
+    """An exponentially forgotten count of arrivals. young_ms: one that began this long ago tells in full what
+    came since, with less time it tells a part; without it what is told grows with the memory."""
 
     memory_ms: float
-    young: bool = False
+    young_ms: float = 0.0
     count: float = 0.0
     at: float = 0.0
     began: float = math.inf
 
     def add(self, now: float) -> None:
         """Count one arrival."""
-        if self.young and now < self.began:  # time is counted from the first one on, so it is not
+        if self.young_ms and now < self.began:  # time is counted from the first one on, so it is not
             self.began = self.at = now
             return
         self.count = self.count * math.exp((self.at - now) / self.memory_ms) + 1
@@ -523,9 +524,12 @@
     def per_s(self, now: float) -> float:
         """Arrivals a second."""
         rate = self.count * math.exp((self.at - now) / self.memory_ms) * 1000 / self.memory_ms
+        if now <= self.began:
+            return rate
         # Danger: a gateway that had just started told of half of its traffic, took half of its share of the
-        # engines, and its clients waited out their time beside others' that were served at once.
-        return rate / -math.expm1((self.began - now) / self.memory_ms) if now > self.began else rate
+        # engines, and its clients waited out their time beside others' that were served at once. By its first
+        # two arrivals alone it told of many times its traffic.
+        return rate / -math.expm1(-max(now - self.began, self.young_ms) / self.memory_ms)
 
 
 @dataclass(slots=True)
