Take an engine known from before for as old as a source's first answer tells

Cause, by reading: a remembered or configured list tells no starts, and the first answer's entry with the same address counted as the same process, with no start (view.py, _renew). An engine that had begun anew while the gateway was down passed for warm. A trusted source (the bus) is not concerned.

--- a/cottonhold/discovery/view.py
+++ b/cottonhold/discovery/view.py
@@ -169,6 +169,10 @@
             started = o.started_at
         elif self._same(claim, o):
             started = claim.started_at
+            if started <= 0 < o.started_at:
+                # Danger: a list from before knows no starts. An engine that had begun anew while this gateway
+                # was down, and of which the source tells so, passed for the one of then, and for warm.
+                started = self._start(now, o)
         else:
             started = self._start(now, o)
             self._remark("engine_new_process", engine=o.id, address=str(o.address))
--- a/tests/discovery/test_belief.py
+++ b/tests/discovery/test_belief.py
@@ -257,6 +257,17 @@
     assert {e.started_at for e in told.engines.values() if e.state is LIVE} == {0.0}
 
 
+def test_an_engine_known_from_before_is_as_old_as_the_first_answer_tells() -> None:
+    told = Told()
+    told.take(told.belief.seed_known(10_000.0, [dataclasses.replace(o, registered=0) for o in five()]))
+    told.tell(seen("e0", started_at=9000.0), seen("e1", started_at=99_000.0), *five()[2:], at=11_000)
+    assert {e.id: e.started_at for e in told.engines.values()} == {
+        "e0": 9000.0, "e1": 11_000.0, "e2": 0.0, "e3": 0.0, "e4": 0.0
+    }  # fmt: skip
+    told.tell(seen("e0", started_at=9000.0), *five()[1:], at=12_000)
+    assert told.engines["e0"].started_at == 9000.0 and told.live() == ["e0", "e1", "e2", "e3", "e4"]
+
+
 # --- any sequence of answers and faults ---
 
 PHASES = (Phase.explicit, Phase.generate)  # shrinking takes minutes: switch it on by hand for a failure
