Find steps of histograms by bisection, and put no empty write of engines

Two sums over all steps were one library call; a change of the list that changes nothing remembered was queued for the disk as a write of no records. No behaviour changes.

--- a/cottonhold/fleet/swap/book.py
+++ b/cottonhold/fleet/swap/book.py
@@ -5,6 +5,7 @@
 import math
 import random
 import struct
+from bisect import bisect_left
 from collections import deque
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
@@ -220,7 +221,7 @@
     def _met(self, now: float, pin: Pin) -> None:
         """The target has said that it starts them."""
         if not math.isnan(pin.parted):
-            self.gaps[sum(now - pin.parted > step for step in GAPS_MS)] += 1
+            self.gaps[bisect_left(GAPS_MS, now - pin.parted)] += 1
             pin.parted = math.nan
 
     def _next(self, epoch: int) -> int:
--- a/cottonhold/node/fleet/pinned.py
+++ b/cottonhold/node/fleet/pinned.py
@@ -8,7 +8,7 @@
 
 import itertools
 import secrets
-from bisect import insort
+from bisect import bisect_left, insort
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
@@ -264,7 +264,7 @@
     def _waited(self, held: Held) -> None:
         if held.since and not held.remote:
             ms = self.clock.now() - held.since
-            self.waits[sum(ms > step for step in WAITS_MS)] += 1
+            self.waits[bisect_left(WAITS_MS, ms)] += 1
             held.since = 0.0
 
     def _leave_line(self, held: Held) -> None:
--- a/cottonhold/node/installation.py
+++ b/cottonhold/node/installation.py
@@ -248,7 +248,8 @@
     def publish(self, change: Change) -> None:
         """Engines in service are also what the duty of probing is about."""
         if self.remembered is not None and self.recovery is not None and self._answered():
-            self.recovery.ledger.put(self.remembered.take(change))
+            if records := self.remembered.take(change):
+                self.recovery.ledger.put(records)
         self.republish(self.held.take(change))
 
     def _listed(self) -> bool:
