--- a/cottonhold/node/installation.py
+++ b/cottonhold/node/installation.py
@@ -120,12 +120,13 @@
         if fleet is not None and file.sources:
             # Without the ramp nobody would await the answer that proves what is remembered.
             self.remembered = Remembered(ledger.records(Kind.ENGINE), self.config.names)
+            # Danger: an engine may stand in a remembered list that is drained since then.
+            self.recovery.knows = self._listed
             self.counters.add("recovery_malformed", self.remembered.malformed)
         if membership is not None and fleet is not None and file.membership and file.membership.voters:
             drains = DrainRim(self, ledger, membership, fleet.fleet, file.membership.voters)
             # Danger: a load went to an engine that was about to be powered off, before its drain was read of.
             # What may be repeated goes out at once: after a power loss it waited up to 5 s for a majority.
-            # Danger: nor by a remembered list, in which an engine may stand that is drained since then.
             self.recovery.knows = lambda: drains.knows() and self._listed()
             self.swap = SwapRim(
                 self.installation,
--- a/tests/fleet/test_remembered.py
+++ b/tests/fleet/test_remembered.py
@@ -2,14 +2,23 @@
 
 from __future__ import annotations
 
+import asyncio
+import json
+from io import StringIO
+from pathlib import Path
+
 import pytest
 
+from cottonhold.config.installation import read
 from cottonhold.decide import interface as io
 from cottonhold.decide.interface import EngineState
-from cottonhold.discovery.model import Address, Change, Names, Observation, Verdict
+from cottonhold.discovery.model import Address, Change, Names, Observation, Report, Verdict
 from cottonhold.fleet.recovery.ramp import Lost, Ramp, RampSettings
 from cottonhold.fleet.recovery.remembered import Remembered
+from cottonhold.node.installation import ServedInstallation
+from cottonhold.observe.structured import StructuredLog
 from cottonhold.store.records import MOST, Hint, Kind, Record
+from tests.observe.test_metrics import FILE, FLEET, VOTERS
 
 NAMES = Names(("a", "b"), ("small", "large"))
 
@@ -128,3 +137,26 @@
         assert not made.active
         return
     assert made.share("e1") == 1.0 and made.share("e2") == 0.0
+
+
+@pytest.mark.parametrize("voters", [True, False], ids=["with voters", "without voters"])
+def test_loads_wait_for_a_sources_first_answer(voters: bool, tmp_path: Path) -> None:
+    """With voters they wait for the registers of drained engines as well, which nobody answers here."""
+    path, membership = tmp_path / "n1.json", VOTERS if voters else {"keys": VOTERS["keys"]}
+    path.write_text(json.dumps(FILE | FLEET | {"metrics": False, "membership": membership}))
+
+    async def scenario() -> list[bool]:
+        log = StructuredLog("logfmt", 100, 100, (), StringIO())
+        node = ServedInstallation(path, read(path), log, asyncio.get_running_loop())
+        node.believe_known()
+        assert node.recovery is not None
+        may = [node.recovery.knows(), node._listed()]
+        seen = Observation("e1", Verdict.IN, address=Address("127.0.0.1", 3))
+        node.believe([Report("dc1", 1, (seen,), whole=True)])
+        may += [node.recovery.knows(), node._listed()]
+        for part in (node.swap, node.recovery):
+            if part is not None:
+                part.close()
+        return may
+
+    assert asyncio.run(scenario()) == [False, False, not voters, True]
