Keep drained engines over a restart: no request goes there before the registers are read

Ruled out: the drain of the others (nothing from them after OUT), remembered addresses (the list came from the file). What it had drained itself lay nowhere.

Change: a record a drained engine (Kind.DRAIN), on the disk before the drain is told to anyone; what a life before had drained is held from the first moment until the registers are read over a majority, or the ends that loads have.

Two new tests fail without it.

--- a/cottonhold/fleet/swap/engines.py
+++ b/cottonhold/fleet/swap/engines.py
@@ -12,13 +12,15 @@
 from __future__ import annotations
 
 import struct
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass
 from enum import IntFlag
 
 from cottonhold.fleet.recovery.shown import engine_number
-from cottonhold.fleet.swap.plan import Flag, Machine, Record, Step
+from cottonhold.fleet.swap import plan
+from cottonhold.fleet.swap.plan import Flag, Machine, Step
 from cottonhold.fleet.zones.words import ROOM, WordError, Words
+from cottonhold.store.records import MOST, Hint, Kind, Record
 
 DRAINS = 96  # the kind of message
 HEAD = struct.Struct("!BQIIB")
@@ -208,7 +210,7 @@
                 missing.add(member)
         return missing
 
-    def there(self, chain: Mapping[str, Record]) -> list[Machine]:
+    def there(self, chain: Mapping[str, plan.Record]) -> list[Machine]:
         """Engines as they are there now: those listed; of drained ones those that are not away. One that has
         been away is there again once it is listed and has answered this instance."""
         found = []
@@ -229,7 +231,7 @@
         drained = self.drained.get(engine)
         return drained is not None and drained.answered and engine in self.listed
 
-    def step(self, now: float, chain: Mapping[str, Record]) -> list[Tell | Knock]:
+    def step(self, now: float, chain: Mapping[str, plan.Record]) -> list[Tell | Knock]:
         """What is to be told to those that drive swaps of engines, and which engines are to be asked."""
         # Danger: of a long request all engines that another id had replaced were told for good, and the one
         # that drained had no room left in the word.
@@ -315,7 +317,43 @@
         return self.over
 
 
-def fresh(record: Record | None) -> bool:
+class Kept:
+    """Engines that this instance has drained, as its folder keeps them over a restart.
+
+    Danger: a dispatcher that had drained an engine was started again and sent it a request before it had read
+    the registers, while the engine was out and could be powered off at any moment. Who was down while an
+    engine was drained can't know; who drained it must. A record that can't be read holds too: it is the key
+    that counts. What was drained in a life before stays held until `settle`.
+    """
+
+    def __init__(self, folder: Mapping[bytes, bytes]) -> None:
+        self.before = {key.decode(errors="replace") for key in folder}
+        self.engines = set(self.before)
+
+    def drain(self, engine: str) -> list[Record]:
+        """What has to be written before the drain is told to anyone."""
+        if engine in self.engines or len(self.engines) >= MOST[Kind.DRAIN]:
+            return []
+        self.engines.add(engine)
+        return [Record(Kind.DRAIN, engine.encode(), Hint(b"", 0.0).pack())]
+
+    def undrain(self, engine: str) -> list[Record]:
+        """The way back."""
+        self.before.discard(engine)
+        if engine not in self.engines:
+            return []
+        self.engines.discard(engine)
+        return [Record(Kind.DRAIN, engine.encode(), None)]
+
+    def settle(self, drained: Collection[str]) -> list[str]:
+        """It is known which engines are drained, or service must go on without: those of a life before that
+        are held no longer."""
+        over = sorted(self.before.difference(drained))
+        self.before.clear()
+        return over
+
+
+def fresh(record: plan.Record | None) -> bool:
     """Whether an engine that is drained no longer is another process than before. One whose swap is over and
     forgotten counts as that: a cold start too many costs little."""
     return record is None or record.seen > 0
--- a/cottonhold/node/fleet/drains.py
+++ b/cottonhold/node/fleet/drains.py
@@ -10,7 +10,7 @@
 from cottonhold.discovery.model import Change
 from cottonhold.fleet.core import Fleet
 from cottonhold.fleet.swap import steps
-from cottonhold.fleet.swap.engines import DRAINS, Drains, DrainSettings, Knock, Settled, Tell, fresh
+from cottonhold.fleet.swap.engines import DRAINS, Drains, DrainSettings, Kept, Knock, Settled, Tell, fresh
 from cottonhold.fleet.swap.plan import Flag, Machine, Record, Step
 from cottonhold.fleet.swap.swap import Swap
 from cottonhold.membership.codec import member_id
@@ -20,6 +20,7 @@
 from cottonhold.node.fleet.recovery import BOOT_STEP, LIFE_BASE, life_of
 from cottonhold.observe.counters import Counters
 from cottonhold.store.ledger import Ledger
+from cottonhold.store.records import Kind
 
 
 class Listed(Protocol):
@@ -47,13 +48,18 @@
         membership: MembershipRim,
         fleet: Fleet,
         voters: Iterable[str],
+        hop: Callable[[Callable[[], None]], object],
     ) -> None:
-        self.owner, self.ledger, self.membership, self.fleet = owner, ledger, membership, fleet
+        self.owner, self.ledger, self.membership, self.fleet, self.hop = owner, ledger, membership, fleet, hop
         self.swim, self.clock = membership.instance.swim, membership.clock
         swim, self.voters = self.swim, {member_id(name) for name in voters}
         now, settings = self.clock.now(), DrainSettings()
         self.drains = Drains(swim.id, life_of(ledger), now, settings, self.voters)
         self.settled = Settled(now, settings)
+        self.kept = Kept(ledger.records(Kind.DRAIN))
+        self.writing: dict[str, Record] = {}  # drains that the disk doesn't have yet
+        for engine in self.kept.before:
+            owner.republish(owner.held.hold(engine))
 
     def told(self, payload: bytes) -> bool:
         """Whether bytes from another instance are a word on drained engines."""
@@ -90,10 +96,11 @@
             if record is not None:
                 self.owner.counters.add("engine_drains")
                 self.owner.republish(self.owner.held.hold(engine))
-                self.drains.drain(engine, record.serial, self.owner.engines.out(engine))
+                self._keep(engine, record)
             return
+        self.writing.pop(engine, None)
         self.drains.undrain(engine)
-        self.owner.republish(self.owner.held.free(engine, now if fresh(record) else 0.0))
+        self._free(now, engine, record)
 
     def step(self, now: float, swap: Swap) -> None:
         """Tell drivers, and ask engines that are out."""
@@ -128,12 +135,38 @@
             "untold": sorted(names.get(m, f"{m:x}") for m in untold),
         }
 
+    def _keep(self, engine: str, record: Record) -> None:
+        """It counts as drained here once the disk has it, or can't have it."""
+
+        def done(durable: bool) -> None:
+            self.hop(told)
+
+        def told() -> None:
+            if self.writing.get(engine) is record:
+                del self.writing[engine]
+                self.drains.drain(engine, record.serial, self.owner.engines.out(engine))
+
+        self.writing[engine] = record
+        if records := self.kept.drain(engine):
+            self.ledger.put(records, done)
+        else:
+            told()
+
+    def _free(self, now: float, engine: str, record: Record | None) -> None:
+        if records := self.kept.undrain(engine):
+            self.ledger.put(records)
+        self.owner.republish(self.owner.held.free(engine, now if fresh(record) else 0.0))
+
     def _settle(self, now: float, swap: Swap, live: set[int]) -> None:
         if not self.settled.over:
             majority = 2 * len(self.voters & live) > len(self.voters)
             if self.settled.step(now, swap.settled(), majority):
                 after = round(now - self.settled.began)
-                self.owner.log.note("drains_known", after_ms=after, read=swap.settled())
+                over = self.kept.settle(swap.drained)
+                for engine in over:
+                    self._free(now, engine, swap.scene.chain.get(engine))
+                words = {"read": swap.settled(), "drained": len(swap.drained), "over": ",".join(over)}
+                self.owner.log.note("drains_known", after_ms=after, **words)
 
     def _probed(self, engine: str) -> Callable[[bool], None]:
         return lambda good: self.drains.probed(engine, good)
--- a/cottonhold/node/installation.py
+++ b/cottonhold/node/installation.py
@@ -124,7 +124,8 @@
             self.recovery.knows = self._listed
             self.counters.add("recovery_malformed", self.remembered.malformed)
         if membership is not None and fleet is not None and file.membership and file.membership.voters:
-            drains = DrainRim(self, ledger, membership, fleet.fleet, file.membership.voters)
+            hop, voters = self.driver.loop.call_soon_threadsafe, file.membership.voters
+            drains = DrainRim(self, ledger, membership, fleet.fleet, voters, hop)
             # Danger: a load went to an engine that was about to be powered off, before its drain was read of.
             # What may be repeated goes out at once: after a power loss it waited up to 5 s for a majority.
             self.recovery.knows = lambda: drains.knows() and self._listed()
@@ -136,7 +137,7 @@
                 self.recovery.census,
                 self.life,
                 self.driver.clock,
-                self.driver.loop.call_soon_threadsafe,
+                hop,
                 membership.say,
                 lambda: self.gateway.open,
                 self.counters,
--- a/cottonhold/store/records.py
+++ b/cottonhold/store/records.py
@@ -37,6 +37,7 @@
     RATE = 17
     WARM = 18
     MEMBER = 19
+    DRAIN = 20
 
 
 class Trust(Enum):
@@ -57,6 +58,7 @@
     Kind.RATE: Trust.HINT,
     Kind.WARM: Trust.HINT,
     Kind.MEMBER: Trust.HINT,
+    Kind.DRAIN: Trust.HINT,
 }
 
 REASONS: dict[Kind, str] = {
@@ -69,6 +71,7 @@
     Kind.RATE: "an engine back from a power loss is cold: an upper bound for its ramp, never a start",
     Kind.WARM: "its data sets may have gone with its power: an order in which to ask, no more",
     Kind.MEMBER: "whom to greet first; that it is there is shown by its own word only",
+    Kind.DRAIN: "its swap may be over by now: nothing goes there until the registers have been read again",
 }
 
 # What is deliberately never kept, with the reason; the design page shows both tables.
@@ -91,6 +94,7 @@
     Kind.RATE: 4_096,
     Kind.WARM: 8_192,
     Kind.MEMBER: 1_024,
+    Kind.DRAIN: 4_096,
 }
 
 
--- a/tests/fleet/test_remembered.py
+++ b/tests/fleet/test_remembered.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+from collections.abc import Awaitable, Callable
 from io import StringIO
 from pathlib import Path
 
@@ -15,6 +16,9 @@
 from cottonhold.discovery.model import Address, Change, Names, Observation, Report, Verdict
 from cottonhold.fleet.recovery.ramp import Lost, Ramp, RampSettings
 from cottonhold.fleet.recovery.remembered import Remembered
+from cottonhold.fleet.swap import plan
+from cottonhold.fleet.swap.plan import Step
+from cottonhold.fleet.swap.steps import Drain
 from cottonhold.node.installation import ServedInstallation
 from cottonhold.observe.structured import StructuredLog
 from cottonhold.store.records import MOST, Hint, Kind, Record
@@ -160,3 +164,43 @@
         return may
 
     assert asyncio.run(scenario()) == [False, False, not voters, True]
+
+
+def test_an_engine_that_was_drained_before_the_restart_gets_nothing_until_registers_are_read(
+    tmp_path: Path,
+) -> None:
+    """Nobody answers here, so its drain is let go after as long as loads wait, and not before."""
+    path = tmp_path / "n1.json"
+    path.write_text(json.dumps(FILE | FLEET | {"metrics": False}))
+
+    async def life(story: Callable[[ServedInstallation], Awaitable[None]]) -> None:
+        log = StructuredLog("logfmt", 100, 100, (), StringIO())
+        node = ServedInstallation(path, read(path), log, asyncio.get_running_loop())
+        node.believe_known()
+        assert node.recovery is not None and node.swap is not None
+        await story(node)
+        for part in (node.swap, node.recovery):
+            part.close()
+
+    async def drained(node: ServedInstallation) -> None:
+        assert node.swap is not None and set(node.held.live()) == {"e1", "e2"}
+        node.swap.swap.scene.chain = {"e1": plan.Record(Step.DRAINING, 7)}
+        rim, swap = node.swap.drains, node.swap.swap
+        rim.act(0.0, swap, Drain("e1"))
+        assert set(node.held.live()) == {"e2"} and "e1" not in rim.drains.drained, "told before it is kept"
+        while "e1" not in rim.drains.drained:
+            await asyncio.sleep(0)
+
+    async def back(node: ServedInstallation) -> None:
+        assert node.swap is not None and set(node.held.live()) == {"e2"}
+        rim, swap, now = node.swap.drains, node.swap.swap, node.driver.clock.now()
+        rim.step(now, swap)
+        assert set(node.held.live()) == {"e2"}
+        rim.step(now + rim.drains.settings.wait, swap)
+        assert set(node.held.live()) == {"e1", "e2"}
+
+    async def after(node: ServedInstallation) -> None:
+        assert set(node.held.live()) == {"e1", "e2"}
+
+    for story in (drained, back, after):
+        asyncio.run(life(story))
--- a/tests/fleet/test_swap_engines.py
+++ b/tests/fleet/test_swap_engines.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -18,6 +20,7 @@
     Drains,
     DrainSettings,
     DrainWord,
+    Kept,
     Knock,
     Row,
     Settled,
@@ -29,6 +32,8 @@
 from cottonhold.fleet.swap.starts import Starts
 from cottonhold.fleet.swap.steps import StepSettings, View, decide
 from cottonhold.fleet.zones.words import ROOM, WordError
+from cottonhold.store import records as kept_records
+from cottonhold.store.records import TRUST, Kind, Trust
 
 U16, U32, U64 = (st.integers(0, 2**bits - 1) for bits in (16, 32, 64))
 ROWS = st.dictionaries(U32, st.builds(Row, U32, U16, st.booleans()), max_size=MOST_ROWS)
@@ -177,6 +182,36 @@
     assert not settled.step(3 * S.stall, False, True), "one that stood still knows nothing any more"
 
 
+@pytest.mark.parametrize(
+    "drained, over",
+    [((), ["a0", "b0"]), (("a0",), ["b0"]), (("a0", "b0", "c0"), [])],
+    ids=["over meanwhile", "one of two", "out as before"],
+)
+def test_drains_of_a_life_before_hold_until_it_is_known_which_are_over(
+    drained: tuple[str, ...], over: list[str]
+) -> None:
+    kept, folder = Kept({}), dict[bytes, bytes]()
+
+    def write(records: Iterable[kept_records.Record]) -> None:
+        for record in records:
+            assert record.kind is Kind.DRAIN and TRUST[record.kind] is Trust.HINT
+            folder.pop(record.key, None)
+            if record.value is not None:
+                folder[record.key] = record.value
+
+    for engine in ("a0", "b0", "c0", "c0"):
+        write(kept.drain(engine))
+    write(kept.undrain("c0"))
+    assert kept.settle(()) == [] and kept.undrain("c0") == []
+    again = Kept(folder)
+    assert again.before == {"a0", "b0"}
+    assert again.settle(drained) == over and again.settle(()) == []
+    for engine in over:
+        write(again.undrain(engine))
+    assert Kept(folder).before == {"a0", "b0"} - set(over)
+    assert Kept({b"\xff": b""}).before, "what can't be read holds too"
+
+
 def test_what_is_held_comes_through_as_draining_and_back_as_the_list_has_it() -> None:
     held = Held()
     a, b = Engine("a", zone=1, started_at=5.0), Engine("b", state=EngineState.DRAINING)
--- a/tests/fleet/test_swap_engines_processes.py
+++ b/tests/fleet/test_swap_engines_processes.py
@@ -140,6 +140,8 @@
     await all_tell(trial, "b0", "step", "draining", "out")
     driver = rows(trial, "n0")["b0"]["driver"]
     assert driver in ALL
+    # Danger: killed before it had drained itself, it knew of no drain as it came back, and sent on to it.
+    await trial.until(lambda: rows(trial, driver)["b0"]["drained"], "it has drained", seconds=LONG)
     await trial.apply(Fault(0.0, "kill", driver))
     await all_tell(trial, "b0", "step", "out")
     since = time.monotonic()
