Don't run a load again whose client was told to come later for longer than it is remembered

Followed: load went out at node 1 on one side of a cut at 28.7 s and broke; its client asked at nodes 3 and 0 on the other side, was told LATER (memory.py _lapse), and came back 9.7 s after its end, as the cut healed. Node 1 had forgotten it a hold (6 s) after its end (own.py forget), so all said NEVER. Ruled out: the proofs of gone and of two askers; both hold in these histories.

Change: a retry heard of for half a hold is MAY; holds last while one that isn't gone can't be heard; LATER beyond 5 s only once half have noted the retry, and a retry is asked about also by one that can't send. The disk keeps what the memory keeps. The drawn test uses the same draws each time, and twice as many.

--- a/cottonhold/fleet/recovery/memory.py
+++ b/cottonhold/fleet/recovery/memory.py
@@ -66,14 +66,16 @@
 @dataclass(slots=True, frozen=True)
 class MemorySettings:
     """Times in ms. hold: see `hold_for`. again, most_again: an ask that isn't answered goes out again after
-    so long, doubled up to the second. cooldown: told with LATER. announce: loads of earlier boots are told
-    of so many times. most: loads remembered, asked about and in hand, each; beyond, retries are told LATER
-    at once."""
+    so long, doubled up to the second. cooldown: told with LATER. alone: for so long a retry that too few
+    others have heard of is told LATER; less than the slack of `hold_for` by a few cooldowns. announce: loads
+    of earlier boots are told of so many times. most: loads remembered, asked about and in hand, each; beyond,
+    retries are told LATER at once."""
 
     hold: float
     again: float = 60.0
     most_again: float = 1000.0
     cooldown: float = 1000.0
+    alone: float = 5000.0
     announce: int = 3
     most: int = 20_000
 
@@ -81,12 +83,13 @@
 @dataclass(slots=True, frozen=True)
 class Around:
     """What the census knows. may_send: this instance may send loads. confirmed: its own memory is whole.
-    memory: its state, OLD once that was found out."""
+    memory: its state, OLD once that was found out. apart: one that isn't gone can't be heard."""
 
     may_send: bool
     confirmed: bool
     memory: MemoryState
     gone: Mapping[int, Gone]
+    apart: bool = False
 
 
 @dataclass(slots=True, frozen=True)
@@ -112,13 +115,15 @@
 
 @dataclass(slots=True)
 class Pending:
-    """A retry in hand. refs: who waits, and until when. said, next_at, wait: by number."""
+    """A retry in hand. refs: who waits, and until when. noted: who has heard of it. said, next_at, wait: by
+    number."""
 
     begun: float
     refs: dict[str, float]
     said: dict[int, Said] = field(default_factory=dict)
     next_at: dict[int, float] = field(default_factory=dict)
     wait: dict[int, float] = field(default_factory=dict)
+    noted: set[int] = field(default_factory=set)
 
 
 @dataclass(slots=True)
@@ -249,7 +254,7 @@
         """What this instance says of a load to another that has a retry of it."""
         asked = self.own.note(now, load, number)
         if asked is None:
-            return Said.WAIT
+            return Said.UNKNOWN  # nothing is noted of it here, while WAIT says that it is
         known = self._known(now, load)
         if known is not None:
             return Said.WELL if known is Known.WELL else Said.MAY
@@ -257,6 +262,8 @@
             if _rank(self.me, load) > _rank(number, load):
                 return Said.MAY
             self._settle(load, Known.MAY)
+        if self.own.late(now, asked):
+            return Said.UNKNOWN
         if self.own.blind(asked):
             # Danger: an empty folder has no record of what its last boot sent; that is not 'never'.
             if self.around.memory is not MemoryState.KEPT:
@@ -276,10 +283,11 @@
             # Danger: an answer from before this retry began doesn't bind whoever gave it any more.
             if pending is None or sent.at < pending.begun:
                 continue
+            pending.noted.add(number)
             if verdict.said is not Said.WAIT:
                 pending.said[number] = verdict.said
                 pending.next_at.pop(number, None)
-                self._weigh(load, pending)
+                self._weigh(now, load, pending)
 
     # --- step ---
 
@@ -295,8 +303,10 @@
     def step(self, now: float, around: Around) -> list[Action]:
         """Time has passed, or the census found something."""
         self.actions, self.around = [], around
+        if around.apart:
+            self.own.apart_at = now
         for load, pending in list(self.pending.items()):
-            self._weigh(load, pending)
+            self._weigh(now, load, pending)
             if self.pending.get(load) is pending:
                 self._lapse(now, load, pending)
         self._ask(now)
@@ -308,7 +318,7 @@
             self.asks = {serial: sent for serial, sent in self.asks.items() if sent.at > late}
         return self.actions
 
-    def _weigh(self, load: bytes, pending: Pending) -> None:
+    def _weigh(self, now: float, load: bytes, pending: Pending) -> None:
         """Settle a retry as soon as what is known decides."""
         said = pending.said.values()
         if Said.WELL in said or Said.MAY in said:
@@ -324,6 +334,9 @@
         blind = self.own.blind(asked)
         # Danger: two that take each other for gone both got everyone else's word; who asked second was told.
         disputed = bool(silent) and (Said.ASKED in said or bool(asked.by - {self.me}))
+        # Danger: told LATER on one side of a cut, a client came back to a sender on the other that had
+        # forgotten its load by then, and it ran again.
+        doubt |= self.own.late(now, asked)
         if Said.UNKNOWN in said or disputed or doubt or blind and self.around.memory is not MemoryState.KEPT:
             self._settle(load, Known.MAY)
         elif self.around.may_send and (self.around.confirmed or not blind):
@@ -347,12 +360,27 @@
 
     def _lapse(self, now: float, load: bytes, pending: Pending) -> None:
         """Clients whose patience is over."""
+        # Danger: one that nobody heard told a client LATER until whoever had sent its load had forgotten it;
+        # the client went elsewhere, and it ran again. Half that heard of the retry are among any that can
+        # settle it as NEVER, and say then for how long it has been asked about.
+        noted = 2 * (1 + len(pending.noted)) > len(self.others)
         for ref in [ref for ref, until in pending.refs.items() if until <= now]:
             del pending.refs[ref]
-            self._tell(ref, load, Known.LATER)
+            self._tell(ref, load, Known.LATER if noted else self._alone(now, load))
         if not pending.refs:
             del self.pending[load]
 
+    def later(self, now: float, load: bytes) -> Known:
+        """What a client's retry is told while this instance can't take its load at all."""
+        known = self._known(now, load)
+        if known is not None:
+            return known
+        return Known.MAY if self.own.note(now, load, self.me) is None else self._alone(now, load)
+
+    def _alone(self, now: float, load: bytes) -> Known:
+        """What a retry is told that too few others have heard of: to come later, but not for long."""
+        return Known.LATER if now - self.own.asked[load].first <= self.settings.alone else Known.MAY
+
     def _tell(self, ref: str, load: bytes, known: Known) -> None:
         self.refs.pop(ref, None)
         cooldown = self.settings.cooldown if known is Known.LATER else 0.0
--- a/cottonhold/fleet/recovery/own.py
+++ b/cottonhold/fleet/recovery/own.py
@@ -1,7 +1,9 @@
 """What one instance itself knows of loads: those it sent, and those that it was asked about. Pure.
 
 Times are ms of this instance's monotonic clock. An entry goes a hold after its end, or after this start where
-an earlier boot sent it; what was asked about a hold after it was last asked about.
+an earlier boot sent it; what was asked about a hold after it was last asked about. While an instance that
+isn't gone can't be heard, its clients are told to come later: so holds last until one more has passed since
+then, as long as entries leave half of the room.
 """
 
 from __future__ import annotations
@@ -76,6 +78,7 @@
 
     def __init__(self, now: float, remembered: Sequence[LoadKept], hold: float, most: int) -> None:
         self.hold, self.most, self.started = hold, most, now
+        self.apart_at = -math.inf  # when last one that isn't gone could not be heard
         self.entries: dict[bytes, Entry] = {}
         self.asked: dict[bytes, Asked] = {}
         self.told: dict[bytes, float] = {}  # others' loads of earlier boots, until when
@@ -135,9 +138,21 @@
         """Whether a load first asked about then may be of a time before this start."""
         return asked.first <= self.started + self.hold
 
+    def late(self, now: float, asked: Asked) -> bool:
+        """Whether its client has come back for so long that whoever sent it may have forgotten it. What was
+        sent at s is kept until s + `hold` at least; its client asked first at s + longest at the latest; and
+        half a hold is no more than what is left."""
+        return now - asked.first > self.hold / 2
+
     def forget(self, now: float, keep: Iterable[bytes]) -> None:
         """What can't be asked about any more, but for these."""
         kept, old = set(keep), now - self.hold
-        self.entries = {load: e for load, e in self.entries.items() if e.until > now}
+        over = {load for load, e in self.entries.items() if e.until <= now}
+        # Danger: a client was told to come later across a cut for as long as its load was remembered on the
+        # other side; then the cut healed, and it ran again.
+        if self.apart_at > old:
+            surplus = len(self.entries) - self.most // 2
+            over = set(sorted(over, key=lambda load: self.entries[load].until)[: max(surplus, 0)])
+        self.entries = {load: e for load, e in self.entries.items() if load not in over}
         self.asked = {load: a for load, a in self.asked.items() if a.last > old or load in kept}
         self.told = {load: until for load, until in self.told.items() if until > now}
--- a/cottonhold/node/fleet/loads.py
+++ b/cottonhold/node/fleet/loads.py
@@ -126,9 +126,12 @@
 
     def came(self, taken: Taken, until: float, settled: Tell) -> None:
         """A load has come; a retry is asked about."""
-        if self._disk() is not State.WELL or not self.may_send():
-            self.counters.add("loads_unkept" if self.state is not State.WELL else "loads_unheard")
-            settled(Past.LATER, self.memory.settings.cooldown)
+        unkept, unheard = self._disk() is not State.WELL, not self.may_send()
+        if unkept or unheard and not taken.retry:
+            self.counters.add("loads_unkept" if unkept else "loads_unheard")
+            # Danger: told to come later without being noted, a client came back after its load was forgotten.
+            known = self.memory.later(self.now(), self._identity(taken)) if taken.retry else Known.LATER
+            settled(_past(known, self.classes[taken.query_class]), self.memory.settings.cooldown)
             return
         if taken.key is not None and taken.key in self.lines:
             # Danger: what came behind a retry that was still asked about went out before it, out of its
@@ -254,8 +257,7 @@
         if tell is None:
             self.memory.drop(self.now(), ref)
             return
-        past = {Known.NEVER: Past.NEVER, Known.MAY: Past.MAY, Known.LATER: Past.LATER}.get(known)
-        tell(past or (Past.WELL if said else Past.MAY), cooldown)
+        tell(_past(known, said), cooldown)
         self._go_on(ref)
 
     def _disk(self) -> State:
@@ -284,7 +286,15 @@
         )
         if found.early:
             self.counters.add("loads_forgotten_early", found.early)
-        if found.keys and self.state is State.WELL:
-            for key in found.keys:
+        # What the memory still holds may yet be asked about, also after a power loss.
+        keys = [key for key in found.keys if found.early or key not in self.memory.own.entries]
+        if keys and self.state is State.WELL:
+            for key in keys:
                 del self.records[key]
-            self.ledger.put([Record(Kind.LOAD, key, None) for key in found.keys])
+            self.ledger.put([Record(Kind.LOAD, key, None) for key in keys])
+
+
+def _past(known: Known, said: bool) -> Past:
+    """What the gateway is told; said: a good end may be said."""
+    past = {Known.NEVER: Past.NEVER, Known.MAY: Past.MAY, Known.LATER: Past.LATER}.get(known)
+    return past or (Past.WELL if said else Past.MAY)
--- a/cottonhold/node/fleet/recovery.py
+++ b/cottonhold/node/fleet/recovery.py
@@ -207,12 +207,14 @@
             self.census.hurry(now)
         self._carry_out(self.census.step(now))
         census = self.census
-        # Who is gone is weighed over all of all, and only a retry that waits asks for it.
-        if not self.memory.waiting:
+        # Who is gone is weighed over all of all: only for a retry that waits, or where one can't be heard.
+        if not self.memory.waiting and not census.apart(now, {}):
             self.gone = {}
         elif now - self.gone_at >= GONE_MS:
             self.gone, self.gone_at = census.gone(now), now
-        around = Around(census.loads(now), census.confirmed(), census.memory, self.gone)
+        apart = census.apart(now, self.gone)
+        may_send = census.loads(now) and self.knows()
+        around = Around(may_send, census.confirmed(), census.memory, self.gone, apart)
         self._carry_out(self.memory.step(now, around))
         self.loads.forget()
         if self.fleet is not None and self.fleet.outlook is not None:
--- a/tests/fleet/recovering.py
+++ b/tests/fleet/recovering.py
@@ -22,7 +22,7 @@
 LONGEST = 2000.0  # clients' deadline, ms
 HOLD = m.hold_for([LONGEST], slack=2000.0)
 CENSUS = c.CensusSettings(young=12_000.0, lease=3000.0, rebind=3000.0, fresh=2500.0, rest=500.0, hold=HOLD)
-MEMORY = m.MemorySettings(HOLD, cooldown=300.0)
+MEMORY = m.MemorySettings(HOLD, cooldown=300.0, alone=1000.0)
 
 
 @dataclass
@@ -182,7 +182,9 @@
 
     def _around(self, node: Node) -> m.Around:
         clock, census = node.clock(self.now), node.census
-        return m.Around(census.loads(clock), census.confirmed(), census.memory, census.gone(clock))
+        gone = census.gone(clock)
+        words = census.loads(clock), census.confirmed(), census.memory, gone
+        return m.Around(*words, census.apart(clock, gone))
 
     def _schedule(self, node: Node) -> None:
         due = min(node.census.next_at(), node.memory.next_at())
--- a/tests/fleet/test_loads_rim.py
+++ b/tests/fleet/test_loads_rim.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Sequence
+from dataclasses import replace
 from typing import cast
 
 import pytest
 
 from cottonhold.decide.interface import Outcome
-from cottonhold.fleet.recovery.memory import Memory, MemorySettings
+from cottonhold.fleet.recovery.memory import Around, Memory, MemorySettings, Settled
+from cottonhold.fleet.recovery.words import MemoryState
 from cottonhold.node.engines import Attempt
 from cottonhold.node.fleet.loads import Loads
 from cottonhold.node.gateway import Past, Taken
@@ -50,7 +52,7 @@
     def __init__(self) -> None:
         self.clock, self.ledger, self.heard = FakeClock(), FakeLedger(), list[tuple[str, str]]()
         self.memory = Memory(0, 3, 3, self.clock.now(), (), MemorySettings(20_000.0), 1)
-        self.may_send = True
+        self.may_send, self.start = True, self.clock.now()
         self.loads = Loads(
             self.memory,
             cast(Ledger, self.ledger),
@@ -141,6 +143,44 @@
     assert world.heard == [("a1", "later")]
 
 
+@pytest.mark.parametrize("change, after", [("disk", "may"), ("unheard", "may")])
+def test_a_retry_that_nobody_heard_of_is_not_put_off_for_long(change: str, after: str) -> None:
+    """It is told to come later at first; then whoever sent its load may have forgotten it soon."""
+    world = World()
+    if change == "disk":
+        world.ledger.state = State.FULL
+    else:
+        world.may_send = False
+    for at, ref in ((0.0, "a1"), (4000.0, "a2"), (7000.0, "a3")):
+        world.clock.run_until(world.start + at, lambda: None)
+        world.come(ref, retry=True, wait=500.0)
+        world.clock.run_until(world.start + at + 500.0, lambda: None)
+        world.memory.step(world.clock.now(), world.memory.around)
+        for action in world.memory.actions:
+            if isinstance(action, Settled):
+                world.loads.settled(action)
+    assert world.heard == [("a1", "later"), ("a2", "later"), ("a3", after)]
+
+
+def test_what_the_memory_still_holds_stays_on_the_disk() -> None:
+    """Its own hold is over, but one that isn't gone can't be heard."""
+    world, apart = World(), Around(True, True, MemoryState.KEPT, {}, apart=True)
+    attempt, _ = world.send("a1")
+    world.ledger.durable()
+    world.loads.ended(attempt, Outcome.RESET)
+    world.loads.closed("a1")
+    for ms, around, left in (
+        (30_000.0, apart, 1),
+        (60_000.0, apart, 1),
+        (75_000.0, replace(apart, apart=False), 1),
+        (90_000.0, replace(apart, apart=False), 0),
+    ):
+        world.clock.run_until(world.start + ms, lambda: None)
+        world.memory.step(world.clock.now(), around)
+        world.loads.forget()
+        assert len(world.loads.records) == left, ms
+
+
 def test_a_write_that_failed_is_said() -> None:
     world = World()
     _, told = world.send("a1")
--- a/tests/fleet/test_memory.py
+++ b/tests/fleet/test_memory.py
@@ -344,8 +344,27 @@
 )
 
 
+def drawn(seed: int) -> World:
+    """A history from a seed."""
+    draw = random.Random(seed)
+    faults = [
+        (draw.randint(0, 7), draw.randint(1, 511), draw.choice([20, 150, 700, 2500, 9000]))
+        for _ in range(draw.randint(2, 9))
+    ]
+    count, loss = draw.randint(3, 6), draw.choice([0.0, 0.1, 0.3])
+    return history(count, draw.randint(0, 10**6), faults, loss)
+
+
+@pytest.mark.parametrize("seed", [216, 272, 426, 631, 949, 1536, 1625])
+def test_a_client_told_later_for_long_does_not_have_its_load_run_again(seed: int) -> None:
+    """Each ran a load twice: it was asked about across a cut for longer than its sender remembered it (216,
+    426, 1536, 1625; with those who had heard of it started again in the last two), or at one that nobody
+    heard (272, 631, 949)."""
+    assert not drawn(seed).wrong
+
+
 @given(st.integers(3, 6), st.integers(0, 10**6), FAULTS, st.sampled_from([0.0, 0.1, 0.3]))
-@settings(max_examples=8, deadline=None, phases=[Phase.generate])
+@settings(max_examples=16, deadline=None, derandomize=True, phases=[Phase.generate])
 def test_nothing_is_sent_twice_and_every_ask_is_settled(
     count: int, seed: int, faults: list[tuple[int, int, int]], loss: float
 ) -> None:
