--- a/tests/discovery/test_belief.py
+++ b/tests/discovery/test_belief.py
@@ -338,14 +338,14 @@
     assert len(live) == len(set(live)), "two engines in service at one address"
 
 
-@settings(max_examples=150, deadline=None, derandomize=True, phases=PHASES)
+@settings(max_examples=150, deadline=None, phases=PHASES)
 @given(st.lists(STEP, max_size=25))
 def test_any_sequence_keeps_the_books_and_the_guards_and_replays_the_same(steps: list[Any]) -> None:
     first, second = play(steps), play(steps)
     assert first.published == second.published and first.engines == second.engines
 
 
-@settings(max_examples=60, deadline=None, derandomize=True, phases=PHASES)
+@settings(max_examples=60, deadline=None, phases=PHASES)
 @given(st.lists(st.tuples(st.booleans(), st.floats(1, 3000)), min_size=1, max_size=60))
 def test_flaps_are_bounded_whatever_their_rhythm(steps: list[tuple[bool, float]]) -> None:
     """In any minute an engine comes back at most seven times: quiet doubles while falls decay by half."""
@@ -358,7 +358,7 @@
         assert sum(start <= at < start + 60_000 for at in entries) <= 7
 
 
-@settings(max_examples=80, deadline=None, derandomize=True, phases=PHASES)
+@settings(max_examples=80, deadline=None, phases=PHASES)
 @given(st.lists(st.tuples(LISTS, st.floats(1, 500)), max_size=30))
 def test_only_told_drains_and_confirmed_ends_empty_the_list(steps: list[Any]) -> None:
     told = Told(seed=4)
--- a/tests/discovery/test_consul_parts.py
+++ b/tests/discovery/test_consul_parts.py
@@ -208,7 +208,7 @@
         exchange.receive(b"more")
 
 
-@settings(max_examples=200, deadline=None, derandomize=True)
+@settings(max_examples=200, deadline=None)
 @given(st.binary(max_size=300), st.booleans())
 def test_any_bytes_are_an_answer_an_error_or_not_enough(data: bytes, with_head: bool) -> None:
     exchange = Exchange(1000)
--- a/tests/fleet/test_memory.py
+++ b/tests/fleet/test_memory.py
@@ -364,7 +364,7 @@
 
 
 @given(st.integers(3, 6), st.integers(0, 10**6), FAULTS, st.sampled_from([0.0, 0.1, 0.3]))
-@settings(max_examples=16, deadline=None, derandomize=True, phases=[Phase.generate])
+@settings(max_examples=16, deadline=None, phases=[Phase.generate])
 def test_nothing_is_sent_twice_and_every_ask_is_settled(
     count: int, seed: int, faults: list[tuple[int, int, int]], loss: float
 ) -> None:
--- a/tests/membership/test_codec.py
+++ b/tests/membership/test_codec.py
@@ -48,7 +48,7 @@
     return caught.value.reason
 
 
-@settings(max_examples=150, deadline=None, derandomize=True)
+@settings(max_examples=150, deadline=None)
 @given(st.sampled_from(Kind), st.integers(0, 2**32 - 1), U64, st.lists(UPDATES, max_size=3), st.booleans())
 def test_what_is_encoded_comes_back(
     kind: Kind, sequence: int, subject: int, updates: list[Update], keyed: bool
@@ -64,7 +64,7 @@
         assert b.decode(data) == Message(kind, a.sender, sequence, subject, tuple(updates))
 
 
-@settings(max_examples=300, deadline=None, derandomize=True)
+@settings(max_examples=300, deadline=None)
 @given(st.binary(max_size=300), st.booleans())
 def test_any_bytes_are_a_message_or_a_named_error(data: bytes, with_head: bool) -> None:
     a, b = pair()
@@ -75,7 +75,7 @@
         assert error.reason and not b.lives  # nothing was remembered of it
 
 
-@settings(max_examples=200, deadline=None, derandomize=True)
+@settings(max_examples=200, deadline=None)
 @given(st.integers(0, 60), st.integers(1, 255))
 def test_a_datagram_changed_in_any_byte_is_refused(at: int, by: int) -> None:
     a, b = pair(KEYS, KEYS)
--- a/tests/membership/test_duties.py
+++ b/tests/membership/test_duties.py
@@ -42,7 +42,7 @@
 )
 
 
-@settings(max_examples=150, deadline=None, derandomize=True, phases=PHASES)
+@settings(max_examples=150, deadline=None, phases=PHASES)
 @given(st.lists(CHANGE, max_size=40))
 def test_after_any_changes_the_holders_are_those_of_all_pairs(changes: list[Any]) -> None:
     made, members = Rendezvous(), dict[int, float]()
