Hold many instances to their parts of a cold engine at the fleet's pace

What is let begin in the first turn is what the bounds say; dealt anew by the clock, all that had saved up for a turn could begin in the next, and so on until each had sent one.

Change: at a cold engine under the fleet's bound a gateway's turn is its own for good (scheduler.py _cold_barred); what it saves counts under the bound of that time (state.py set_bound). The model does as the module.

Not taken: turns by queries sent, or for good, everywhere.

--- a/cottonhold/decide/scheduler.py
+++ b/cottonhold/decide/scheduler.py
@@ -848,10 +848,10 @@
         return ""
 
     def _cold_barred(self, q: Query, e: EngineView) -> bool:
-        # Danger: a just started engine falls over for good if all gateways send too much. So what they send
-        # adds up to the budget at any share: the gateways that draw on it divide it, and where a part is less
-        # than a query, they take turns with one. Else long ones, too big for any part, kept off all cold
-        # engines. Also held for an engine seen to fail before the list tells; may hurt one only cut off.
+        # Danger: a just started engine falls over for good if all gateways send too much: their parts add up
+        # to the budget at any share; where one is less than a query they take turns with it, else long ones
+        # kept off cold engines (at the fleet's pace for good: dealt anew, fifty began at once). Also held for
+        # one seen to fail before the list tells; may hurt one only cut off.
         cold, bound = self.now < e.cold_until, e.bounded(self.now)
         if not bound or cold and e.id not in self.mine or not cold and bound == math.inf:
             return cold or not bound
@@ -860,7 +860,7 @@
         most = fill * self.settings.rules.tip_after if free else max(fill * BOUND_BURST_MS, usual)
         fill *= e.warmth(self.now, self.settings.rules) / self.settings.rules.cold_from if free else 1.0
         e.allowance, e.allowance_at = min(most, e.allowance + fill * (self.now - e.allowance_at)), self.now
-        turn = self.settings.me + math.floor(self.now / self.settings.rules.tip_after)
+        turn = self.settings.me + (free or not cold) * math.floor(self.now / self.settings.rules.tip_after)
         return e.allowance < (e.code / 2**32 + turn * GOLDEN) % 1 * usual
 
     def _cold_fill(self, e: EngineView) -> float:
--- a/cottonhold/decide/state.py
+++ b/cottonhold/decide/state.py
@@ -168,6 +168,11 @@
         """Another bound; true if nothing was allowed before and something is now. One that was free before
         starts without anything saved up; one whose bound is lifted has shown what it can do."""
         returns = not self.bound and bound > 0
+        if self.bound < math.inf and now < self.cold_until:
+            # Danger: many gateways had been allowed nothing for a while; the first look under the next bound
+            # counted that one for all of the time, and each had a query saved up at the same moment.
+            self.allowance += self.bound * max(0.0, min(now, self.bound_until) - self.allowance_at)
+            self.allowance_at = now
         # Danger: bounds come ten times a second. One that has none, and is cold, lost what it had saved
         # each time and got next to nothing.
         if self.bound == math.inf and bound < math.inf:
--- a/cottonhold/emulator/fleet.py
+++ b/cottonhold/emulator/fleet.py
@@ -59,9 +59,11 @@
 
 @dataclass(slots=True)
 class Allowance:
-    """What one instance has saved up of its bounds, as the module does it."""
+    """What one instance has saved up of its bounds, as the module does it; cold: at engines that it takes for
+    such."""
 
     number: int
+    cold: bool = False
     bound: Bound = field(default_factory=lambda: Bound({}, 0.0))
     saved: dict[str, tuple[float, float]] = field(default_factory=dict)
 
@@ -76,9 +78,16 @@
         saved = min(max(bound * 250.0, work), saved + bound * (now - at))
         self.saved[engine] = saved, now
         # As the module does: of many whose part is less than a query, few may begin at a time.
-        turn = (place * 0.7548 + (self.number + now // 2000) * GOLDEN) % 1
+        turn = (place * 0.7548 + (self.number + (0 if self.cold else now // 2000)) * GOLDEN) % 1
         return saved >= max(work * turn, 1e-3)
 
+    def change(self, now: float, bound: Bound) -> None:
+        """Other bounds; at cold engines what was saved before was saved under those before."""
+        before, self.bound = self.bound, bound
+        for engine, work in before.work.items() if self.cold else ():
+            saved, at = self.saved.get(engine, (0.0, now))
+            self.saved[engine] = saved + work * max(0.0, min(now, before.until) - at), now
+
     def spend(self, engine: str, work: float) -> None:
         """A query has gone there."""
         if engine in self.bound.work:
@@ -164,7 +173,7 @@
                 case Say(member, data):
                     said.append((data, Address("fleet", member)))
                 case Bound():
-                    self.allowance.bound = action
+                    self.allowance.change(now, action)
                 case Turn():
                     self.turns.append((now, action))
         return said
--- a/cottonhold/emulator/outlook_service.py
+++ b/cottonhold/emulator/outlook_service.py
@@ -88,7 +88,7 @@
                 assert isinstance(there, Served)
                 self.world.at(now + 2, partial(there.told, self.fleet.me, action.data))
             elif isinstance(action, Bound):
-                self.allowance.bound = action
+                self.allowance.change(now, action)
 
     def told(self, sender: int, data: bytes, now: float) -> None:
         """Bytes from another."""
--- a/cottonhold/emulator/recovery.py
+++ b/cottonhold/emulator/recovery.py
@@ -57,7 +57,7 @@
         self.fleet.know(world.zones, now)
         assert self.fleet.loads is not None
         self.loads = self.fleet.loads
-        self.allowance = Allowance(number)
+        self.allowance = Allowance(number, cold=True)
         self.down: dict[int, float] = {}
         self.lost: Lost | None = None  # what its census has found
 
@@ -69,6 +69,7 @@
         # keep them, since they are the first to see one free.
         fair = ROOM * len(world.engines) / len(world.there)
         number, draw, names, work = self.number, world.draw.random, world.names, self.allowance.bound.work
+        usual = self.back.kinds[self.held[0][2].kind].work  # as the module asks for what this query takes
         mine = 0
         for engine in world.engines:
             mine += engine.out.get(number, 0)
@@ -79,7 +80,7 @@
             used = engine.out.get(number, 0) + others, draw()
             if used >= least or self.down.get(place, 0.0) > now:
                 continue
-            if self.allowance.allows(now, names[place], place, MEAN):
+            if self.allowance.allows(now, names[place], place, usual):
                 best, least = place, used
         return best
 
@@ -95,7 +96,7 @@
                 case Say(member, data):
                     self.back.say(now, self.number, member - 1, data)
                 case Bound():
-                    self.allowance.bound = action
+                    self.allowance.change(now, action)
                 case Priced():
                     self.cooldown = action.cooldown
 
--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -144,3 +144,24 @@
     drive(s, 10, 20, every=10, cost=30.0)
     (learned,) = {id(c): c for c in s.classes}.values()
     assert learned.seen == 1 and learned.cost == 30.0
+
+
+@pytest.mark.parametrize("told", [0.0, 1500.0], ids=["at once", "with none for a while"])
+def test_many_gateways_keep_to_their_parts_of_a_cold_engine(told: float) -> None:
+    """Found in virtual time with fifty instances after a power loss: dealt anew every two seconds, turns let
+    all that had saved up begin at once; and what was saved while nothing was allowed counted as well."""
+    count, pace, cost = 50, 0.4 * 8, 300.0
+    setup = dataclasses.replace(settings(), gateways=count)
+    fleet = [started(dataclasses.replace(setup, me=i), "e1", started_at=1.0) for i in range(count)]
+    sent = list[int]()
+    for t in range(10, 6000, 50):
+        for s in fleet:
+            events: list[io.Event] = [bound(e1=pace / count if t > told else 1e-9)] if t % 100 == 10 else []
+            if t > told:
+                events.append(arrival(f"q{t}", due=9e9, cost=cost))
+            for name, engine in sends(s.step(float(t), events)):
+                sent.append(t)
+                s.step(float(t), [ended(name, io.Outcome.OK, engine=engine, final=True, cost=cost)])
+    windows = [cost * sum(a <= t < a + 1500 for t in sent) for a in range(0, 4500, 50)]
+    assert max(windows) <= 1.2 * pace * 1500 + 2 * cost
+    assert cost * len(sent) > 0.8 * pace * (6000 - told)
