Use a share to the last part only where the fleet has one price; ask by hand across a cut

Change: scheduler.py _has_room takes turns once a fleet's price was told, if only of nothing (io.Price.told).

A story on processes: one that nobody hears tells a client soon that its load may have run, which ran once.

--- a/cottonhold/decide/interface.py
+++ b/cottonhold/decide/interface.py
@@ -328,13 +328,15 @@
 class Price:
     """What the fleet lets in until a time: worth a ms of work from `density` on a `share` of, by the query's
     draw, and from `above` on all. cooldown: so many ms whoever is turned away should stay away at least,
-    until another price is said. Replaces what was said before."""
+    until another price is said. told: there is a fleet that has one price, if only of nothing. Replaces what
+    was said before."""
 
     density: float = 0.0
     above: float = 0.0
     share: float = 1.0
     until: float = 0.0
     cooldown: float = 0.0
+    told: bool = True
 
 
 @dataclass(slots=True, frozen=True)
--- a/cottonhold/decide/scheduler.py
+++ b/cottonhold/decide/scheduler.py
@@ -95,7 +95,7 @@
         self.live, self.near, self.blind = list[EngineView](), list[EngineView](), 1.0
         self.mine, self.reach = set[str](), self.share  # whom it draws on, and its part of what each is sent
         self.full_room = self.full_memory = self.own_room = 1.0
-        self.fleet, self.price, self.unseen = state.Rate(), io.Price(), list[tuple[float, Query]]()
+        self.fleet, self.price, self.unseen = state.Rate(), io.Price(told=False), list[tuple[float, Query]]()
         self.util, self.best = 1.0, 0.0
         self.probes, self.pool_rest, self.pool = 0.0, 0.0, state.Pool()
         self.gap, self.heard_at, self.heard, self.alike = PEER_MOST_MS, -math.inf, False, 0.0
@@ -547,7 +547,7 @@
             return False
         # Danger: one query of each gateway on each engine floods the fleet; paging shows only in the jam. So
         # the share is of the whole fleet; any spare above it adds up. What q passes does not hold it back.
-        # Rounded down, 1.8 queries were one, and small gateways let clients wait in vain: so they take turns.
+        # Rounded down, 1.8 queries were one, and clients that a fleet's one price had let in waited in vain.
         threads, memory, busy = self.pool.sound.held_by(density, ALPHA)
         # Danger: a timed-out attempt that nothing cancels runs on unseen; it counts for the time planned.
         unseen = [o for until, o in self.unseen if until > self.now]
@@ -556,7 +556,7 @@
         used = max(used, filled) if pressed else filled * math.sqrt(self.blind) * binds
         if not busy:
             return used <= self.share or self.now >= self.pool_rest
-        turn = (self.settings.me + self.now // max(REPLAN_MS, q.p)) * GOLDEN % 1
+        turn = self.price.told and (self.settings.me + self.now // max(REPLAN_MS, q.p)) * GOLDEN % 1
         return used <= self.share + turn * q.cls.threads / self.full_room
 
     def _release(self) -> None:
--- a/cottonhold/node/fleet/zones.py
+++ b/cottonhold/node/fleet/zones.py
@@ -95,6 +95,8 @@
 
     def start(self) -> None:
         """Begin; from now on it steps by its own timer."""
+        if self.fleet.loads is not None:
+            self.push(io.Price())  # of nothing yet
         self._step()
 
     def joined(self) -> None:
--- a/tests/fleet/test_recovery_processes.py
+++ b/tests/fleet/test_recovery_processes.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import json
+import time
 from collections.abc import Callable, Coroutine
 from pathlib import Path
 from typing import Any
@@ -10,7 +12,7 @@
 import msgspec
 import pytest
 
-from cottonhold.emulator.rig.clients import Kind, Manner
+from cottonhold.emulator.rig.clients import Kind, Manner, Session
 from cottonhold.emulator.rig.judge import judge
 from cottonhold.emulator.rig.script import Day, Fault
 from cottonhold.emulator.rig.trial import Trial
@@ -159,6 +161,34 @@
     await until(trial, lambda view: view["verdict"] != "cut_off" and not view["missing"], "all are heard")
 
 
+async def told_to_come_later_by_one_that_nobody_hears(trial: Trial) -> None:
+    """A client whose load ran elsewhere asks at one that is cut off: soon it is told that its load may have
+    run, before those that know of it have forgotten, and not to come later for as long as it asks."""
+    load = "lookup=mine */ INSERT INTO sales_1.t VALUES ('mine', 0)"
+
+    async def ask(name: str, ref: int, more: str = "") -> tuple[str, str]:
+        port = int(json.loads((trial.folder / f"{name}.json").read_text())["listen"].rpartition(":")[2])
+        session = await Session.open(port)
+        try:
+            fields = f"service=load,ref={ref:016x},allow=2000,effort=20{more}"
+            return await session.query(f"/* {fields},{load}")
+        finally:
+            session.writer.close()
+
+    assert (await ask("n1", 1))[0] == "served"
+    await trial.apply(Fault(0.0, "peers", "n0", "*", {"cut": True}))
+    await until(trial, lambda view: view["verdict"] == "cut_off", "it knows", "n0")
+    began, said = time.monotonic(), ("refused", "")
+    while said[0] == "refused" and time.monotonic() < began + recovery(trial, "n0")["hold_ms"] / 1000:
+        said = await ask("n0", 2, ",dup=1")
+        await asyncio.sleep(0.2)
+    assert "may have run" in said[1], said
+    refs = [line[2] for lines in trial.ledgers().engines.values() for line in lines if line[1] == "get"]
+    assert sum(ref in (f"{1:016x}", f"{2:016x}") for ref in refs) == 1
+    await trial.apply(Fault(0.0, "peers", "*", "*", {"heal": True}))
+    await until(trial, lambda view: view["verdict"] != "cut_off" and not view["missing"], "all are heard")
+
+
 async def the_source_of_the_list_stays_away(trial: Trial) -> None:
     """Engines that were known before serve once they have answered; loads wait for the list."""
     await more(trial, "cheap")
@@ -173,6 +203,7 @@
 
 STORIES = [all_at_once, again_while_it_recovers, an_empty_folder, an_old_folder]
 STORIES += [a_backup_of_one_that_runs, a_full_disk, cut_off, the_source_of_the_list_stays_away]
+STORIES += [told_to_come_later_by_one_that_nobody_hears]
 
 
 @pytest.mark.parametrize("story", STORIES, ids=lambda s: s.__name__)
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -286,9 +286,14 @@
     assert young.traffic.per_s(begun + 30_000.0) < 0.01
 
 
-@pytest.mark.parametrize("gateways, share", [(12, 1.5), (10, 1.8), (6, 3.0)], ids=str)
-def test_a_share_that_is_no_whole_number_of_queries_is_used_on_the_mean(gateways: int, share: float) -> None:
-    """Rounded down, twelve gateways used 12 of 18 threads, and the clients of small ones waited in vain."""
+@pytest.mark.parametrize(
+    "gateways, priced, share", [(12, True, 1.5), (10, True, 1.8), (6, True, 3.0), (10, False, 1.0)], ids=str
+)
+def test_a_share_that_is_no_whole_number_of_queries_is_used_on_the_mean(
+    gateways: int, priced: bool, share: float
+) -> None:
+    """Rounded down, twelve gateways used 12 of 18 threads, and clients that the fleet's price had let in
+    waited in vain at small ones. Without a fleet it stays rounded: used up, it cost days of 200 a little."""
     cls = dataclasses.replace(LOOKUP, aim=1e7, deadline=1e7)
     permits, small = dataclasses.replace(PERMITS, peers=True), (io.Model(1, 2000.0),)
     most = list[float]()
@@ -297,6 +302,7 @@
             settings(cls, gateways=gateways, me=me, permits=permits, models=small),
             *(f"e{i}" for i in range(9)),
         )
+        s.step(0.0, [io.Price()] if priced else [])
         out, area, serial = dict[str, tuple[str, float]](), 0.0, 0
         for t in range(0, 6000, 20):
             over = {q: e for q, (e, at) in out.items() if t - at >= 100.0}
