--- a/cottonhold/decide/scheduler.py
+++ b/cottonhold/decide/scheduler.py
@@ -104,12 +104,21 @@
         self.next_beat = self.wake_at = math.inf
         self.actions: list[io.Action] = []
         self.handlers: dict[type, Callable[[Any], None]] = {
-            io.Arrival: self._on_arrival, io.AttemptEnded: self._on_ended, io.Note: self._on_note,
-            io.EngineList: self._on_list, io.ClientGone: self._on_gone, io.Probed: self._on_probed,
-            io.PeerMessage: self._on_peer, io.StreamStarted: self._on_stream, io.ListFailed: self._on_failed,
-            io.Timer: lambda _: None, io.Retune: lambda event: self._adopt(event.settings),
-            io.Bounds: self._on_bounds, io.Price: lambda event: setattr(self, "price", event),
-            io.Leaving: lambda event: self.deadlines.cut(event.until)}
+            io.Arrival: self._on_arrival,
+            io.AttemptEnded: self._on_ended,
+            io.Note: self._on_note,
+            io.EngineList: self._on_list,
+            io.ClientGone: self._on_gone,
+            io.Probed: self._on_probed,
+            io.PeerMessage: self._on_peer,
+            io.StreamStarted: self._on_stream,
+            io.ListFailed: self._on_failed,
+            io.Timer: lambda _: None,
+            io.Retune: lambda event: self._adopt(event.settings),
+            io.Bounds: self._on_bounds,
+            io.Price: lambda event: setattr(self, "price", event),
+            io.Leaving: lambda event: self.deadlines.cut(event.until),
+        }
         self._adopt(settings)
 
     def _adopt(self, settings: io.Settings) -> None:
@@ -479,8 +488,9 @@
                 return False
         if c.effect is Effect.KEYED and q.risk_engine is not None:
             first = q.risk_engine.info
-            return c.group is io.Group.ALL or (info.zone == first.zone and (
-                c.group is io.Group.ZONE or info.cell == first.cell))
+            return c.group is io.Group.ALL or (
+                info.zone == first.zone and (c.group is io.Group.ZONE or info.cell == first.cell)
+            )
         return True
 
     def _place(self, q: Query, k: int = CANDIDATES) -> None:
@@ -747,8 +757,11 @@
         """The one place for every final answer: refused where honest, told when the plans have drained."""
         q.leave_plan()
         # What two engines could not run no third one will, and a refusal would only bring it back.
-        if q.failures < FAILURES and (q.risk_at is None or q.cls.effect is Effect.SAFE or (
-                q.cls.effect is Effect.KEYED and q.cls.group is io.Group.ALL)):
+        if q.failures < FAILURES and (
+            q.risk_at is None
+            or q.cls.effect is Effect.SAFE
+            or (q.cls.effect is Effect.KEYED and q.cls.group is io.Group.ALL)
+        ):
             drained = sum(e.held_area for e in self.active.values()) / self.own_room
             most = self.settings.permits.max_retry_after if self.settings.permits.retry_after else 0.0
             self.actions.append(io.Refuse(q.id, min(most, max(RETRY_AFTER_MS, drained, self.price.cooldown))))
--- a/cottonhold/emulator/overload.py
+++ b/cottonhold/emulator/overload.py
@@ -218,9 +218,7 @@
         self.delay, self.loss, self.marked, self.settings = delay, loss, marked, settings
         self.engines = [Engine(speed) for _ in range(engines)]
         self.up = engines
-        self.instances: list[Instance] = [
-            self.make(i, policy(i)) for i in range(len(self.weights))
-        ]
+        self.instances: list[Instance] = [self.make(i, policy(i)) for i in range(len(self.weights))]
         self.network = Network(seed)  # only for its clock: loads go by a way of their own here
         self.cut: Callable[[int, int], bool] = lambda a, b: False
         self.lie: dict[int, float] = {}  # instance -> times that it claims
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -327,4 +327,3 @@
 
     def time_wait(self, who: str, rest: str) -> None:
         self.wait(float(rest))
-
