Say that a load may have run where one that was asked did not know

Its sender's folder was emptied; it said first that it did not know (unknown), the client was told to come later because of another one that was away, and by then the first one's hold was over and it said never of what it had sent before.

Change: Memory._lapse told later wherever half had noted the retry; _put_off now says that it may have run where any that was asked had said unknown.

--- a/cottonhold/fleet/recovery/memory.py
+++ b/cottonhold/fleet/recovery/memory.py
@@ -360,16 +360,24 @@
 
     def _lapse(self, now: float, load: bytes, pending: Pending) -> None:
         """Clients whose patience is over."""
-        # Danger: one that nobody heard told a client LATER until whoever had sent its load had forgotten it;
-        # the client went elsewhere, and it ran again. Half that heard of the retry are among any that can
-        # settle it as NEVER, and say then for how long it has been asked about.
-        noted = 2 * (1 + len(pending.noted)) > len(self.others)
         for ref in [ref for ref, until in pending.refs.items() if until <= now]:
             del pending.refs[ref]
-            self._tell(ref, load, Known.LATER if noted else self._alone(now, load))
+            self._tell(ref, load, self._put_off(now, load, pending))
         if not pending.refs:
             del self.pending[load]
 
+    def _put_off(self, now: float, load: bytes, pending: Pending) -> Known:
+        """What a retry is told that could not be settled in time."""
+        # Danger: an emptied one said that it did not know, the client was told LATER for another that was
+        # away, and by then the first said NEVER of what it had sent before it was emptied.
+        if Said.UNKNOWN in pending.said.values():
+            return Known.MAY
+        # Danger: one that nobody heard told a client LATER until whoever had sent its load had forgotten it;
+        # the client went elsewhere, and it ran again. Half that heard of the retry are among any that can
+        # settle it as NEVER, and say then for how long it has been asked about.
+        noted = 2 * (1 + len(pending.noted)) > len(self.others)
+        return Known.LATER if noted else self._alone(now, load)
+
     def later(self, now: float, load: bytes) -> Known:
         """What a client's retry is told while this instance can't take its load at all."""
         known = self._known(now, load)
