Read a request's idempotency key and tenant, and pass the key on to engines

Cause: node/statement.py read neither field, so Engines.frame left the key out and every arrival counted for the first tenant.

Change: both are fields of the statement, the request and, for the key, of each attempt; a name that is no tenant of the settings, or a key that can't stand among an engine's fields, is a named fault. A request that is handed on to another dispatcher takes both with it.

--- a/cottonhold/fleet/swap/requests.py
+++ b/cottonhold/fleet/swap/requests.py
@@ -11,7 +11,7 @@
 
 HEAD = struct.Struct("!BddiQ")  # flags, effort, room, tables, round
 SIZE = struct.Struct("!H")
-RETRY = 1
+RETRY, NAMED = 1, 2  # flags: a client's retry; tenant and idempotency key follow
 
 
 def pin_key(key: str) -> bytes:
@@ -34,12 +34,16 @@
     retry: bool
     body: bytes
     round: int = 0
+    tenant: str = ""
+    token: str = ""
 
 
 def pack_request(request: Handed) -> bytes:
     """Its bytes."""
-    head = HEAD.pack(RETRY * request.retry, request.effort, request.room, request.tables, request.round)
-    texts = (request.ref.encode(), request.service.encode(), request.key.encode())
+    named = (request.tenant, request.token) if request.tenant or request.token else ()
+    flags = RETRY * request.retry | NAMED * bool(named)
+    head = HEAD.pack(flags, request.effort, request.room, request.tables, request.round)
+    texts = [text.encode() for text in (request.ref, request.service, request.key, *named)]
     return head + b"".join(SIZE.pack(len(text)) + text for text in texts) + request.body
 
 
@@ -48,7 +52,7 @@
     try:
         flags, effort, room, tables, round_ = HEAD.unpack_from(data)
         at, texts = HEAD.size, list[str]()
-        for _ in range(3):
+        for _ in range(5 if flags & NAMED else 3):
             (size,) = SIZE.unpack_from(data, at)
             at += SIZE.size + size
             if at > len(data):
@@ -56,10 +60,12 @@
             texts.append(data[at - size : at].decode())
     except (struct.error, UnicodeDecodeError):
         raise WordError("request") from None
-    if not (0.0 <= effort < 1e12 and 0.0 <= room < 1e12) or flags > RETRY or not all(texts):
+    if not (0.0 <= effort < 1e12 and 0.0 <= room < 1e12) or flags > RETRY | NAMED or not all(texts[:3]):
         raise WordError("request")
-    ref, service, key = texts
-    return Handed(ref, service, key, effort, room, tables, flags == RETRY, data[at:], round_)
+    ref, service, key, *named = texts
+    tenant, token = named or ("", "")
+    retry = bool(flags & RETRY)
+    return Handed(ref, service, key, effort, room, tables, retry, data[at:], round_, tenant, token)
 
 
 def pack_rows(rows: Sequence[Sequence[bytes]]) -> bytes:
--- a/cottonhold/node/engines.py
+++ b/cottonhold/node/engines.py
@@ -58,6 +58,7 @@
     priority: int
     began: float
     until: float
+    token: str | None = None  # the client's idempotency key, the same on each attempt
     connection: Connection | None = None
     timer: Timer | None = None
     written: bool = False
@@ -376,6 +377,9 @@
         """The request's words."""
         left = max(1, int(attempt.until - self.clock.now()))
         order = f"kind={attempt.kind},ms={left},order={attempt.priority}"
+        # Danger: without the client's key an engine can't tell a repeat from a new request and runs both.
+        if attempt.token is not None:
+            order += f",token={attempt.token}"
         return encode(b"GET", attempt.ref, order.encode(), attempt.body)
 
     def check_queue(self, connection: Connection) -> None:
--- a/cottonhold/node/fleet/pins.py
+++ b/cottonhold/node/fleet/pins.py
@@ -158,7 +158,9 @@
         """Hand a request on."""
         self.counters.add("pins_handed_on")
         words = (taken.ref, taken.service, taken.key or "", taken.effort, taken.room, taken.tables)
-        body = pack_request(Handed(*words, taken.retry, taken.body, number))
+        tenants = self.gateway.settings.tenants
+        tenant = tenants[taken.tenant].name if taken.tenant < len(tenants) else ""
+        body = pack_request(Handed(*words, taken.retry, taken.body, number, tenant, taken.token or ""))
         now = self.clock.now()
         actions = self.handing.hand(now, taken.ref, owner, body, until, line=key)
         # An end that comes at once comes to the guard once it knows that the request is on its way.
@@ -186,7 +188,8 @@
         self.counters.add("pins_handed_here")
         work = asked.effort, asked.room, asked.tables
         words = asked.key, asked.retry, asked.body
-        taken = Taken(ref, kind, asked.service, now, action.left_ms, *work, *words)
+        named = self.gateway.tenants.get(asked.tenant, 0), asked.token or None
+        taken = Taken(ref, kind, asked.service, now, action.left_ms, *work, *words, *named)
         client = HandedClient(self, action.origin, action.number, ref)
         self.guard.remote[ref] = action.origin, asked.round
         try:
--- a/cottonhold/node/gateway.py
+++ b/cottonhold/node/gateway.py
@@ -114,6 +114,8 @@
     key: str | None
     retry: bool
     body: bytes
+    tenant: int = 0  # its place in the settings
+    token: str | None = None  # the client's idempotency key
 
 
 @dataclass(slots=True, eq=False)
@@ -148,6 +150,7 @@
         self.settings, self.clock, self.engines = settings, clock, engines
         self.counters, self.say = counters, say
         self.kinds = {cls.name: place for place, cls in enumerate(settings.classes)}
+        self.tenants = {tenant.name: place for place, tenant in enumerate(settings.tenants)}
         self.scheduler = Scheduler(settings, seed)
         self.requests: dict[str, Request] = {}
         self.events: list[io.Event] = []
@@ -164,6 +167,7 @@
         """Other settings from now on; requests that are open keep what they were taken under."""
         self.settings = settings
         self.kinds = {cls.name: place for place, cls in enumerate(settings.classes)}
+        self.tenants = {tenant.name: place for place, tenant in enumerate(settings.tenants)}
         self.push(io.Retune(settings))
 
     def leave(self, until: float) -> None:
@@ -247,6 +251,7 @@
                 cost=taken.effort,
                 memory=taken.room,
                 tables=taken.tables,
+                tenant=taken.tenant,
                 order_key=taken.key,
                 retry=taken.retry,
                 draw=draw,
@@ -363,7 +368,15 @@
         until = min(request.due - ANSWER_MS, now + action.timeout if action.timeout > 0 else request.due)
         taken = request.taken
         attempt = Attempt(
-            action.query, number, action.engine, taken.service, taken.body, request.priority, now, until
+            action.query,
+            number,
+            action.engine,
+            taken.service,
+            taken.body,
+            request.priority,
+            now,
+            until,
+            token=taken.token,
         )
         request.attempt = attempt
         if self.watch is not None:
--- a/cottonhold/node/mysql.py
+++ b/cottonhold/node/mysql.py
@@ -174,8 +174,19 @@
             statement.key if cls.in_order else None,
             statement.retry,
             statement.body,
+            self._tenant(statement),
+            statement.token,
         )
 
+    def _tenant(self, statement: Statement) -> int:
+        """The tenant's place in the settings; the first where the client names none or there are none."""
+        tenants = self.gateway.tenants
+        if statement.tenant is None or not tenants:
+            return 0
+        if statement.tenant not in tenants:
+            raise FieldError(f"field 'project' names no tenant: '{statement.tenant[:40]}'")
+        return tenants[statement.tenant]
+
 
 class Session:
     """One client's connection."""
--- a/cottonhold/node/statement.py
+++ b/cottonhold/node/statement.py
@@ -7,6 +7,7 @@
 
 HEAD = re.compile(rb"\s*/\*(.*?)\*/\s*", re.DOTALL)
 REF = re.compile(r"[0-9a-fA-F]{16}\Z")
+TOKEN_TEXT = re.compile(r"[0-9A-Za-z_.:+/-]{1,128}\Z")  # an idempotency key: passed on to engines as it is
 NUMBER = re.compile(r"[0-9]{1,9}(?:\.[0-9]{0,20})?\Z")  # float() takes more, as nan or 1_0
 MOST_MS = 3.6e6  # an hour; no query here may take or wait for longer
 # Strings and comments are matched first, so that names inside them do not count.
@@ -38,6 +39,8 @@
     key: str | None
     body: bytes
     tables: int
+    tenant: str | None = None  # by name; None where the client names none
+    token: str | None = None  # the idempotency key, the same for all tries of one request
 
 
 def parse(text: bytes) -> Statement:
@@ -60,6 +63,9 @@
         raise FieldError("field 'allow' leaves no time")
     if fields.get("dup", "0") not in ("0", "1"):
         raise FieldError("field 'dup' is neither 0 nor 1")
+    token = fields.get("replay")
+    if token is not None and not TOKEN_TEXT.match(token):
+        raise FieldError("field 'replay' can't be passed on as a key")
     body = text[head.end() :]
     return Statement(
         service=fields["service"],
@@ -71,6 +77,8 @@
         key=fields.get("lookup") or None,
         body=body,
         tables=table_group(body.decode("utf-8", "replace")),
+        tenant=fields.get("project"),
+        token=token,
     )
 
 
--- a/tests/conformance/protocol.py
+++ b/tests/conformance/protocol.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import orjson
 
 from cottonhold.decide import interface as io
@@ -14,12 +16,14 @@
 from cottonhold.node.statement import table_group
 from cottonhold.observe.counters import Counters
 from tests.conformance.rows import Direct, Machine, Row
-from tests.scenario import LOGIN, Client, World, packet
+from tests.scenario import LOGIN, SETTINGS, Client, World, packet
 
 OUT = "c1 query lookup r1\ne1 expect GET r1 *\n"
 LOAD_OUT = "c1 query load r1 allow=20000\ne1 expect GET r1 *\n"
 PING = "send 010000000e\n"
 SERVED = "served count=1 a|b|c/\nc1 expect rows a|b|c\n"
+TOKEN = "5c0f6e1a2b3d4c59a8b7c6d5e4f30211"
+TENANTS = (io.Tenant("acme", 5.0), io.Tenant("zenith", 9.0))
 STATEMENT = "SELECT a FROM s_7.t WHERE b = '/* x */'"
 
 
@@ -146,6 +150,18 @@
     return Machine(f"c1 say /* {field} */ SELECT 1\nc1 expect error 1105 *'{name}'*\nc1 {PING}c1 expect ok")
 
 
+def sent_without_token() -> None:
+    world = World(engines="a").run("c1 query lookup r1")
+    (words,) = world.lines[0].heard
+    assert b"token" not in words[2]
+
+
+def tenant_by_name() -> None:
+    world = World(replace(SETTINGS, tenants=TENANTS))
+    world.run("c1 query lookup r1 project=zenith\nc2 query lookup r2 project=acme\nc3 query lookup r3")
+    assert [query.tenant for query in world.gateway.scheduler.queries.values()] == [1, 0, 0]
+
+
 def sent_priority() -> None:
     world = World(engines="a").run("c1 query lookup r1 effort=100.0\ne1 expect GET * *order=1 *")
     request = world.gateway.requests[f"{1:016x}"]
@@ -243,6 +259,56 @@
             "c1 query lookup r1 lookup=k1\ne1 expect GET r1 *\nc2 query lookup r2 lookup=k1\nany expect GET r2 *"
         ),
     ),
+    Row(
+        "pro-field-token",
+        C("fields, idempotency key"),
+        "The client's idempotency key goes to the engine as it is, in classes of any effect",
+        Machine(f"c1 query lookup r1 replay={TOKEN}\ne1 expect GET r1 kind=lookup,*,token={TOKEN} SELECT *"),
+    ),
+    Row(
+        "pro-field-token-each",
+        C("fields, idempotency key"),
+        "and is the same on each attempt",
+        Machine(
+            f"c1 query lookup r1 replay={TOKEN}\ne1 expect GET r1 *,token={TOKEN} *\ne1 send r1 overload -\ne2 expect GET r1 *,token={TOKEN} *"
+        ),
+    ),
+    Row(
+        "pro-field-token-absent",
+        C("fields, idempotency key"),
+        "No key is made up where the client sent none",
+        Direct(sent_without_token),
+    ),
+    *(
+        Row(
+            f"pro-field-token-{name}",
+            C("fields, idempotency key"),
+            f"A key that can't be a field's value is a named fault: {name}",
+            unusable(f"service=lookup,ref=00000000000000aa,allow=9,replay={value}", "replay"),
+        )
+        for name, value in {"empty": "", "long": "a" * 129, "spaces": "a b", "equals": "a=b"}.items()
+    ),
+    Row(
+        "pro-field-tenant",
+        C("fields, tenant"),
+        "The tenant is named as in the settings and reaches the decisions by its place there",
+        Direct(tenant_by_name),
+    ),
+    Row(
+        "pro-field-tenant-unknown",
+        C("fields, tenant"),
+        "Another name is a named fault",
+        Machine(
+            "c1 say /* service=lookup,ref=00000000000000aa,allow=900,project=nobody */ SELECT 1\nc1 expect error 1105 *'project'*\nany nothing",
+            replace(SETTINGS, tenants=TENANTS),
+        ),
+    ),
+    Row(
+        "pro-field-tenant-none",
+        C("fields, tenant"),
+        "and where the settings know no tenants it means nothing",
+        Machine("c1 query lookup r1 project=nobody\ne1 expect GET r1 *"),
+    ),
     Row(
         "pro-tables",
         C("paragraph 2"),
--- a/tests/fleet/test_pinned_rim.py
+++ b/tests/fleet/test_pinned_rim.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Any, cast
 
 import pytest
@@ -262,6 +263,9 @@
 def test_a_request_and_its_rows_have_a_form() -> None:
     asked = Handed("00ff", "load", "k\u00e9y", 20.0, 0.5, -1, True, b"INSERT INTO t", 2**63)
     assert read_request(pack_request(asked)) == asked
+    for tenant, token in (("acme", ""), ("", "5c0f"), ("acme", "5c0f")):
+        named = replace(asked, tenant=tenant, token=token)
+        assert read_request(pack_request(named)) == named
     rows = [[b"a", b"", b"c" * 300], [], [b"\t\n"]]
     assert read_rows(pack_rows(rows)) == rows and len(pin_key("k")) == 8
     for cut in (0, 5, 25, 30):
