Pass over known failing tests that KNOWN-RED.txt names, and print them

A listed test is a strict xfail: one that passes fails the run, so that its line has to go. Without the file nothing is passed over.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,10 +1,59 @@
 """Drawn tests draw the same each time, so that a verdict is the program's and not the draw's.
 
 `pytest --hypothesis-profile=draw` draws anew; what it finds becomes a test of its own.
+
+Tests in KNOWN-RED.txt at the root have to fail, and are printed with their causes.
 """
 
+from __future__ import annotations
+
+import pytest
 from hypothesis import settings
 
+from tests.known_red import NAME, KnownRed, KnownRedError, missing, parse
+
 settings.register_profile("same", derandomize=True, deadline=None, database=None)
 settings.register_profile("draw", derandomize=False, deadline=None, database=None, print_blob=True)
 settings.load_profile("same")
+
+pytest_plugins = ["pytester"]
+
+KNOWN = pytest.StashKey[dict[str, KnownRed]]()
+
+
+def pytest_configure(config: pytest.Config) -> None:
+    """Reads the list of known failing tests; one that can't be used ends the run."""
+    path = config.rootpath / NAME
+    try:
+        config.stash[KNOWN] = parse(path.read_text(encoding="utf-8")) if path.exists() else {}
+    except (KnownRedError, UnicodeDecodeError) as error:
+        raise pytest.UsageError(str(error)) from None
+
+
+@pytest.hookimpl(tryfirst=True)
+def pytest_collection_modifyitems(config: pytest.Config, items: list[pytest.Item]) -> None:
+    """Listed tests have to fail: one that passes fails the run, so that its line goes."""
+    known = config.stash[KNOWN]
+    if _whole(config):
+        try:
+            missing(known, [item.nodeid for item in items])
+        except KnownRedError as error:
+            raise pytest.UsageError(str(error)) from None
+    for item in items:
+        if (entry := known.get(item.nodeid)) is not None:
+            item.add_marker(pytest.mark.xfail(reason=f"{entry.cause} ({entry.issue})", strict=True))
+
+
+def pytest_terminal_summary(terminalreporter: pytest.TerminalReporter, config: pytest.Config) -> None:
+    """Prints what is known to fail, also where it wasn't run."""
+    if known := config.stash[KNOWN]:
+        terminalreporter.section("known to fail")
+        for entry in known.values():
+            terminalreporter.write_line(str(entry))
+
+
+def _whole(config: pytest.Config) -> bool:
+    """Whether all tests are collected. Those chosen by -k or -m are taken out of them only later."""
+    places = config.getini("testpaths")
+    given = [arg.rstrip("/") for arg in config.args]
+    return config.args_source is not pytest.Config.ArgsSource.ARGS or given == places
