Take the driver's sockets from a parameter, so that tests can fail their calls by script

Need: system calls fail in all documented ways, and no test could make accept, connect, send or recv of the driver fail. Behaviour is unchanged: the loop's own calls (uvloop's and asyncio's) go through the methods of the socket object, so a subclass of socket.socket sees each of them, and the program with plain sockets makes no further call. Driver and Dispatcher take make_socket; tests/faulty_sockets.py is the scripted one: errno values, EINTR, short reads and writes, call by call, and what is still open.

Ruled out: an object with a method for each call (a further Python call on each read and write, and the loop would not go through it).

--- a/cottonhold/node/dispatcher.py
+++ b/cottonhold/node/dispatcher.py
@@ -7,6 +7,7 @@
 import gc
 import os
 import signal
+import socket
 import sys
 from collections.abc import Awaitable, Callable, Iterable, Sequence
 from typing import Protocol
@@ -28,6 +29,7 @@
 from cottonhold.node.ops import Calls
 from cottonhold.node.peers import Peers
 from cottonhold.node.seats import Record, Seats
+from cottonhold.node.sockets import MakeSocket
 from cottonhold.observe.counters import Counters
 
 CHECK_S = 0.02
@@ -56,10 +58,11 @@
         loop: asyncio.AbstractEventLoop,
         log: Logs,
         sources: Sequence[tuple[str, Guard]] = BUS_ONLY,
+        make_socket: MakeSocket = socket.socket,
     ) -> None:
         self.config, self.counters, self.log = config, counters, log
         say = self.log.say
-        self.driver = Driver(loop, counters, say)
+        self.driver = Driver(loop, counters, say, make_socket)
         self.driver.connect_s = config.links.connect_ms / 1000
         clock = self.driver.clock
         self.life, self.parts = Life(), Descriptors.divide(config.sockets)
--- a/cottonhold/node/driver.py
+++ b/cottonhold/node/driver.py
@@ -20,6 +20,7 @@
 from cottonhold.node.mysql import Front, Session
 from cottonhold.node.ops import Calls
 from cottonhold.node.peers import Peers
+from cottonhold.node.sockets import MakeSocket
 from cottonhold.observe.counters import Counters
 from cottonhold.wire import WireError
 
@@ -86,9 +87,9 @@
         raise OSError(error.errno, f"can't listen at {address}: {error.strerror}") from error
 
 
-def tcp_socket(kind: socket.AddressFamily = socket.AF_INET) -> socket.socket:
+def tcp_socket(make: MakeSocket, kind: socket.AddressFamily) -> socket.socket:
     """A TCP socket that never blocks and never waits to fill a segment."""
-    sock = socket.socket(kind, socket.SOCK_STREAM)
+    sock = make(kind, socket.SOCK_STREAM)
     sock.setblocking(False)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     return sock
@@ -217,9 +218,13 @@
     """Opens, accepts and serves all sockets."""
 
     def __init__(
-        self, loop: asyncio.AbstractEventLoop, counters: Counters, say: Callable[[str], None]
+        self,
+        loop: asyncio.AbstractEventLoop,
+        counters: Counters,
+        say: Callable[[str], None],
+        make_socket: MakeSocket = socket.socket,
     ) -> None:
-        self.loop, self.counters, self.say = loop, counters, say
+        self.loop, self.counters, self.say, self.make_socket = loop, counters, say, make_socket
         self.clock = LoopClock(loop)
         self.tasks: set[asyncio.Task[None]] = set()
         self.udp: socket.socket | None = None
@@ -247,7 +252,7 @@
 
     def listen(self, address: Address, shared: bool = False) -> socket.socket:
         """Listen at an address, and only there; a shared one also beside another process."""
-        sock = tcp_socket(family(address))
+        sock = tcp_socket(self.make_socket, family(address))
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         bind(sock, address, shared)
         sock.listen(BACKLOG)
@@ -364,7 +369,7 @@
                 else:
                     found = await self.loop.getaddrinfo(address.host, address.port, type=socket.SOCK_STREAM)
                     kind, target = found[0][0], found[0][4][:2]
-                sock = tcp_socket(kind)
+                sock = tcp_socket(self.make_socket, kind)
                 await self.loop.sock_connect(sock, target)
                 return sock
         except BaseException:
@@ -435,7 +440,7 @@
 
     def udp_socket(self, address: Address) -> socket.socket:
         """The socket for datagrams."""
-        sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        sock = self.make_socket(socket.AF_INET, socket.SOCK_DGRAM)
         sock.setblocking(False)
         bind(sock, address, shared=True)
         self._steer(sock)
--- /dev/null
+++ b/tests/test_faulty_sockets.py
@@ -0,0 +1,67 @@
+"""The scripted sockets themselves, under the loops that drive them: what is planned is what happens."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import socket
+from collections.abc import Callable
+
+import pytest
+import uvloop
+
+from tests.faulty_sockets import ACCEPTED, OK, Faults, Short
+
+LOOPS = [asyncio.new_event_loop, uvloop.new_event_loop]
+
+
+def test_steps_are_taken_in_their_order_and_then_the_system_decides() -> None:
+    faults = Faults()
+    faults.plan("send", Short(2), errno.ENOBUFS, OK)
+    near, far = (
+        faults.make(socket.AF_INET, socket.SOCK_DGRAM),
+        socket.socket(socket.AF_INET, socket.SOCK_DGRAM),
+    )
+    far.bind(("127.0.0.1", 0))
+    near.connect(far.getsockname())
+    assert near.send(b"abc") == 2
+    with pytest.raises(OSError) as failed:
+        near.send(b"abc")
+    assert failed.value.errno == errno.ENOBUFS
+    assert [near.send(b"abc"), near.send(b"abc")] == [3, 3] and faults.calls["send"] == 4
+    assert len(faults.open) == 1
+    near.close()
+    far.close()
+    assert not faults.open
+
+
+@pytest.mark.parametrize("new_loop", LOOPS)
+def test_the_loops_own_calls_go_through_the_script(new_loop: Callable[[], asyncio.AbstractEventLoop]) -> None:
+    async def scenario() -> tuple[bytes, int]:
+        loop, faults = asyncio.get_running_loop(), Faults()
+        listener, client = [faults.make(socket.AF_INET, socket.SOCK_STREAM) for _ in range(2)]
+        for sock in (listener, client):
+            sock.setblocking(False)
+        listener.bind(("127.0.0.1", 0))
+        listener.listen(8)
+        faults.plan("connect", errno.EINTR)
+        faults.plan("accept", errno.EINTR)
+        await loop.sock_connect(client, listener.getsockname())
+        server, _ = await loop.sock_accept(listener)
+        faults.plan("send", Short(1), errno.EAGAIN, Short(2))
+        faults.plan("recv_into", errno.EINTR, Short(2), on=ACCEPTED)
+        await loop.sock_sendall(client, b"abcdef")
+        buffer, got = bytearray(10), b""
+        while len(got) < 6:
+            count = await loop.sock_recv_into(server, buffer)
+            got += bytes(buffer[:count])
+        for sock in (listener, client, server):
+            sock.close()
+        assert faults.calls["send"] >= 4 and faults.calls["recv_into"] >= 3 and not faults.open
+        return got, faults.calls["accept"]
+
+    loop = new_loop()
+    try:
+        assert loop.run_until_complete(scenario()) == (b"abcdef", 2)
+    finally:
+        loop.close()
