End an attempt that was decided on in the turn in which its client left

Seen: in a scenario where an attempt ends and the client leaves in the same turn of the loop, the request was gone at the gateway but out for good at the scheduler: its engine kept the room, its key kept the turn, and the engine was doubted as silent for as long as the process ran.

Ruled out: leaving while held, between two attempts in different turns, in the turn of the arrival, and with the answer on its way: all end right, the table plays each under three effects and two sets of permits.

At fault: Gateway._send returned without a word where the request was gone. Its other branch, for a request that is still there without a client, could not be reached: _finish forgets a request without an attempt.

Change: both cases end the attempt as moot, and final.

--- a/cottonhold/node/gateway.py
+++ b/cottonhold/node/gateway.py
@@ -359,12 +359,12 @@
 
     def _send(self, action: io.Send) -> None:
         request, now = self.requests.get(action.query), self.clock.now()
-        if request is None:
+        if request is None or request.client is None:
+            # Danger: where a client left in the turn in which its next attempt was decided on, that attempt
+            # stayed out for good: it kept its room and its key's turn, and its engine was doubted as silent.
+            self.push(io.AttemptEnded(action.query, 0, action.engine, Outcome.MOOT, 0.0, final=True))
             return
         number, request.attempts = request.attempts, request.attempts + 1
-        if request.client is None:  # it ended in the same turn: nothing may go out for it any more
-            self._report(request, io.AttemptEnded(action.query, number, action.engine, Outcome.MOOT, 0.0))
-            return
         until = min(request.due - ANSWER_MS, now + action.timeout if action.timeout > 0 else request.due)
         taken = request.taken
         attempt = Attempt(
--- /dev/null
+++ b/tests/test_client_gone.py
@@ -0,0 +1,125 @@
+"""Clients that leave at each moment between their request and its answer: nothing is begun for them."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+
+from cottonhold.decide import interface as io
+from tests.scenario import LOAD, PERMITS, READ, SETTINGS, World
+
+KEYED = replace(READ, name="keyed", effect=io.Effect.KEYED, window=4000.0)
+CLASSES = (READ, LOAD, KEYED)
+FEW = replace(PERMITS, cancel=False, priorities=False, retry_after=False, max_attempts=2)
+SITES = {
+    "much allowed": replace(SETTINGS, classes=CLASSES),
+    "little allowed": replace(SETTINGS, classes=CLASSES, permits=FEW),
+}
+LEAVES = {"closes": "c1 close", "kills": "c9 say KILL QUERY 1"}
+NAMES = ("lookup", "load", "keyed")
+
+
+class Turns(World):
+    """A world in which much can happen before the dispatcher's next turn."""
+
+    held = False
+
+    def wait(self, ms: float) -> None:
+        if not self.held:
+            super().wait(ms)
+
+    def turn_begins(self, who: str, rest: str) -> None:
+        self.held = True
+
+    def turn_decides(self, who: str, rest: str) -> None:
+        """The decisions of a turn, before anything is written."""
+        self.gateway._step()
+
+    def turn_ends(self, who: str, rest: str) -> None:
+        self.held = False
+
+
+def nothing_left(world: World) -> None:
+    """Nothing is kept for a request that is over: neither way back, place, room nor turn."""
+    world.wait(300)
+    gateway, scheduler = world.gateway, world.gateway.scheduler
+    assert gateway.open == 0 and not gateway.requests
+    assert not scheduler.queries and not scheduler.turns.lines and not scheduler.homeless
+    assert not [q for e in scheduler.engines.values() for q in (*e.out.values(), *e.plan)]
+    assert scheduler.pool.threads == 0
+    assert not [a for line in world.lines for a in line.connection.attempts]
+    assert not world.counters.counts["step_faults"] + world.counters.counts["action_faults"], world.log
+
+
+# CLASS is the class of the request and LEAVES what its client does.
+BEGUN_FOR_NOBODY = {
+    "while its request is held": """
+        list tell e1 gone
+        list tell e2 gone
+        c1 query CLASS r1 lookup=k1
+        LEAVES
+        list tell e1 live
+        time wait 300
+        any nothing there
+    """,
+    "between two attempts, in the turn in which the first one ended": """
+        c1 query CLASS r1 lookup=k1
+        e1 expect GET r1 *
+        turn begins now
+        e1 send r1 overload -
+        LEAVES
+        turn ends now
+        any nothing there
+    """,
+    "between two attempts, while the next one is held": """
+        c1 query CLASS r1 lookup=k1
+        e1 expect GET r1 *
+        list tell e1 draining
+        list tell e2 draining
+        e1 send r1 overload -
+        LEAVES
+        list tell e2 live
+        time wait 300
+        any nothing there
+    """,
+    "in the turn in which its request comes": """
+        turn begins now
+        c1 query CLASS r1 lookup=k1
+        LEAVES
+        turn ends now
+        any nothing there
+    """,
+    "with its answer on the way to it": """
+        c1 query CLASS r1 lookup=k1
+        e1 expect GET r1 *
+        turn begins now
+        e1 send r1 served count=1 a|b|c/
+        LEAVES
+        turn ends now
+        any nothing there
+    """,
+    "with another request of its written behind the first": """
+        c1 query CLASS r1 lookup=k1
+        e1 expect GET r1 *
+        turn begins now
+        c1 query CLASS r2 lookup=k1
+        c1 query CLASS r3 lookup=k1
+        c1 close
+        e1 send r1 overload -
+        turn ends now
+        time wait 300
+        any nothing there
+    """,
+}
+
+
+@pytest.mark.parametrize("leaves", LEAVES)
+@pytest.mark.parametrize("site", SITES)
+@pytest.mark.parametrize("name", NAMES)
+@pytest.mark.parametrize("moment", BEGUN_FOR_NOBODY)
+def test_nothing_is_begun_for_a_client_that_left(moment: str, name: str, site: str, leaves: str) -> None:
+    world = Turns(SITES[site])
+    world.client("c1"), world.client("c9")
+    world.run(BEGUN_FOR_NOBODY[moment].replace("CLASS", name).replace("LEAVES", LEAVES[leaves]))
+    nothing_left(world)
