Check before an attempt's first byte that its client still waits and time is left

Seen: a client that left while a connect for its request was under way had that request written up to 250 ms later, 0.1 s after which it counts as lost. So it was for loads on all sites, since they are never cancelled, and for all classes where the settings allow no cancelling; and, in any class, between the decision and the write on a connection that is up.

Ruled out: requests that are held, between two attempts, or that wait for the store: they are not sent on.

At fault: Connection.take_output looked only at the engine's state before it wrote what waits in its queue.

Change: Engines.may_begin is the one check before the first byte: the engine may get something new, time is left, and the gateway wants this attempt (its client waits, and it is the current one). What fails it ends as never sent: moot, or as a failed connect where the engine left, so that it may go elsewhere.

--- a/cottonhold/node/engines.py
+++ b/cottonhold/node/engines.py
@@ -26,6 +26,7 @@
 MOST_SIGNS = 4.0  # that are saved up: as many connections as fall silent in one moment at a gateway's part
 SIGN_MS = 500.0  # and given up without one; also the longest that an answer may take from first byte to last
 MOST_GIVEN_UP = 256  # ids remembered on a connection: each could only come again within its request's life
+LEAST_MS = 1.0  # an attempt with less than this left is not begun: no engine could answer it
 MOST_NUMBER = 1e8  # of milliseconds or megabytes that an answer may tell
 WORDS = {b"served", b"overload", b"crashed", b"nobody", b"rows"}
 
@@ -89,7 +90,10 @@
 
 
 class Listener(Protocol):
-    """Who is told of ends: the gateway."""
+    """Who is told of ends, and whose attempts they are: the gateway."""
+
+    def wants(self, attempt: Attempt) -> bool:
+        """Whether an attempt that has not begun may still begin."""
 
     def attempt_ended(self, attempt: Attempt, event: io.AttemptEnded) -> None:
         """An attempt is over."""
@@ -124,16 +128,17 @@
         self.owner.check_queue(self)
 
     def take_output(self) -> bytes:
-        """What is to be written now. Whether an engine may still get something new is checked only here."""
+        """What is to be written now. Whether an attempt may still begin is checked only here."""
         # Danger: a load was put on a connection that was given up in the same turn of the loop, before the
         # write had begun. It was told as never sent and went to another engine; then it was written here too.
         if self.over:
             return b""
-        self.owner.check_queue(self)
         parts = []
         while self.queue:
             item = self.queue.popleft()
             if isinstance(item, Attempt):
+                if not self.owner.may_begin(item):
+                    continue
                 item.written = True
                 item = self.owner.frame(item)
             parts.append(item)
@@ -373,6 +378,16 @@
         """A sign of life is late; what is new goes elsewhere meanwhile."""
         return self.clock.now() - self._asked_at(connection) > self.links.connect_ms / 2
 
+    def may_begin(self, attempt: Attempt) -> bool:
+        """The one check before an attempt's first byte. What fails it has ended, and never ran."""
+        # Danger: decided on a quarter of a second before, as a connect was under way, attempts were written
+        # for clients that had left, since loads are never cancelled and some sites allow no cancelling.
+        if self._open_place(attempt.engine) is None:
+            self._end(attempt, Outcome.CONNECT_FAILED)
+        elif attempt.until - self.clock.now() < LEAST_MS or not self.listener.wants(attempt):
+            self._end(attempt, Outcome.MOOT)
+        return attempt.connection is not None
+
     def frame(self, attempt: Attempt) -> bytes:
         """The request's words."""
         left = max(1, int(attempt.until - self.clock.now()))
--- a/cottonhold/node/gateway.py
+++ b/cottonhold/node/gateway.py
@@ -273,6 +273,11 @@
             self.counters.add("clients_gone")
             self.push(io.ClientGone(request.taken.ref))
 
+    def wants(self, attempt: Attempt) -> bool:
+        """Whether an attempt that has not begun may still begin: its client waits, and for this attempt."""
+        request = self.requests.get(attempt.query)
+        return request is not None and request.client is not None and request.attempt is attempt
+
     def attempt_ended(self, attempt: Attempt, event: io.AttemptEnded) -> None:
         """The engines tell of an attempt's end; a served one answers the client at once."""
         if self.watch is not None:
--- a/tests/test_client_gone.py
+++ b/tests/test_client_gone.py
@@ -16,7 +16,7 @@
     "much allowed": replace(SETTINGS, classes=CLASSES),
     "little allowed": replace(SETTINGS, classes=CLASSES, permits=FEW),
 }
-LEAVES = {"closes": "c1 close", "kills": "c9 say KILL QUERY 1"}
+LEAVES = {"closes": "c1 close", "kills": "c8 say KILL QUERY 1"}
 NAMES = ("lookup", "load", "keyed")
 
 
@@ -83,6 +83,48 @@
         time wait 300
         any nothing there
     """,
+    "while a connect for it is under way": """
+        e1 will vanish
+        c1 query CLASS r1 lookup=k1
+        time wait 40
+        LEAVES
+        time wait 100
+        e1 will up
+        time wait 20
+        any nothing there
+    """,
+    "while a connect for its second attempt is under way": """
+        c1 query CLASS r1 lookup=k1
+        e1 expect GET r1 *
+        e2 will vanish
+        e1 send r1 overload -
+        time wait 100
+        LEAVES
+        e2 will up
+        time wait 20
+        any nothing there
+    """,
+    "between the decision and the write, on a connection that is up": """
+        c9 query lookup r9
+        e1 expect GET r9 *
+        list tell e2 draining
+        turn begins now
+        c1 query CLASS r1 lookup=k1
+        turn decides now
+        LEAVES
+        turn ends now
+        e1 expect nothing
+        e1 send r9 served count=1 a|b|c/
+        any nothing there
+    """,
+    "between the decision and the connect": """
+        turn begins now
+        c1 query CLASS r1 lookup=k1
+        turn decides now
+        LEAVES
+        turn ends now
+        any nothing there
+    """,
     "in the turn in which its request comes": """
         turn begins now
         c1 query CLASS r1 lookup=k1
@@ -120,6 +162,7 @@
 @pytest.mark.parametrize("moment", BEGUN_FOR_NOBODY)
 def test_nothing_is_begun_for_a_client_that_left(moment: str, name: str, site: str, leaves: str) -> None:
     world = Turns(SITES[site])
-    world.client("c1"), world.client("c9")
+    for client in ("c1", "c8", "c9"):
+        world.client(client)
     world.run(BEGUN_FOR_NOBODY[moment].replace("CLASS", name).replace("LEAVES", LEAVES[leaves]))
     nothing_left(world)
--- a/tests/test_driver.py
+++ b/tests/test_driver.py
@@ -30,6 +30,7 @@
         self.driver = Driver(asyncio.get_running_loop(), Counters(), print)
         self.far: dict[str, socket.socket] = {}
         self.world.engines.connect = self.connect
+        self.world.gateway.wants = lambda attempt: True  # type: ignore[method-assign]
         self.ends: list[Outcome] = []
         self.world.gateway.attempt_ended = (  # type: ignore[method-assign]
             lambda attempt, event: self.ends.append(event.outcome)
--- /dev/null
+++ b/tests/test_first_byte.py
@@ -0,0 +1,74 @@
+"""The one check before the first byte of an attempt, at the machine that writes it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import replace
+
+import pytest
+
+from cottonhold.decide.interface import EngineState, Outcome
+from cottonhold.node.engines import LEAST_MS, Attempt
+from tests.scenario import World
+
+Change = Callable[[World, Attempt], None]
+
+
+def engine_drains(world: World, attempt: Attempt) -> None:
+    place = world.engines.places[attempt.engine]
+    place.info = replace(place.info, state=EngineState.DRAINING)
+
+
+def engine_is_gone(world: World, attempt: Attempt) -> None:
+    del world.engines.places[attempt.engine]
+
+
+def time_is_over(world: World, attempt: Attempt) -> None:
+    attempt.until = world.clock.now() + LEAST_MS / 2
+
+
+def client_left(world: World, attempt: Attempt) -> None:
+    world.gateway.requests[attempt.query].client = None
+
+
+def another_is_current(world: World, attempt: Attempt) -> None:
+    world.gateway.requests[attempt.query].attempt = None
+
+
+CHANGES: dict[Change, Outcome] = {
+    engine_drains: Outcome.CONNECT_FAILED,
+    engine_is_gone: Outcome.CONNECT_FAILED,
+    time_is_over: Outcome.MOOT,
+    client_left: Outcome.MOOT,
+    another_is_current: Outcome.MOOT,
+}
+
+
+def waiting(world: World) -> Attempt:
+    """An attempt that waits for its connection's write."""
+    world.run("e1 will vanish\nc1 query lookup r1")
+    attempt = world.gateway.requests[f"{1:016x}"].attempt
+    assert attempt is not None and attempt.connection is not None
+    return attempt
+
+
+@pytest.mark.parametrize("change", CHANGES, ids=[change.__name__ for change in CHANGES])
+def test_what_may_not_begin_any_more_ends_as_never_sent(change: Change) -> None:
+    world, ends = World(engines="a"), list[Outcome]()
+    attempt = waiting(world)
+    connection = attempt.connection
+    assert connection is not None
+    world.gateway.attempt_ended = lambda attempt, event: ends.append(event.outcome)  # type: ignore[method-assign]
+    connection.up = True
+    change(world, attempt)
+    assert connection.take_output() == b"" and ends == [CHANGES[change]]
+    assert not attempt.written and not connection.attempts and not connection.queue
+
+
+def test_what_may_begin_is_written_once() -> None:
+    world = World(engines="a")
+    attempt = waiting(world)
+    assert attempt.connection is not None
+    attempt.connection.up = True
+    assert attempt.connection.take_output().startswith(b"*4\r\n$3\r\nGET\r\n") and attempt.written
+    assert attempt.connection.take_output() == b""
