Split the cold-engine budget off the scheduler, over a shared typed state

First part of its split by job: decide/slow_start.py holds the budget of cold and bounded engines (was _cold_barred, _cold_fill, _chill), decide/gateway_state.py the state that all parts work on; Scheduler is that state with its one entry point, so the names of its attributes stay. Two tests follow moved private names (own_part, barred), nothing of what they assert.

--- a/cottonhold/decide/scheduler.py
+++ b/cottonhold/decide/scheduler.py
@@ -10,14 +10,14 @@
 
 import dataclasses
 import heapq
-import itertools
 import math
 import random
 from collections.abc import Callable, Iterable
 from typing import Any
 
 from cottonhold.decide import interface as io
-from cottonhold.decide import state
+from cottonhold.decide import slow_start, state
+from cottonhold.decide.gateway_state import PEER_GAP_MOST_MS, TRAFFIC_MEMORY_MS, GatewayState
 from cottonhold.decide.interface import Effect, EngineState, Outcome
 from cottonhold.decide.state import EngineView, Query
 
@@ -54,19 +54,15 @@
 DOUBT_MS = 10000.0  # without a new bad sign a suspicion ends: at a small share the trickle never tests it
 TRICKLE_GOOD = 3  # served queries in a row that end a suspicion of death or silence
 OVERFULL = 1.25  # times the room is too full also for what passes: work done falls steeply from there
-GOLDEN = (math.sqrt(5) - 1) / 2  # its multiples spread evenly, however many: turns come up in few at a time
-COLD_MARGIN = 0.5  # of a cold engine's budget: true speed, cost estimates and shares are all guesses
-BOUND_BURST_MS = 250.0  # of a bound's work may come at once: the fleet's parts add up within a moment
 REPLAN_MS = 250.0  # held queries are planned anew so often
 HEARTBEAT_MS = 100.0  # sweep while something is held, out or suspect
 RESCUE_FACTOR = 2.0  # plans run before a rescue, times run that are guessed to be left, times sooner than it
 GRANT_PAGE = 2.0  # grant over need where unused memory stays free to others
 GRANT_TIGHT = 1.3  # grant over need where granted memory is taken from others
-TRAFFIC_MS, YOUNG_MS = 3000.0, 1000.0  # memory of traffic rates; so long tells them, however few came
 PROBES_PER_QUERY = 0.3  # own probes for each own query, at most
 PROBE_PRICE = 0.003  # of the result that probes may cost: where they are dear fewer are sent
 PEER_PRICE = 0.003  # of the result that messages on loads may cost: their gap follows from it
-PEER_MS, PEER_MOST_MS = 250.0, 3000.0  # the shortest gap, and the longest, that of an idle gateway
+PEER_GAP_LEAST_MS = 250.0  # the shortest gap between messages on loads
 PEER_GAPS = 3.5  # gaps after which a silent peer is taken to have nothing out
 PATIENCE_ALIKE = 0.02  # of the time that most clients leave a first try: ticks and the way here scatter it
 REPEATS_MOST = 1.5  # repeats for each query turned away: clients of other gateways come too
@@ -78,31 +74,12 @@
 LOAD, LOADS = 2, 3  # kinds of peer message
 
 
-class Scheduler:
+class Scheduler(GatewayState):
     """Decides for one gateway: call step with the clock and what happened, carry out what it returns."""
 
     def __init__(self, settings: io.Settings, seed: int) -> None:
-        self.settings, self.random, self.classes = settings, random.Random(seed), list[state.Learned]()
-        self.engines: dict[str, EngineView] = {}
-        self.queries: dict[str, Query] = {}
-        self.homeless: dict[str, Query] = {}
-        self.deadlines, self.turns, self.peers = state.Deadlines(), state.Turns(), state.Peers()
-        self.extra, self.taken, self.share = state.Window(), state.Window(), 1.0 / settings.gateways
-        self.traffic = state.Traffic(TRAFFIC_MS, YOUNG_MS)
-        self.active: dict[str, EngineView] = {}  # engines that hold or run something of ours
-        self.doubted: dict[str, EngineView] = {}
-        self.ring, self.homes = list[EngineView](), dict[int, list[EngineView]]()
-        self.live, self.near, self.blind = list[EngineView](), list[EngineView](), 1.0
-        self.mine, self.reach = set[str](), self.share  # whom it draws on, and its part of what each is sent
-        self.full_room = self.full_memory = self.own_room = 1.0
-        self.fleet, self.price, self.unseen = state.Rate(), io.Price(told=False), list[tuple[float, Query]]()
-        self.util, self.best = 1.0, 0.0
-        self.probes, self.pool_rest, self.pool = 0.0, 0.0, state.Pool()
-        self.gap, self.heard_at, self.heard, self.alike = PEER_MOST_MS, -math.inf, False, 0.0
-        self.changed, self.serial = False, itertools.count()
-        self.now = self.next_replan = self.next_ask = 0.0  # the list is asked for in the first step
-        self.next_beat = self.wake_at = math.inf
-        self.actions: list[io.Action] = []
+        super().__init__(settings, random.Random(seed), share=1.0 / settings.gateways)
+        self.reach = self.share
         self.handlers: dict[type, Callable[[Any], None]] = {
             io.Arrival: self._on_arrival,
             io.AttemptEnded: self._on_ended,
@@ -126,7 +103,7 @@
         # Danger: known by place, a class that moved or came back with another effect got what another taught.
         known = dict(zip(self.settings.classes, self.classes, strict=False))
         self.classes = [known.get(cls) or state.Learned.blank(DOUBT_MS) for cls in settings.classes]
-        self.tenants = [state.Traffic(TRAFFIC_MS) for _ in settings.tenants]
+        self.tenants = [state.Traffic(TRAFFIC_MEMORY_MS) for _ in settings.tenants]
         self.settings, self.slack = settings, HEARTBEAT_MS + 2 * settings.tick
         self.probe_part = min(PROBES_PER_QUERY, PROBE_PRICE / max(settings.prices.probe, 1e-9))
         self.next_peer = 0.0 if settings.permits.peers and settings.gateways > 1 else math.inf
@@ -243,7 +220,7 @@
             self._trust(e)
         e.info = info
         if info.started_at > 0:
-            self._chill(e, info.started_at + self.settings.rules.warm_within)
+            slow_start.begin(self, e, info.started_at + self.settings.rules.warm_within)
 
     def _word(self, e: EngineView, sent_at: float) -> None:
         """The engine spoke. An answer to a query sent before a silence proves that the process lived."""
@@ -324,7 +301,7 @@
         """Served work clears suspicion; one that may have died is held to the cold budget meanwhile."""
         e.errors, e.good, e.jams = e.errors - ERROR_GAIN * e.errors, e.good + 1, 0
         if e.suspect in ("dead", *UNHEARD) and e.good == 1 and sent_at >= e.suspect_at:
-            self._chill(e, self.now + self.settings.rules.warm_within)
+            slow_start.begin(self, e, self.now + self.settings.rules.warm_within)
         if e.suspect and e.good >= TRICKLE_GOOD and e.errors < ERROR_CLEAR:
             self._trust(e)
 
@@ -455,13 +432,13 @@
             if q.cls.loads and (pool := [e for e in homes if e.id not in q.tried and self._fits(q, e)]):
                 # Danger: loads went to homes that this gateway hears nothing of, which looked empty to it.
                 known = [e for e in pool if e.id in self.mine] or pool
-                return [e for e in known if not self._cold_barred(q, e)] or known
+                return [e for e in known if not slow_start.barred(self, q, e)] or known
             # Danger: readers kept off all homes at all times left homes of much read tables half idle,
             # and waited in line elsewhere till they were refused. So they keep off while a load is there.
             near = [e for e in near if e not in homes or not e.loads_on(q.tables, self.now)] or near
         drawn = heapq.nlargest(k, near, key=lambda e: self.random.random() ** (1 / e.room))
         fresh = [e for e in drawn if not e.suspect and e.id not in q.tried and self._fits(q, e)]
-        if pool := [e for e in fresh if self.now >= e.rest_until and not self._cold_barred(q, e)]:
+        if pool := [e for e in fresh if self.now >= e.rest_until and not slow_start.barred(self, q, e)]:
             return pool
         live = [e for e in self.live if self._fits(q, e)]
         sound = [e for e in live if e.sound()]
@@ -520,7 +497,7 @@
         if q.cls.effect is not Effect.SAFE or q.attempts or q.cost > q.cls.aim:
             return None
         for e in self.doubted.values():
-            if self.now >= e.trickle_at and self._fits(q, e) and not self._cold_barred(q, e):
+            if self.now >= e.trickle_at and self._fits(q, e) and not slow_start.barred(self, q, e):
                 e.trickle_at, q.trickle = self.now + TRICKLE_MS / self.share, True
                 return e
         return None
@@ -566,7 +543,8 @@
         used = max(used, filled) if pressed else filled * math.sqrt(self.blind) * binds
         if not busy:
             return used <= self.share or self.now >= self.pool_rest
-        turn = self.price.told and (self.settings.me + self.now // max(REPLAN_MS, q.p)) * GOLDEN % 1
+        turn = self.settings.me + self.now // max(REPLAN_MS, q.p)
+        turn = self.price.told and turn * slow_start.GOLDEN % 1
         return used <= self.share + turn * q.cls.threads / self.full_room
 
     def _release(self) -> None:
@@ -610,7 +588,7 @@
         q.out, q.sent_at, q.seen_at, q.run_at, q.done, q.engine = True, now, now, now, 0.0, e
         q.cancelled = q.waits = False
         self.pool.add_out(q, e)
-        e.allowance -= q.learned.cost or q.cost
+        slow_start.spend(q, e)
         if q.cls.loads:
             e.locks[q.tables] = max(e.locks.get(q.tables, 0.0), now + q.p)
             if permits.peers:
@@ -840,7 +818,7 @@
             return "order"
         if q.attempts and (why := self._repeat_barred(q)):
             return why
-        if self._cold_barred(q, e):
+        if slow_start.barred(self, q, e):
             return "cold engine"
         return ""
 
@@ -860,33 +838,6 @@
                 return "budget"
         return ""
 
-    def _cold_barred(self, q: Query, e: EngineView) -> bool:
-        # Danger: a just started engine falls over for good if all gateways send too much: their parts add up
-        # to the budget at any share; where one is less than a query they take turns with it, else long ones
-        # kept off cold engines (at the fleet's pace for good: dealt anew, fifty began at once). Also held for
-        # one seen to fail before the list tells; may hurt one only cut off.
-        cold, bound = self.now < e.cold_until, e.bounded(self.now)
-        if not bound or cold and e.id not in self.mine or not cold and bound == math.inf:
-            return cold or not bound
-        free, usual = bound == math.inf, q.learned.cost or q.cost
-        fill = self._cold_fill(e) if free else bound  # the fleet's pace follows what a cold engine shows
-        most = fill * self.settings.rules.tip_after if free else max(fill * BOUND_BURST_MS, usual)
-        fill *= e.warmth(self.now, self.settings.rules) / self.settings.rules.cold_from if free else 1.0
-        e.allowance, e.allowance_at = min(most, e.allowance + fill * (self.now - e.allowance_at)), self.now
-        turn = self.settings.me + (free or not cold) * math.floor(self.now / self.settings.rules.tip_after)
-        return e.allowance < (e.code / 2**32 + turn * GOLDEN) % 1 * usual
-
-    def _cold_fill(self, e: EngineView) -> float:
-        """This gateway's part of the work a cold engine may be sent; half of it may come as one burst."""
-        rules, part = self.settings.rules, self.reach / self.settings.beside  # an upgrade's other process too
-        return COLD_MARGIN * rules.overload_factor * rules.cold_from * e.cores * part / 2
-
-    def _chill(self, e: EngineView, until: float) -> None:
-        """The engine may have started: hold it to the cold budget."""
-        if self.now >= e.cold_until:
-            e.allowance, e.allowance_at = self._cold_fill(e) * self.settings.rules.tip_after, self.now
-        e.cold_until = max(e.cold_until, until)
-
     def _sweep(self) -> None:
         """Silence, rescues and suspicions that end, every heartbeat."""
         now, self.next_beat, self.changed = self.now, math.inf, True
@@ -921,9 +872,9 @@
         told = {peer: state.pack_loads(LOADS, own, engines) for peer, engines in lists.items()}
         self.actions += [io.Tell(data, peer) for peer, data in told.items()]
         price = settings.prices.peer * sum(map(len, told.values())) / 256 / PEER_PRICE
-        self.gap = min(max(PEER_MS, 1000 * price / max(own, 0.1)), PEER_MOST_MS)
+        self.gap = min(max(PEER_GAP_LEAST_MS, 1000 * price / max(own, 0.1)), PEER_GAP_MOST_MS)
         self.next_peer = now + self.gap * (0.5 + 0.5 * self.random.random())  # not in step with all others
-        if total := self.peers.mean(own, now - 10 * PEER_MOST_MS) * settings.gateways:
+        if total := self.peers.mean(own, now - 10 * PEER_GAP_MOST_MS) * settings.gateways:
             self.share = min(1.0, max(own / total, 0.2 / settings.gateways))
 
     def _rescue(self, e: EngineView) -> None:
--- a/tests/conformance/test_tables.py
+++ b/tests/conformance/test_tables.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from cottonhold.decide import slow_start
 from cottonhold.decide.scheduler import Scheduler
 from cottonhold.node import peers
 from cottonhold.node.engines import Engines
@@ -36,7 +37,7 @@
 DEFECTS: list[tuple[type | object, str, Any, str]] = [
     (Engines, "_open_place", lambda self, engine: self.places.get(engine), "pro-bus-told-connect"),
     (Scheduler, "_repeat_barred", lambda self, q: "", "wire-unsafe-reset wire-keyed-window-over wire-budget"),
-    (Scheduler, "_cold_barred", lambda self, q, e: False, "wire-cold-budget"),
+    (slow_start, "barred", lambda gateway, query, engine: False, "wire-cold-budget"),
     (peers, "MOST_BYTES", 300, "pro-peer-most"),
 ]
 
--- a/tests/test_retune.py
+++ b/tests/test_retune.py
@@ -14,6 +14,7 @@
 from cottonhold import Scheduler
 from cottonhold.config.relay import ConfigError, load
 from cottonhold.decide import interface as io
+from cottonhold.decide import slow_start
 from cottonhold.node.dispatcher import Dispatcher
 from cottonhold.observe.counters import Counters
 from tests.scenario import LOAD, READ, World
@@ -146,9 +147,9 @@
     """Danger: two processes stood for one gateway, and each sent a cold engine all that both may."""
     s = Scheduler(settings(), 1)
     s.step(0.0, [engines("e1")])
-    alone = s._cold_fill(s.engines["e1"])
+    alone = slow_start.own_part(s, s.engines["e1"])
     s.step(10.0, [io.Retune(dataclasses.replace(settings(), beside=2))])
-    assert s._cold_fill(s.engines["e1"]) == alone / 2
+    assert slow_start.own_part(s, s.engines["e1"]) == alone / 2
 
 
 GOOD: dict[str, Any] = {**CONFIG, "listen": "127.0.0.1:80"}
