Let all times of the end follow from the settings in force at SIGTERM

Seen: node/life.py held the time of the kill as a fixed 3.5 s (KILLED_MS), and the wait for a newer process and for the entry in Consul could go on for 3.8 s and 3 s. SIGKILL comes no sooner than the longest deadline (3 s at most) and 0.7 s after SIGTERM: with deadlines of 0.4 s, 1.1 s after it.

Ruled out: requests whose clients wait no longer than the deadlines; they ended by themselves in time, but for deadlines of 0.1 s. At fault: Life.takes and Dispatcher.run with KILLED_MS and LEAVE_MS, stay_for_newer, and ServedInstallation.leave. Clients that wait longer than the settings in force (they had become shorter) were left without an answer.

Change: Life.leave is given the longest deadline, at the first SIGTERM. A later SIGTERM or SIGHUP moves nothing. A query that comes late is now refused where its client could wait beyond the kill (before: beyond 3.5 s); its time is cut in any case.

--- a/cottonhold/node/dispatcher.py
+++ b/cottonhold/node/dispatcher.py
@@ -24,7 +24,7 @@
 from cottonhold.node.driver import Driver
 from cottonhold.node.engines import Engines
 from cottonhold.node.gateway import Gateway
-from cottonhold.node.life import KILLED_MS, LEAVE_MS, Life
+from cottonhold.node.life import Life
 from cottonhold.node.mysql import Front
 from cottonhold.node.ops import Calls
 from cottonhold.node.peers import Peers
@@ -146,7 +146,7 @@
 
     async def stay_for_newer(self) -> None:
         """Go on taking clients while a newer process does not serve yet, within limits."""
-        until = self.driver.clock.now() + STARTING_MS
+        until = min(self.driver.clock.now() + STARTING_MS, self.life.closes_at())
         while self.seats.newer_starts() and self.driver.clock.now() < until:
             await asyncio.sleep(CHECK_S)
 
@@ -177,10 +177,10 @@
         )
         self.look_beside()
         await self.stop.wait()
-        self.life.leave(driver.clock.now())
-        self.gateway.leave(self.life.leaving_at + KILLED_MS)
+        self.gateway.leave(self.life.ends_at())
         self.log.note("leaving", open=self.gateway.open, clients=len(self.front.sessions))
-        await asyncio.gather(asyncio.sleep(LEAVE_MS / 1000), *self.leave(), return_exceptions=True)
+        door_s = max(self.life.door_at() - driver.clock.now(), 0.0) / 1000
+        await asyncio.gather(asyncio.sleep(door_s), *self.leave(), return_exceptions=True)
         await self.stay_for_newer()
         accepting.cancel()
         await asyncio.gather(accepting, return_exceptions=True)
@@ -218,7 +218,8 @@
 
     def end(self) -> None:
         """Leave: from now on, not from when the loop comes to it."""
-        self.life.leave(self.driver.clock.now())
+        longest = max(cls.deadline for cls in self.gateway.settings.classes)
+        self.life.leave(self.driver.clock.now(), longest)
         self.stop.set()
 
     def print_counters(self) -> None:
--- a/cottonhold/node/installation.py
+++ b/cottonhold/node/installation.py
@@ -47,6 +47,7 @@
     10.0  # without a known list: so long a source may take before it is said that nobody is known
 )
 LISTED_MS = 10_000.0  # loads wait so long for a source's first answer
+LEAVE_S = 3.0  # so long the registered entry is taken out, where SIGKILL leaves that time
 LEDGER_MS = 250.0  # so often a folder is tried that another process still has, as at an upgrade
 RELOADED = ("sources", "known", "log", "register")  # what a reload takes over; the rest needs a restart
 
@@ -432,7 +433,8 @@
         """The entry goes first, so that fronts which read Consul send their clients elsewhere."""
         if self.membership is not None:
             self.membership.leave()
-        return () if self.entry is None else (asyncio.wait_for(self.entry.leave(), 3.0),)
+        left_s = (self.life.closes_at() - self.driver.clock.now()) / 1000
+        return () if self.entry is None else (asyncio.wait_for(self.entry.leave(), min(LEAVE_S, left_s)),)
 
     async def run(self) -> None:
         """As the dispatcher does; the ledger is closed last, as one that ended by order."""
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -320,7 +320,12 @@
         self.life.drain(self.clock.now())
 
     def ops_leave(self, who: str, rest: str) -> None:
-        self.life.leave(self.clock.now())
+        self.life.leave(self.clock.now(), max(cls.deadline for cls in self.gateway.settings.classes))
+
+    def ops_terminate(self, who: str, rest: str) -> None:
+        """As a dispatcher does on SIGTERM: the gateway is told by when all has to have its answer."""
+        self.ops_leave(who, rest)
+        self.gateway.leave(self.life.ends_at())
 
     def ops_restore(self, who: str, rest: str) -> None:
         assert self.life.restore()
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -8,7 +8,7 @@
 
 from cottonhold.decide.interface import Outcome
 from cottonhold.node.engines import MOST_GIVEN_UP
-from cottonhold.node.life import KILLED_MS, LEAVE_MS
+from cottonhold.node.life import LEAVE_MS
 from cottonhold.node.mysql import CHECK_MS, MOST_PACKET
 from tests.scenario import LOGIN, Client, World, packet
 
@@ -484,7 +484,7 @@
 
 def test_leaving_answers_what_is_open_then_closes() -> None:
     world = World().run("c1 query load r1 allow=20000\ne1 expect GET *\nc2 send 010000000e")
-    world.life.leave(world.clock.now())
+    world.run("ops leave")
     world.wait(LEAVE_MS + CHECK_MS)
     assert [c.session.closing for c in world.clients.values()] == [False, True]
     world.run("e1 send r1 served count=1 a|b|c/\nc1 expect rows a|b|c\nc1 closing")
@@ -498,12 +498,8 @@
         f"c1 query lookup r1 allow=20000\nc2 query load r2 {key}\nc3 query load r3 {key}"
     )
     world.run("e1 expect GET r1 *\ne1 expect GET r2 *\ne1 expect nothing")
-    world.life.leave(world.clock.now())
-    world.gateway.leave(world.clock.now() + KILLED_MS)
-    world.wait(0)
-    world.run("e1 expect RANK r1 3\ne1 expect RANK r2 3\nc4 query lookup r4 allow=20000")
+    world.run("ops terminate\ne1 expect RANK r1 3\ne1 expect RANK r2 3\nc4 query lookup r4 allow=20000")
     world.run("e1 expect GET r4 *ms=34??,*\ne1 send r4 served count=1 a|b|c/\nc4 expect rows a|b|c")
-    world.run("time wait 3000\nc1 expect nothing")
-    world.wait(KILLED_MS - 3000)
+    world.run("time wait 3000\nc1 expect nothing\ntime wait 500")
     world.run("c1 expect error 1226 *\nc2 expect error 1105 *\nc3 expect error 1226 *")
     assert world.gateway.open == 0
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -9,7 +9,7 @@
 
 from cottonhold.config.relay import decode
 from cottonhold.node.driver import Driver
-from cottonhold.node.life import IDLE_MS, KILLED_MS, LEAVE_MS, LONG_MS, SETTLED_MS, TAKE_MS, Life, Phase
+from cottonhold.node.life import IDLE_MS, LEAVE_MS, LONG_MS, SETTLED_MS, TAKE_MS, Life, Phase
 from cottonhold.node.ops import CALL_MS, MOST_BODY, MOST_HEAD, Call, Calls
 from cottonhold.observe.counters import Counters
 from cottonhold.wire import WireError
@@ -115,10 +115,11 @@
     life = Life()
     assert life.drain(0.0) and not life.drain(50.0) and life.drained_at == 0.0
     assert life.restore() and life.restore() and life.phase() is Phase.SERVING
-    life.leave(100.0)
+    life.leave(100.0, 25000.0)
     assert life.ready() and life.takes(1e9, 0.0) and not life.ends_idle(100.0 + SETTLED_MS - 1)
     assert life.takes(100.0 + LONG_MS - 1, 1e9) and not life.takes(100.0 + LONG_MS, 1e9)
-    assert life.takes(100.0 + LEAVE_MS, 100.0 + KILLED_MS)
+    assert life.takes(100.0 + LEAVE_MS, 3800.0) and not life.takes(100.0 + LEAVE_MS, 3801.0)
+    assert (life.killed_at, life.ends_at(), life.door_at()) == (3800.0, 3600.0, 900.0)
     assert not life.restore() and life.phase() is Phase.LEAVING
     life.drain(200.0)
     assert not life.ready() and life.ends_answered(200.0) and life.ends_idle(200.0 + IDLE_MS)
@@ -197,7 +198,7 @@
     drained = ask("GET", "/healthcheck"), world.life.phase(), world.counters.counts["drains"]
     asked += [ask("POST", "/healthcheck/ok"), ask("POST", "/healthcheck/ok"), ask("GET", "/healthcheck")]
     assert asked == ["200"] * 5 and drained == ("503", Phase.DRAINING, 1)
-    world.life.leave(world.clock.now())
+    world.run("ops leave")
     assert [ask("POST", "/healthcheck/ok"), ask("POST", "/healthcheck/fail")] == ["409", "200"]
 
 
