Don't take a read that failed at the start for a damaged file

Seen: one read failing with EIO, or no handles or memory for a moment, while a ledger was opened: the whole file was renamed to .broken and the memory told as empty, so loads, voters' promises, pins and drains that were durable were gone for good. At fault: Book.read, which made every apsw.Error a BookError, and the check of the file, which tells a page that can't be read as damage with SQLite's code. Ruled out: the life file and the folder's names, whose OSErrors were told as StoreError before.

The tests' disk fails reads as well.

--- a/cottonhold/emulator/disk.py
+++ b/cottonhold/emulator/disk.py
@@ -5,7 +5,7 @@
 full, fails writes or syncs, lies about a sync, stalls, or lets some unsynced writes through all the same:
 
     {"full": true}           every write fails as on a full disk; "room": 4096 lets files grow by so much
-    {"fail_write": 0.5}      a write fails with this chance; "fail_sync" likewise
+    {"fail_write": 0.5}      a write fails with this chance; "fail_sync" and "fail_read" likewise
     {"lie_sync": true}       a sync says that it is done and isn't
     {"stall": true}          writes and syncs wait until this is taken back; "stall_ms": 50: so long each time
     {"leak": 0.3}            an unsynced write, or its first part, reaches the real file with this chance
@@ -45,6 +45,7 @@
     room: int = -1
     fail_write: float = 0.0
     fail_sync: float = 0.0
+    fail_read: float = 0.0
     lie_sync: bool = False
     stall: bool = False
     stall_ms: float = 0.0
@@ -90,6 +91,9 @@
         self.operations, self.off = 0, False
         # Told of each write and sync before it happens; what it raises is raised by that operation.
         self.before: Callable[[int, str], None] = lambda _count, _what: None
+        # The same of reads, by their own count.
+        self.reads = 0
+        self.before_read: Callable[[int], None] = lambda _count: None
 
     # --- faults ---
 
@@ -121,6 +125,14 @@
         if what != "names" and chance and self.random.random() < chance:
             raise OSError(errno.EIO, f"a {what} failed as told")
 
+    def reading(self) -> None:
+        """A file or a folder is about to be read."""
+        self.reads += 1
+        self.before_read(self.reads)
+        self._look()
+        if self.orders.fail_read and self.random.random() < self.orders.fail_read:
+            raise OSError(errno.EIO, "a read failed as told")
+
     def _look(self) -> None:
         """Reads the control file again if it has changed. One that is half written is read the next time."""
         if self.control is None:
@@ -281,16 +293,19 @@
 
     def read(self, path: Path) -> bytes | None:
         """See Files."""
+        self.disk.reading()
         node = self.disk.node(path)
         return None if node is None else bytes(node.now)
 
     def size(self, path: Path) -> int:
         """See Files."""
+        self.disk.reading()
         node = self.disk.node(path)
         return 0 if node is None else len(node.now)
 
     def names(self, folder: Path) -> list[str]:
         """See Files."""
+        self.disk.reading()
         real = {name for name in os.listdir(folder) if folder / name not in self.disk.gone}
         return sorted(real | {path.name for path in self.disk.nodes if path.parent == folder})
 
@@ -329,6 +344,7 @@
         self.disk, self.node = disk, node
 
     def xRead(self, amount: int, offset: int) -> bytes:  # noqa: N802
+        self._do(self.disk.reading)
         return bytes(self.node.now[offset : offset + amount])
 
     def xWrite(self, data: bytes, offset: int) -> None:  # noqa: N802
--- a/cottonhold/store/book.py
+++ b/cottonhold/store/book.py
@@ -9,6 +9,8 @@
 from __future__ import annotations
 
 import ctypes
+import errno
+import re
 import zlib
 from collections.abc import Iterable
 from dataclasses import dataclass
@@ -27,6 +29,22 @@
 """
 
 
+# What SQLite tells when the disk or the system fails. Of the file's content it says nothing.
+DISK_ERRORS = (
+    apsw.BusyError,
+    apsw.CantOpenError,
+    apsw.FullError,
+    apsw.IOError,
+    apsw.LockedError,
+    apsw.NoMemError,
+    apsw.PermissionsError,
+    apsw.ReadOnlyError,
+)
+# The check of a file tells a page that can't be read as one that is damaged, with SQLite's code.
+UNREADABLE = re.compile(r"error code=(\d+)")
+PRIMARY = 0xFF  # of a code; the rest says more exactly what it is
+
+
 class BookError(Exception):
     """The file isn't whole; the text says why."""
 
@@ -51,6 +69,13 @@
     return zlib.crc32(value, zlib.crc32(key, zlib.crc32(b"%d %d" % (kind, len(key)))))
 
 
+def _only_damage(found: str) -> None:
+    """Raises OSError where the check's text is of a page that the disk didn't let it read."""
+    code = UNREADABLE.search(found)
+    if code is not None and int(code[1]) & PRIMARY in (apsw.SQLITE_IOERR, apsw.SQLITE_NOMEM):
+        raise OSError(errno.EIO, found)
+
+
 def log_of(path: Path) -> Path:
     """The write-ahead log's path."""
     return path.with_name(path.name + "-wal")
@@ -108,15 +133,22 @@
 
     @classmethod
     def read(cls, path: Path, vfs: str, files: Files, sizes: Sizes) -> Book:
-        """An existing file with all its rows. BookError unless it is proven whole."""
+        """An existing file with all its rows. BookError if it is proven not to be whole; apsw.Error or
+        OSError if the disk doesn't let it be read now."""
         # Before SQLite sees it: it would make a missing log anew.
         log = files.size(log_of(path))
         try:
             book = cls(path, vfs, sizes)
+        except DISK_ERRORS:
+            # Danger: taken for damage, one read that failed put a whole file aside, with all its promises.
+            raise
         except apsw.Error as error:
             raise BookError(f"can't be opened: {error}") from error
         try:
             book._prove(log)
+        except DISK_ERRORS:
+            book.close()
+            raise
         except apsw.Error as error:
             book.close()
             raise BookError(f"can't be read: {error}") from error
@@ -128,6 +160,7 @@
     def _prove(self, log: int) -> None:
         found = self.db.execute("PRAGMA quick_check(1)").get
         if found != "ok":
+            _only_damage(str(found))
             raise BookError(f"damaged: {found}")
         proof = self.db.execute("SELECT boot, turn, rows, total, reserve FROM proof WHERE one = 1").fetchone()
         if proof is None:
