Keep the listener and its clients when accept, or an option behind it, fails

Seen, with the calls failed by script: setsockopt that fails right after accept (EINVAL of a peer that has gone, ENOBUFS) ended the listener's task for good and left the session in Front.sessions; each connection that broke in the queue (ECONNABORTED, EPROTO, ...) cost those behind it 20 ms; at the close of the listener any such error, or EMFILE, ended the emptying of its queue, and what was left there was reset.

Ruled out: a spin under EMFILE (20 ms pauses held), the operators' listener (its task lived on; it gets the same rule), KILL of the task between accept and session.

At fault: Driver._admit (setsockopt outside any try), Driver.accept (one pause for all errors), Driver._next_client (every OSError read as "none has come").

Change: an option that can't be set is counted and the client served; errors of one connection cost a turn, 64 in a row a pause; _next_client raises what is not EAGAIN; empty_queue waits 25 pauses at most for what accept lacks. A row of failures logs once.

--- a/cottonhold/node/dispatcher.py
+++ b/cottonhold/node/dispatcher.py
@@ -184,7 +184,7 @@
         await self.stay_for_newer()
         accepting.cancel()
         await asyncio.gather(accepting, return_exceptions=True)
-        driver.empty_queue(listener, self.front)
+        await driver.empty_queue(listener, self.front)
         listener.close()
         self.log.note("closed_door", open=self.gateway.open, clients=len(self.front.sessions))
         while self.gateway.open or any(s.owes() for s in self.front.sessions.values()):
--- a/cottonhold/node/driver.py
+++ b/cottonhold/node/driver.py
@@ -5,7 +5,6 @@
 import asyncio
 import contextlib
 import ctypes
-import errno
 import math
 import socket
 import struct
@@ -20,7 +19,7 @@
 from cottonhold.node.mysql import Front, Session
 from cottonhold.node.ops import Calls
 from cottonhold.node.peers import Peers
-from cottonhold.node.sockets import MakeSocket
+from cottonhold.node.sockets import OF_ONE_CONNECTION, MakeSocket
 from cottonhold.observe.counters import Counters
 from cottonhold.wire import WireError
 
@@ -32,6 +31,8 @@
 BACKLOG = 512
 DATAGRAMS = 64  # taken in one turn of the loop, so that a flood of them does not stop the rest
 ACCEPT_PAUSE_S, ROOM_PAUSE_S = 0.02, 0.001
+MOST_BROKEN = 64  # connections that broke in the queue, in a row, between two pauses
+QUEUE_PAUSES = 25  # that a listener's close waits at most for what accept lacks
 BACKOFF_S, MOST_BACKOFF_S = 0.05, 1.0
 SO_ATTACH_REUSEPORT_CBPF = 51
 # "return 1" in classic BPF: the second socket of the address. Where there is none the kernel picks by hash.
@@ -276,6 +277,7 @@
 
     async def accept(self, sock: socket.socket, front: Front) -> None:
         """Take in clients until cancelled."""
+        failed = 0  # in a row
         while True:
             if not front.has_room():
                 # Danger: places are free a turn or two after they were made, but were looked for 20 ms later.
@@ -284,53 +286,76 @@
                 continue
             try:
                 client: socket.socket | None = (await self.loop.sock_accept(sock))[0]
+                failed = 0
+                # Danger: taken one a turn, connections that came together waited many turns of a busy loop,
+                # with their requests already written; those were read, and answered, after their limits.
+                while client is not None:
+                    self._admit(client, front.open())
+                    client = self._next_client(sock) if front.has_room() else None
             except OSError as error:
-                # Danger: without a free descriptor accept fails at once: it must not spin or end.
-                self.counters.add("accept_failed")
-                if error.errno in (errno.EMFILE, errno.ENFILE):
-                    self.say(f"accept: {error}")
-                await asyncio.sleep(ACCEPT_PAUSE_S)
-                continue
-            # Danger: taken one a turn, connections that came together waited many turns of a busy loop, with
-            # their requests already written; those were read, and answered, after their limits.
-            while client is not None:
-                self._admit(client, front.open())
-                client = self._next_client(sock) if front.has_room() else None
+                failed += 1
+                await self._accept_failed(error, failed, "accept", "accept")
+
+    async def _accept_failed(self, error: OSError, in_a_row: int, counted: str, what: str) -> None:
+        """Count a failure of accept and wait as long as it asks for.
+
+        Danger: without a free descriptor accept fails at once: it must not spin or end. One connection that
+        broke in the queue says nothing of those behind it, which waited 20 ms for each.
+        """
+        self.counters.add(f"{counted}_failed")
+        of_one = error.errno in OF_ONE_CONNECTION
+        if in_a_row == 1 and not of_one:
+            self.say(f"{what}: {error}")
+        await asyncio.sleep(0 if of_one and in_a_row % MOST_BROKEN else ACCEPT_PAUSE_S)
 
     def _next_client(self, sock: socket.socket) -> socket.socket | None:
-        """A further client that has come already."""
+        """A further client that has come already; None where none has. Raises OSError as accept does."""
         try:
             client, _ = sock.accept()
-        except OSError:  # none has; what else may be wrong shows in the next sock_accept
+        except BlockingIOError:
             return None
         client.setblocking(False)
         return client
 
     def _admit(self, client: socket.socket, session: Session) -> None:
-        client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        try:
+            client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        except OSError:
+            # Danger: that ended the listener's task, with the session kept for good. Where the peer has gone
+            # the first read shows it; else it is owed an answer like any other.
+            self.counters.add("accept_options_failed")
         session.line = wire = Wire(self, session, CLIENT_BYTES)
         wire.start(client)
 
-    def empty_queue(self, sock: socket.socket, front: Front) -> None:
+    async def empty_queue(self, sock: socket.socket, front: Front) -> None:
         """Take in all that wait at a listener.
 
         Danger: what waits in the queue of a listener that closes is reset.
         """
-        while (client := self._next_client(sock)) is not None:
-            self._admit(client, front.open())
+        failed = pauses = 0
+        while pauses < QUEUE_PAUSES:
+            try:
+                while (client := self._next_client(sock)) is not None:
+                    self._admit(client, front.open())
+                return
+            except OSError as error:
+                failed += 1
+                pauses += error.errno not in OF_ONE_CONNECTION or failed % MOST_BROKEN == 0
+                await self._accept_failed(error, failed, "accept", "accept")
 
     # --- operators ---
 
     async def answer_calls(self, sock: socket.socket, calls: Calls) -> None:
         """Take in operators' calls until cancelled."""
+        failed = 0  # in a row
         while True:
             try:
                 caller, _ = await self.loop.sock_accept(sock)
             except OSError as error:
-                self.counters.add("ops_accept_failed")
-                self.say(f"operators' calls: {error}")
-                await asyncio.sleep(ACCEPT_PAUSE_S)
+                failed += 1
+                await self._accept_failed(error, failed, "ops_accept", "operators' calls")
                 continue
+            failed = 0
             call = calls.open()
             call.line = wire = Wire(self, call, CLIENT_BYTES)
             wire.start(caller)
--- a/cottonhold/node/sockets.py
+++ b/cottonhold/node/sockets.py
@@ -6,7 +6,27 @@
 
 from __future__ import annotations
 
+import errno
 import socket
 from collections.abc import Callable
 
 MakeSocket = Callable[[socket.AddressFamily, socket.SocketKind], socket.socket]
+
+# accept(2) tells what befell one connection in the queue; the next call may serve the one behind it.
+OF_ONE_CONNECTION = frozenset(
+    {
+        errno.ECONNABORTED,
+        errno.ECONNRESET,
+        errno.EHOSTDOWN,
+        errno.EHOSTUNREACH,
+        errno.EINTR,
+        errno.ENETDOWN,
+        errno.ENETUNREACH,
+        errno.ENONET,
+        errno.ENOPROTOOPT,
+        errno.EOPNOTSUPP,
+        errno.EPERM,
+        errno.EPROTO,
+        errno.ETIMEDOUT,
+    }
+)
--- /dev/null
+++ b/tests/loopback.py
@@ -0,0 +1,166 @@
+"""A driver on real loopback sockets whose calls fail by script, between a scenario's gateway and test peers.
+
+The gateway's clock stands still unless a test moves it; `until` turns the loop until something has happened.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+import uvloop
+
+from cottonhold.decide import interface as io
+from cottonhold.discovery.model import Address, Change
+from cottonhold.node.driver import Driver
+from cottonhold.node.resp import RespReader, encode
+from tests.faulty_sockets import Faults
+from tests.scenario import LOGIN, SETTINGS, World, packet
+
+HANG_S = 10.0  # a test that has not come to its end by then has failed
+HEAD_PACKETS = 5  # of a result set, before its rows
+
+
+class Client:
+    """A client's end of a connection."""
+
+    def __init__(self, address: Any) -> None:
+        self.sock = socket.create_connection(address)
+        self.sock.setblocking(False)
+        self.buffer, self.ended = b"", False
+        self.sock.send(packet(1, LOGIN))
+
+    def ask(self, ref: int, service: str = "lookup", allow: int = 5000) -> None:
+        text = f"/* service={service},ref={ref:016x},allow={allow} */ SELECT a FROM s_7.t"
+        self.sock.send(packet(0, b"\x03" + text.encode()))
+
+    def answers(self) -> list[str]:
+        """Greeting, ok, rows and errors as they have come; "end" or "reset" behind the last."""
+        how = ""
+        try:
+            while data := self.sock.recv(1 << 16):
+                self.buffer += data
+            how = "end"
+        except BlockingIOError:
+            pass
+        except ConnectionResetError:
+            how = "reset"
+        told, at, buffer = list[str](), 0, self.buffer
+        while at + 4 <= len(buffer) and at + 4 + (
+            size := int.from_bytes(buffer[at : at + 3], "little")
+        ) <= len(buffer):
+            payload, at = buffer[at + 4 : at + 4 + size], at + 4 + size
+            if payload[0] == 0xFF:
+                told.append(f"error {int.from_bytes(payload[1:3], 'little')}")
+            elif payload[0] == 0xFE:
+                told.append("eof")
+            elif payload[0] in (0x00, 0x0A):
+                told.append("ok" if payload[0] == 0 else "greeting")
+        return [*told, how] if how else told
+
+
+class Engine:
+    """An engine's listener: counts what is asked, and answers when told to."""
+
+    def __init__(self) -> None:
+        self.sock = socket.create_server(("127.0.0.1", 0))
+        self.sock.setblocking(False)
+        self.lines: list[tuple[socket.socket, RespReader]] = []
+        self.asked: list[bytes] = []
+
+    def turn(self) -> None:
+        """Take in connections, requests and probes."""
+        try:
+            while True:
+                line, _ = self.sock.accept()
+                line.setblocking(False)
+                self.lines.append((line, RespReader()))
+        except BlockingIOError:
+            pass
+        for line, reader in self.lines:
+            try:
+                data = line.recv(1 << 16)
+            except OSError:
+                continue
+            for words in reader.feed(data):
+                if words[0] == b"GET":
+                    self.asked.append(words[1])
+                elif words[0] == b"LOAD":
+                    line.send(encode(words[1], b"green", b"gauges=inflight:1", b""))
+
+    def serve(self, ref: bytes) -> None:
+        """Answer a request with one row."""
+        self.lines[-1][0].send(encode(ref, b"served", b"count=1,ticks=1.0", b"a\tb\tc\n"))
+
+    def close(self) -> None:
+        for line, _ in self.lines:
+            line.close()
+        self.sock.close()
+
+
+class Rig:
+    """The driver with its gateway, some engines and clients."""
+
+    def __init__(self, settings: io.Settings = SETTINGS, engines: int = 1, sockets: int = 256) -> None:
+        self.world = World(settings, engines="", sockets=sockets)
+        self.counts, self.log = self.world.counters.counts, self.world.log
+        self.faults = Faults()
+        self.driver = Driver(
+            asyncio.get_running_loop(), self.world.counters, self.log.append, self.faults.make
+        )
+        self.world.engines.connect = self.driver.connect
+        self.engines = [Engine() for _ in range(engines)]
+        addresses = {f"e{n}": Address(*e.sock.getsockname()) for n, e in enumerate(self.engines)}
+        infos = tuple(io.Engine(name) for name in addresses)
+        self.world.gateway.change_list(Change(infos, addresses, True))
+        self.listener = self.driver.listen(Address("127.0.0.1", 0))
+        self.address = self.listener.getsockname()
+        self.accepting = self.driver.spawn(self.driver.accept(self.listener, self.world.front))
+        self.clients: list[Client] = []
+
+    def client(self) -> Client:
+        client = Client(self.address)
+        self.clients.append(client)
+        return client
+
+    async def turn(self) -> None:
+        self.world.wait(0)
+        for engine in self.engines:
+            engine.turn()
+        await asyncio.sleep(0)
+
+    async def until(self, happened: Callable[[], bool]) -> None:
+        while not happened():
+            await self.turn()
+
+    async def close(self) -> None:
+        """End all; whatever is still open then has leaked."""
+        self.accepting.cancel()
+        for place in list(self.world.engines.places.values()):
+            for connection in list(place.connections):
+                connection.close()
+        for wire in list(self.driver.wires):
+            wire.abort()
+        await asyncio.gather(*self.driver.tasks, return_exceptions=True)
+        self.listener.close()
+        for peer in self.clients:
+            peer.sock.close()
+        for engine in self.engines:
+            engine.close()
+        assert not self.faults.open and not self.world.front.sessions and self.world.engines.open == 0
+
+
+def play(story: Callable[[Rig], Coroutine[Any, Any, None]], **how: Any) -> None:
+    """Play a story on uvloop, as the program runs; nothing may be left open behind it."""
+
+    async def scenario() -> None:
+        rig = Rig(**how)
+        try:
+            async with asyncio.timeout(HANG_S):
+                await story(rig)
+        finally:
+            await rig.close()
+
+    uvloop.run(scenario())
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -232,7 +232,7 @@
         with socket.create_server(("127.0.0.1", 0)) as listener:
             listener.setblocking(False)
             clients = [socket.create_connection(listener.getsockname()) for _ in range(5)]
-            driver.empty_queue(listener, world.front)
+            await driver.empty_queue(listener, world.front)
         taken = len(world.front.sessions)
         for client in clients:
             client.close()
