Leave a silent watch on the list within what counts as told, and bound its calls

Seen: after a break the bus may take the next connection and say nothing. The call on it was held for 2 s and given up 1 s later, 3.05 s after the break, where what the bus has to tell counts as told after 2 s (plus the drain grace of 0.5 s); the same after an upgrade's yes. A bus that answers at once with nothing new was asked again without a pause. An answer without a told length, which ends with the connection, was void for good; one that comes slowly for over 3 s was cut off and asked for anew, for good. All watches that fell silent together were opened anew in one millisecond. Ruled out: the wait after one stop alone (2 + 1 + 0.05 s, 1 s inside), a cancelled watch's late answer at SIGHUP (a task that is cancelled takes nothing more in), an event in the same turn as a send (the list is applied at once). At fault: Driver._poll (one limit over the whole answer, the same hold for each call), Driver.follow (pause only after an error, reset by any answer), Bus.receive (whole only by length). Change: the first call of a connection asks to be held for 0.5 s, every second one in a row without an answer for 2 s, so that slow answers still come; an answer may take up to 4 s more as long as it pauses for under 1 s; answers without news in under 1 s are paced like errors, all pauses scattered to half; bodies that end with the connection, Connection: close and 1xx are taken. The conformance row of the call follows: the first call's hold, then the usual one, both still 5,000 ms at most.

--- a/cottonhold/discovery/bus.py
+++ b/cottonhold/discovery/bus.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import Any
+from typing import Any, NoReturn
 
 import httptools
 import orjson
@@ -13,7 +13,13 @@
 from cottonhold.wire import NUMBER, WireError, read, word
 
 HOLD_MS = 2000  # short, so that a silently cut link shows well within the 7 s after which news counts as told
-ANSWER_MS = 1000.0  # an answer later than this after the hold means that the link is dead
+# The first call of a connection is shorter: a link that broke may come back dead, and what the bus has to
+# tell counts as told 2 s after a break, or after another process has taken over.
+FIRST_HOLD_MS = 500
+ANSWER_MS = (
+    1000.0  # an answer that has not begun so long after the hold, or pauses so long, means a dead link
+)
+MOST_ANSWER_MS = 4000.0  # and one that is not whole so long after that, however steadily it comes
 MOST_BYTES = 4 << 20
 VERDICTS = {"Ready": Verdict.IN, "Terminating": Verdict.DRAINED, "Gone": Verdict.ENDED}
 SOURCE = "bus"
@@ -68,38 +74,69 @@
         self, host: str, offset: int, names: Names, counters: Counters, tell: Callable[[Report], None]
     ) -> None:
         self.host, self.offset, self.names, self.counters, self.tell = host, offset, names, counters, tell
+        self.unanswered = False  # the last call, a short one
         self.restart()
 
     def restart(self) -> None:
         """A new connection: half an answer of the old one is void."""
         self.parser = httptools.HttpResponseParser(self)
-        self.body, self.whole = bytearray(), False
+        self.body, self.whole, self.keep, self.sized = bytearray(), False, True, False
+        # Danger: where answers are slow a short call might never get one, so every second one is a long one.
+        self.hold_ms = HOLD_MS if self.unanswered else FIRST_HOLD_MS
+        self.unanswered = False
 
     def request(self) -> bytes:
         """The next call."""
-        self.whole = False
-        call = f"GET /bus/read?from={self.offset}&hold={HOLD_MS} HTTP/1.1\r\nHost: {self.host}\r\n\r\n"
+        self.whole = self.sized = False
+        self.unanswered = self.hold_ms == FIRST_HOLD_MS
+        call = f"GET /bus/read?from={self.offset}&hold={self.hold_ms} HTTP/1.1\r\nHost: {self.host}\r\n\r\n"
         return call.encode()
 
+    def limit_ms(self) -> float:
+        """How long the answer to a call may take to begin."""
+        return self.hold_ms + ANSWER_MS
+
     def receive(self, data: bytes) -> bool:
         """Take bytes in; true once the answer is whole. Raises WireError for what can't be used."""
         try:
             self.parser.feed_data(data)
-            if not self.whole:
-                return False
-            status, body = self.parser.get_status_code(), bytes(self.body)
-            self.body.clear()
+        except httptools.HttpParserError as error:
+            self._malformed(error)
+        if self.whole:
+            self._take()
+        return self.whole
+
+    def end(self) -> None:
+        """The connection has ended, and with it an answer of no told length. Else raises WireError."""
+        if self.sized or not self.body:
+            raise WireError("the event bus closed the connection")
+        self.keep = False
+        self._take()
+
+    def _take(self) -> None:
+        """Pass on what the answer tells."""
+        self.unanswered, self.hold_ms = False, HOLD_MS
+        status, body = self.parser.get_status_code(), bytes(self.body)
+        self.body.clear()
+        try:
             if status != 200:
                 raise WireError(f"status {status}")
             offset, reports = read_batch(orjson.loads(body), self.names, self.counters)
-        except (httptools.HttpParserError, orjson.JSONDecodeError, WireError) as error:
-            self.counters.add("bus_malformed")
-            raise WireError(f"event bus: {error}") from error
-        if offset > self.offset:  # an answer that tells nothing new must not be told twice
-            self.offset = offset
-            for report in reports:
-                self.tell(report)
-        return True
+        except (orjson.JSONDecodeError, WireError) as error:
+            self._malformed(error)
+        if offset <= self.offset:  # an answer that tells nothing new must not be told twice
+            return
+        self.offset = offset
+        for report in reports:
+            self.tell(report)
+
+    def _malformed(self, error: Exception) -> NoReturn:
+        self.counters.add("bus_malformed")
+        raise WireError(f"event bus: {error}") from error
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """A header of the answer (httptools calls this)."""
+        self.sized = self.sized or name.lower() in (b"content-length", b"transfer-encoding")
 
     def on_body(self, data: bytes) -> None:
         """Part of the answer (httptools calls this)."""
@@ -108,5 +145,6 @@
         self.body += data
 
     def on_message_complete(self) -> None:
-        """The answer is whole (httptools calls this)."""
-        self.whole = True
+        """The answer is whole (httptools calls this); one that only says that another follows is none."""
+        self.whole = self.parser.get_status_code() >= 200
+        self.keep = self.parser.should_keep_alive()
--- a/cottonhold/node/driver.py
+++ b/cottonhold/node/driver.py
@@ -6,6 +6,7 @@
 import contextlib
 import ctypes
 import math
+import random
 import socket
 import struct
 import time
@@ -13,7 +14,7 @@
 from typing import Any, Protocol
 
 from cottonhold.decide import interface as io
-from cottonhold.discovery.bus import ANSWER_MS, HOLD_MS, Bus
+from cottonhold.discovery.bus import ANSWER_MS, MOST_ANSWER_MS, Bus
 from cottonhold.discovery.model import Address
 from cottonhold.node.engines import Connection
 from cottonhold.node.mysql import Front, Session
@@ -412,9 +413,14 @@
             try:
                 sock = await self.dial(address, ANSWER_MS / 1000)
                 bus.restart()
-                while True:
+                while bus.keep:
+                    began, known = self.loop.time(), bus.offset
                     await self._poll(bus, sock)
-                    pause = BACKOFF_S
+                    if bus.offset > known or self.loop.time() - began > MOST_BACKOFF_S:
+                        pause = BACKOFF_S
+                    else:
+                        # Danger: a bus that does not hold a call was asked again without end.
+                        pause = await self._back_off(pause)
             except (OSError, WireError) as error:
                 self.counters.add("bus_broken")
                 self.say(f"event bus: {type(error).__name__}: {error}")
@@ -424,18 +430,31 @@
             finally:
                 if sock is not None:
                     sock.close()
-            await asyncio.sleep(pause)
-            pause = min(pause * 2, MOST_BACKOFF_S)
+            pause = await self._back_off(pause)
+
+    async def _back_off(self, pause: float) -> float:
+        """Wait before the bus is called again; returns the next pause.
+
+        Danger: watches that fell silent together were all opened anew in the same millisecond.
+        """
+        await asyncio.sleep(pause * (0.5 + 0.5 * random.random()))
+        return min(pause * 2, MOST_BACKOFF_S)
 
     async def _poll(self, bus: Bus, sock: socket.socket) -> None:
+        """One call and its answer, which may come slowly as long as it comes."""
         buffer = bytearray(ENGINE_BYTES)
-        async with asyncio.timeout((HOLD_MS + ANSWER_MS) / 1000):
+        until = self.loop.time() + bus.limit_ms() / 1000
+        async with asyncio.timeout_at(until) as limit:
             await self.loop.sock_sendall(sock, bus.request())
             whole = False
             while not whole:
                 count = await self.loop.sock_recv_into(sock, buffer)
                 if count == 0:
-                    raise WireError("the event bus closed the connection")
+                    bus.end()
+                    return
+                # Danger: a long list over a slow link was cut off, and asked for anew, for good.
+                late = min(self.loop.time() + ANSWER_MS / 1000, until + MOST_ANSWER_MS / 1000)
+                limit.reschedule(max(until, late))
                 whole = bus.receive(bytes(memoryview(buffer)[:count]))
 
     # --- peers ---
--- a/tests/conformance/protocol.py
+++ b/tests/conformance/protocol.py
@@ -10,7 +10,7 @@
 import orjson
 
 from cottonhold.decide import interface as io
-from cottonhold.discovery.bus import HOLD_MS, Bus
+from cottonhold.discovery.bus import FIRST_HOLD_MS, HOLD_MS, Bus
 from cottonhold.discovery.model import Address, Names, Report, Verdict
 from cottonhold.node.peers import Peers
 from cottonhold.node.statement import table_group
@@ -91,10 +91,10 @@
 
 def bus_call() -> None:
     bus, _ = bus_at()
-    assert bus.request().startswith(f"GET /bus/read?from=3&hold={HOLD_MS} HTTP/1.1\r\n".encode())
-    assert HOLD_MS <= 5000
+    assert bus.request().startswith(f"GET /bus/read?from=3&hold={FIRST_HOLD_MS} HTTP/1.1\r\n".encode())
+    assert FIRST_HOLD_MS <= HOLD_MS <= 5000
     bus.receive(bus_answer(9, (9, "Ready", 0)))
-    assert b"from=9&" in bus.request()
+    assert bus.request().startswith(f"GET /bus/read?from=9&hold={HOLD_MS} HTTP/1.1\r\n".encode())
 
 
 def bus_whole_and_changes() -> None:
--- /dev/null
+++ b/tests/test_watch.py
@@ -0,0 +1,243 @@
+"""The watch on the engine list over loopback sockets: a bus that breaks off, falls silent, drips, repeats."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Awaitable, Callable
+from contextlib import suppress
+from typing import Any
+
+import orjson
+import pytest
+
+from cottonhold.discovery import bus as watch
+from cottonhold.discovery.bus import ANSWER_MS, FIRST_HOLD_MS, HOLD_MS, Bus
+from cottonhold.discovery.model import Address, Names, Report
+from cottonhold.node import driver as driver_module
+from cottonhold.node.driver import BACKOFF_S, Driver
+from cottonhold.observe.counters import Counters
+
+BREAK_TOLD_MS, RELOAD_TOLD_MS, STOP_TOLD_MS = 2000.0, 4000.0, 2000.0  # when news counts as told
+LIMIT_MS = 300.0  # of a call that an answer outlasts
+SHORT_MS = 40.0  # stands for each limit of the calls where a test has to let one run out
+
+
+def batch(offset: int, *events: tuple[int, str]) -> bytes:
+    """A body: events by number, each of one engine and its state."""
+    told = [
+        {"offset": number, "topology": {"instances": [{"instanceId": "e", "lifecycle": state}]}}
+        for number, state in events
+    ]
+    return orjson.dumps({"offset": offset, "batch": told})
+
+
+def answer(offset: int, *events: tuple[int, str], head: str = "Content-Length: {}") -> bytes:
+    body = batch(offset, *events)
+    return f"HTTP/1.1 200 OK\r\n{head.format(len(body))}\r\n\r\n".encode() + body
+
+
+Play = Callable[["Call"], Awaitable[None]]
+
+
+class Call:
+    """One connection that the bus has taken, with the first call on it."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, sock: socket.socket, text: bytes) -> None:
+        self.loop, self.sock, self.text = loop, sock, text
+
+    async def say(self, data: bytes) -> None:
+        await self.loop.sock_sendall(self.sock, data)
+
+    async def next(self) -> bytes:
+        """The next call on the same connection; empty where the dispatcher has closed it."""
+        self.text = await self.loop.sock_recv(self.sock, 1000)
+        return self.text
+
+
+class Rig:
+    """A driver that follows a bus whose connections play a script each, one after the other."""
+
+    def __init__(self, offset: int = 3) -> None:
+        self.loop = asyncio.get_running_loop()
+        self.told: list[Report] = []
+        self.counters = Counters()
+        self.bus = Bus("h", offset, Names(("z",), ("m",)), self.counters, self.told.append)
+        self.driver = Driver(self.loop, self.counters, lambda line: None)
+        self.calls: list[bytes] = []
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.listener.setblocking(False)
+
+    async def play(self, *scripts: Play) -> None:
+        """Follow the bus until every script has been played to its end."""
+        host, port = self.listener.getsockname()
+        following = self.loop.create_task(self.driver.follow(self.bus, Address(host, port)))
+        held = []
+        for script in scripts:
+            sock, _ = await self.loop.sock_accept(self.listener)
+            held.append(sock)
+            call = Call(self.loop, sock, await self.loop.sock_recv(sock, 1000))
+            self.calls.append(call.text)
+            await script(call)
+        following.cancel()
+        with suppress(asyncio.CancelledError):
+            await following
+        for sock in held:
+            sock.close()
+        self.listener.close()
+
+    def states(self) -> list[str]:
+        return [o.reason for report in self.told for o in report.observations]
+
+
+def run(story: Callable[[], Awaitable[Any]]) -> Any:
+    async def limited() -> Any:
+        return await asyncio.wait_for(story(), 30)
+
+    return asyncio.run(limited())
+
+
+async def silence(call: Call) -> None:
+    """Say nothing until the dispatcher gives the connection up."""
+    assert await call.next() == b""
+
+
+def saying(*parts: bytes, close: bool = False) -> Play:
+    """Say these, a part at a time, then close or wait for the next call."""
+
+    async def script(call: Call) -> None:
+        for part in parts:
+            await call.say(part)
+            await asyncio.sleep(0)
+        if close:
+            call.sock.close()
+        else:
+            assert await call.next()
+
+    return script
+
+
+@pytest.fixture
+def short(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(watch, "HOLD_MS", 2 * SHORT_MS)
+    monkeypatch.setattr(watch, "FIRST_HOLD_MS", SHORT_MS)
+    monkeypatch.setattr(watch, "ANSWER_MS", SHORT_MS)
+    monkeypatch.setattr(driver_module, "ANSWER_MS", SHORT_MS)
+
+
+def test_a_dead_link_is_left_within_what_counts_as_told() -> None:
+    """A break, or a new bus, may be followed by one connection that comes up and says nothing."""
+    pause = 1000 * BACKOFF_S
+    assert pause + FIRST_HOLD_MS + ANSWER_MS + 2 * pause < BREAK_TOLD_MS < RELOAD_TOLD_MS
+    assert HOLD_MS + ANSWER_MS + pause < HOLD_MS + STOP_TOLD_MS
+
+
+@pytest.mark.usefixtures("short")
+def test_silent_watches_in_a_row_are_left_and_every_second_call_is_a_long_one() -> None:
+    async def story() -> Rig:
+        rig = Rig()
+        await rig.play(silence, silence, silence, saying(answer(4, (4, "Terminating"))))
+        return rig
+
+    rig = run(story)
+    holds = [int(call.split(b"hold=")[1].split(b".")[0].split(b" ")[0]) for call in rig.calls]
+    assert holds == [SHORT_MS, 2 * SHORT_MS, SHORT_MS, 2 * SHORT_MS] and rig.states() == ["Terminating"]
+
+
+GONE = batch(5, (5, "Gone"))
+CHUNKS = [b"%x\r\n%b\r\n" % (len(part), part) for part in (GONE[:9], GONE[9:])]
+FORMS = {
+    "byte by byte": ([bytes([byte]) for byte in answer(5, (5, "Gone"))], False),
+    "until the end": ([answer(5, (5, "Gone"), head="X: {}")], True),
+    "once": ([answer(5, (5, "Gone"), head="Connection: close\r\nContent-Length: {}")], True),
+    "after another": ([b"HTTP/1.1 103 Early Hints\r\n\r\n", answer(5, (5, "Gone"))], False),
+    "in chunks": ([b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", *CHUNKS, b"0\r\n\r\n"], False),
+}
+
+
+@pytest.mark.parametrize("parts, close", FORMS.values(), ids=FORMS)
+def test_an_answer_in_any_form_is_taken_in_at_its_end(parts: list[bytes], close: bool) -> None:
+    async def story() -> Rig:
+        rig = Rig()
+        await rig.play(saying(*parts, close=close), saying(answer(6, (6, "Ready"))))
+        return rig
+
+    async def kept() -> Rig:
+        rig = Rig()
+        await rig.play(saying(*parts))
+        return rig
+
+    rig = run(story if close else kept)
+    assert rig.states()[0] == "Gone" and rig.counters.counts["bus_broken"] == 0
+    assert all(b"from=5&" in call for call in rig.calls[1:])
+
+
+@pytest.mark.usefixtures("short")
+@pytest.mark.parametrize(
+    "half",
+    [
+        pytest.param(saying(answer(4, (4, "Gone"))[:-9], close=True), id="broken off"),
+        pytest.param(saying(answer(4, (4, "Gone"), head="X: {}")[:-9], close=True), id="no length"),
+        pytest.param(saying(b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", close=True), id="an error"),
+        pytest.param(saying(close=True), id="nothing"),
+    ],
+)
+def test_half_an_answer_tells_nothing_and_is_asked_for_again(half: Play) -> None:
+    async def story() -> Rig:
+        rig = Rig()
+        await rig.play(half, half, saying(answer(4, (4, "Gone"))))
+        return rig
+
+    rig = run(story)
+    assert rig.states() == ["Gone"] and all(b"from=3&" in call for call in rig.calls)
+
+
+def test_an_answer_that_comes_slowly_is_waited_for_as_long_as_it_comes(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """It comes for longer than the call's own limit, with no pause as long as the limit on one."""
+    monkeypatch.setattr(Bus, "limit_ms", lambda self: LIMIT_MS)
+    data = answer(4, (4, "Gone"))
+
+    async def drip(call: Call) -> None:
+        for at in range(0, len(data), len(data) // 5):
+            await call.say(data[at : at + len(data) // 5])
+            await asyncio.sleep(LIMIT_MS / 3000)
+        assert b"from=4&" in await call.next()
+
+    async def story() -> Rig:
+        rig = Rig()
+        await rig.play(drip)
+        return rig
+
+    assert run(story).states() == ["Gone"]
+
+
+def test_a_bus_that_holds_no_call_is_asked_ever_less_often(monkeypatch: pytest.MonkeyPatch) -> None:
+    pauses: list[float] = []
+    real = Driver._back_off
+
+    async def noted(self: Driver, pause: float) -> float:
+        pauses.append(pause)
+        return await real(self, pause)
+
+    async def no_sleep(_: float) -> None:
+        return None
+
+    async def empty(call: Call) -> None:
+        for _ in range(6):
+            await call.say(answer(3))
+            if len(pauses) >= 6:
+                break
+            assert await call.next()
+        call.sock.close()
+
+    async def story() -> Rig:
+        rig = Rig()
+        monkeypatch.setattr(Driver, "_back_off", noted)
+        monkeypatch.setattr(asyncio, "sleep", no_sleep)
+        await rig.play(empty, saying(answer(4, (4, "Gone"))))
+        return rig
+
+    assert run(story).states() == ["Gone"]
+    assert pauses[:6] == [0.05, 0.1, 0.2, 0.4, 0.8, 1.0]
