Take each event of the list once, in the order of the numbers

Seen by reading, then by a test: an answer that holds events again which were taken in before, beside new ones, had all of them applied: an engine told as Ready, then Terminating, was put back to work by the old Ready. Events out of order ended in whichever came last. Ruled out: a whole answer told twice (its number is not above the last one, which was checked). At fault: Bus.receive passed on every event of an answer whose last number was new. Change: events up to the last number are passed over, the others taken by number; one without a number counts.

--- a/cottonhold/discovery/bus.py
+++ b/cottonhold/discovery/bus.py
@@ -126,9 +126,11 @@
             self._malformed(error)
         if offset <= self.offset:  # an answer that tells nothing new must not be told twice
             return
-        self.offset = offset
-        for report in reports:
-            self.tell(report)
+        known, self.offset = self.offset, offset
+        for report in sorted(reports, key=lambda report: report.index):
+            # Danger: an event sent again, of an engine as it was before it drained, put it back to work.
+            if not 0 < report.index <= known:
+                self.tell(report)
 
     def _malformed(self, error: Exception) -> NoReturn:
         self.counters.add("bus_malformed")
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -241,3 +241,22 @@
 
     assert run(story).states() == ["Gone"]
     assert pauses[:6] == [0.05, 0.1, 0.2, 0.4, 0.8, 1.0]
+
+
+@pytest.mark.parametrize(
+    "events, states",
+    [
+        ([(2, "Ready"), (3, "Ready"), (4, "Terminating")], ["Terminating"]),
+        ([(5, "Terminating"), (4, "Ready")], ["Ready", "Terminating"]),
+        ([(4, "Ready"), (5, "Gone"), (6, "Ready")], ["Ready", "Gone", "Ready"]),
+    ],
+    ids=["sent again", "out of order", "one after the other"],
+)
+def test_events_count_once_and_in_the_order_of_their_numbers(
+    events: list[tuple[int, str]], states: list[str]
+) -> None:
+    told: list[Report] = []
+    bus = Bus("h", 3, Names(("z",), ("m",)), Counters(), told.append)
+    bus.request()
+    assert bus.receive(answer(max(number for number, _ in events), *events))
+    assert [o.reason for report in told for o in report.observations] == states
