Check only the engines that have connections, however many the list holds

At the limit of descriptors each new connection went over the whole list as well. Ruled out: places that drain or are gone without a connection need no check (apply has dealt with them). At fault: Engines._check and Engines._line went over self.places. Change: places with connections are kept beside (linked), and forgotten when they have none.

--- a/cottonhold/node/engines.py
+++ b/cottonhold/node/engines.py
@@ -223,6 +223,7 @@
     ) -> None:
         self.links, self.clock, self.counters, self.say = links, clock, counters, say
         self.places: dict[str, Place] = {}
+        self.linked: dict[str, Place] = {}  # that have had a connection since they were last looked at
         self.connect: Connect
         self.listener: Listener
         self.tags = 0
@@ -266,6 +267,7 @@
             # Danger: an engine that left with work out was kept for good, with its connections.
             if not place.connections:
                 del self.places[place.info.id]
+                self.linked.pop(place.info.id, None)
 
     def _close(self, place: Place, which: Callable[[Connection], bool]) -> None:
         for connection in [c for c in place.connections if which(c)]:
@@ -281,9 +283,13 @@
     def _check(self) -> None:
         """Look after connections that stay open and silent, and after engines that have left."""
         now, quiet = self.clock.now(), list[Connection]()
-        for place in list(self.places.values()):
+        # Danger: all engines of the list were looked at five times a second, though most never get any: on
+        # the largest fleets that passed what a dispatcher may take for their number.
+        for name, place in list(self.linked.items()):
             quiet += [c for c in list(place.connections) if self._look_at(place, c, now)]
             self._left(place)
+            if not place.connections:
+                self.linked.pop(name, None)
         # Danger: each connection with work out that was quiet for 1.2 s was asked, which on a full fleet is
         # most of them, again and again: 0.3 probes a request, at six times the price of all other probes. So
         # each attempt pays for a part of a sign, and the quietest are asked first.
@@ -353,13 +359,14 @@
             return max(usable, key=lambda c: (c.up, len(c.attempts)))
         assert place.address is not None
         if self.open >= self.most:
-            for other in self.places.values():
+            for other in list(self.linked.values()):
                 self._close(other, Connection.unused)
             if self.open >= self.most:
                 self.counters.add("engine_connections_lacking")
                 return None
         connection = Connection(self, place.info.id, self.clock.now())
         place.connections.append(connection)
+        self.linked[place.info.id] = place
         self.open += 1
         self.counters.add("engine_connections")
         connection.line = self.connect(place.address, connection)
