Split repeat safety and the allowance of attempts off the scheduler

decide/retry.py: what bars a further attempt, the allowance's counts, and whether a client may try again (was _repeat_barred, _count, and parts of _fits, _answer and _on_ended). The conformance table's broken guard follows the function's new place.

--- a/cottonhold/decide/scheduler.py
+++ b/cottonhold/decide/scheduler.py
@@ -16,7 +16,7 @@
 from typing import Any
 
 from cottonhold.decide import interface as io
-from cottonhold.decide import slow_start, state
+from cottonhold.decide import retry, slow_start, state
 from cottonhold.decide.gateway_state import PEER_GAP_MOST_MS, TRAFFIC_MEMORY_MS, GatewayState
 from cottonhold.decide.interface import Effect, EngineState, Outcome
 from cottonhold.decide.state import EngineView, Query
@@ -48,7 +48,6 @@
 OVERDUE = 1.5  # planned run times after which an attempt ought to have answered: silence counts from there
 ERROR_GAIN = 0.15  # weight of one outcome in an engine's error share, of a report in the fleet's util
 ERROR_SUSPECT = 0.35  # error share from which an engine is suspect; clean engines stay far below
-FAILURES = 2  # engines that could not run a query: then it is the query
 ERROR_CLEAR = 0.15  # and below which it is trusted again, so that it does not flap
 TRICKLE_MS = 150.0  # gap between the safe queries that all gateways together send to a suspect engine
 DOUBT_MS = 10000.0  # without a new bad sign a suspicion ends: at a small share the trickle never tests it
@@ -68,7 +67,6 @@
 REPEATS_MOST = 1.5  # repeats for each query turned away: clients of other gateways come too
 PATIENCE_VOTES = 40  # majority vote on it, at most: where clients differ too much, none counts as a repeat
 RETRY_AFTER_MS = 400.0  # shortest advice on when to come back
-PROOF = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT)  # the attempt never ran
 MAYBE_RUNNING = (Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED)  # may run on unseen
 UNHEARD = ("silent", "deaf")  # suspicions of engines that take work and say nothing
 LOAD, LOADS = 2, 3  # kinds of peer message
@@ -463,12 +461,7 @@
         for allowed, here in ((c.zones, info.zone), (c.models, info.model)):
             if allowed is not None and here not in allowed:
                 return False
-        if c.effect is Effect.KEYED and q.risk_engine is not None:
-            first = q.risk_engine.info
-            return c.group is io.Group.ALL or (
-                info.zone == first.zone and (c.group is io.Group.ZONE or info.cell == first.cell)
-            )
-        return True
+        return retry.in_first_group(q, e)
 
     def _place(self, q: Query, k: int = CANDIDATES) -> None:
         """Put q into the plan of the candidate with the earliest tentative finish."""
@@ -583,7 +576,7 @@
         timeout = TEACH_LIMIT * q.p + SILENCE_MIN_MS if q.trickle else 0.0
         self.actions.append(io.Send(q.id, e.id, timeout))
         if q.attempts:
-            self._count(self.extra)
+            retry.count_further_attempt(self)
         q.attempts += 1
         q.out, q.sent_at, q.seen_at, q.run_at, q.done, q.engine = True, now, now, now, 0.0, e
         q.cancelled = q.waits = False
@@ -595,11 +588,6 @@
                 data = state.pack_load(LOAD, e, q.tables, q.p)
                 self.actions += [io.Tell(data, peer) for peer in self._users(e)]
 
-    def _count(self, window: state.Window) -> None:
-        # Danger: where no budget is set nothing asks for these sums, so nothing was forgotten: both grew.
-        if self.settings.rules.budget_free is not None:
-            window.add(self.now, 1.0)
-
     def _users(self, e: EngineView) -> list[int]:
         """The other gateways that draw on an engine: readers of theirs would stand still behind a load."""
         n, wide = self.settings.gateways, self.settings.gateways / max(len(self.live), 1)
@@ -612,7 +600,7 @@
         q = Query(event, self.settings, self.classes[event.query_class], self.now, next(self.serial))
         q.began = self._first_tried(q, event.retry)
         self.queries[q.id] = q
-        self._count(self.taken)
+        retry.count_taken(self)
         self.traffic.add(self.now)
         self.probes = min(self.probes + self.probe_part, CANDIDATES)
         # Danger: where only probes tell load, or answers are rare, load is a guess. A probe fills in where
@@ -673,8 +661,7 @@
                 e.locks.pop(q.tables, None)
         if event.outcome is Outcome.TIMEOUT and not self.settings.permits.cancel:
             self.unseen = [u for u in self.unseen if u[0] > self.now] + [(self.now + q.p * (1 - q.done), q)]
-        if event.outcome not in PROOF and q.risk_at is None:
-            q.risk_at, q.risk_engine = q.sent_at, e
+        retry.note_risk(q, e, event.outcome)
         if q.key is not None and event.outcome in MAYBE_RUNNING:
             self.turns.rest(q.key, self.now, self.now + self.settings.rules.key_quiet)
         if q.over or event.final:
@@ -725,7 +712,11 @@
 
     def _again(self, q: Query, outcome: Outcome) -> None:
         """Try elsewhere if rules and time allow, else answer at once."""
-        if outcome is Outcome.MOOT or self._repeat_barred(q) or self.now + max(q.p / 2, self.slack) > q.due:
+        if (
+            outcome is Outcome.MOOT
+            or retry.repeat_barred(self, q)
+            or self.now + max(q.p / 2, self.slack) > q.due
+        ):
             self._answer(q)
         else:
             self._place(q)
@@ -734,12 +725,7 @@
     def _answer(self, q: Query) -> None:
         """The one place for every final answer: refused where honest, told when the plans have drained."""
         q.leave_plan()
-        # What two engines could not run no third one will, and a refusal would only bring it back.
-        if q.failures < FAILURES and (
-            q.risk_at is None
-            or q.cls.effect is Effect.SAFE
-            or (q.cls.effect is Effect.KEYED and q.cls.group is io.Group.ALL)
-        ):
+        if retry.harmless_to_try_again(q):
             drained = sum(e.held_area for e in self.active.values()) / self.own_room
             most = self.settings.permits.max_retry_after if self.settings.permits.retry_after else 0.0
             self.actions.append(io.Refuse(q.id, min(most, max(RETRY_AFTER_MS, drained, self.price.cooldown))))
@@ -816,28 +802,12 @@
         rests = not q.attempts and q.key is not None and self.now < self.turns.rests.get(q.key, -math.inf)
         if rests or q.key is not None and self.turns.lines[q.key][0] is not q:
             return "order"
-        if q.attempts and (why := self._repeat_barred(q)):
+        if q.attempts and (why := retry.repeat_barred(self, q)):
             return why
         if slow_start.barred(self, q, e):
             return "cold engine"
         return ""
 
-    def _repeat_barred(self, q: Query) -> str:
-        """Why no further attempt may be made: attempts, repeat safety or the budget."""
-        if q.attempts >= q.most or q.failures >= FAILURES:
-            return "attempts"
-        if q.risk_at is not None:
-            if q.cls.effect is Effect.UNSAFE:
-                return "unsafe"
-            if q.cls.effect is Effect.KEYED and self.now - q.risk_at >= q.cls.window - self.settings.tick:
-                return "window"
-        rules = self.settings.rules
-        if rules.budget_free is not None:
-            start = self.now - rules.budget_window
-            if self.extra.since(start) + 1 > rules.budget_free + rules.budget_share * self.taken.since(start):
-                return "budget"
-        return ""
-
     def _sweep(self) -> None:
         """Silence, rescues and suspicions that end, every heartbeat."""
         now, self.next_beat, self.changed = self.now, math.inf, True
@@ -888,7 +858,7 @@
                 continue
             told = q.seen_at > q.run_at  # a note told its pace: a bad plan shows in the first one
             gone = e.suspect in UNHEARD or not e.bound
-            if not gone and age < plans * q.p and not told or self._repeat_barred(q):
+            if not gone and age < plans * q.p and not told or retry.repeat_barred(self, q):
                 continue
             left = math.inf if gone else RESCUE_FACTOR * age
             if self.settings.note_period and not gone:
--- a/tests/conformance/test_tables.py
+++ b/tests/conformance/test_tables.py
@@ -6,8 +6,7 @@
 
 import pytest
 
-from cottonhold.decide import slow_start
-from cottonhold.decide.scheduler import Scheduler
+from cottonhold.decide import retry, slow_start
 from cottonhold.node import peers
 from cottonhold.node.engines import Engines
 from tests.conformance import protocol, wire
@@ -36,7 +35,12 @@
 
 DEFECTS: list[tuple[type | object, str, Any, str]] = [
     (Engines, "_open_place", lambda self, engine: self.places.get(engine), "pro-bus-told-connect"),
-    (Scheduler, "_repeat_barred", lambda self, q: "", "wire-unsafe-reset wire-keyed-window-over wire-budget"),
+    (
+        retry,
+        "repeat_barred",
+        lambda gateway, query: "",
+        "wire-unsafe-reset wire-keyed-window-over wire-budget",
+    ),
     (slow_start, "barred", lambda gateway, query, engine: False, "wire-cold-budget"),
     (peers, "MOST_BYTES", 300, "pro-peer-most"),
 ]
