Split final answers and per-key order off the scheduler

decide/answers.py: the one place for refusals, failures and the end of a query (was _answer, _close). decide/ordering.py: a key's line and its rest. decide/parameters.py: figures that several parts share, so that no part imports another for a number. The fleet's price is the admission threshold here (the event keeps its name), a doubt's length a suspicion's; the delay after a list call that failed has a name of its own.

--- /dev/null
+++ b/cottonhold/decide/answers.py
@@ -0,0 +1,40 @@
+"""Final answers: each query gets one, refused where a new try is harmless and failed where it is not."""
+
+from __future__ import annotations
+
+from cottonhold.decide import interface as io
+from cottonhold.decide import ordering, retry
+from cottonhold.decide.gateway_state import GatewayState
+from cottonhold.decide.state import Query
+
+RETRY_AFTER_LEAST_MS = 400.0  # shortest advice on when to come back
+
+
+def answer(gateway: GatewayState, query: Query) -> None:
+    """The one place for every final answer that is no result."""
+    query.leave_plan()
+    if retry.harmless_to_try_again(query):
+        gateway.actions.append(io.Refuse(query.id, _retry_after(gateway)))
+    else:
+        gateway.actions.append(io.Fail(query.id))
+    close(gateway, query)
+
+
+def _retry_after(gateway: GatewayState) -> float:
+    """Advice on when to come back, in ms: when the plans have drained, within what the deployment allows."""
+    drained = sum(e.held_area for e in gateway.active.values()) / gateway.own_room
+    permits = gateway.settings.permits
+    most = permits.max_retry_after if permits.retry_after else 0.0
+    return min(most, max(RETRY_AFTER_LEAST_MS, drained, gateway.threshold.cooldown))
+
+
+def close(gateway: GatewayState, query: Query, served: bool = False) -> None:
+    """The query is over; it is forgotten once no attempt of it is out."""
+    if not served:
+        query.learned.turned.add(gateway.now)
+    query.over = True
+    gateway.homeless.pop(query.id, None)
+    if query.out:
+        return
+    gateway.queries.pop(query.id, None)
+    ordering.leave(gateway, query)
--- a/cottonhold/decide/gateway_state.py
+++ b/cottonhold/decide/gateway_state.py
@@ -14,12 +14,9 @@
 
 from cottonhold.decide import interface as io
 from cottonhold.decide import state
+from cottonhold.decide.parameters import PEER_GAP_MOST_MS, TRAFFIC_MEMORY_MS, TRAFFIC_YOUNG_MS
 from cottonhold.decide.state import EngineView, Query
 
-TRAFFIC_MEMORY_MS = 3000.0  # memory of traffic rates: a few seconds of arrivals tell them
-TRAFFIC_YOUNG_MS = 1000.0  # a gateway that has run for so long tells its traffic in full, however few came
-PEER_GAP_MOST_MS = 3000.0  # the longest gap between messages on loads, that of an idle gateway
-
 
 @dataclass(slots=True, eq=False)
 class GatewayState:
@@ -40,7 +37,7 @@
     deadlines: state.Deadlines = field(default_factory=state.Deadlines)
     turns: state.Turns = field(default_factory=state.Turns)
     serial: Iterator[int] = field(default_factory=itertools.count)
-    price: io.Price = field(default_factory=lambda: io.Price(told=False))
+    threshold: io.Price = field(default_factory=lambda: io.Price(told=False))
 
     # attempts and the allowance of further ones (retry)
     extra: state.Window = field(default_factory=state.Window)
--- a/cottonhold/decide/scheduler.py
+++ b/cottonhold/decide/scheduler.py
@@ -15,32 +15,41 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
+from cottonhold.decide import answers, ordering, retry, slow_start, state
 from cottonhold.decide import interface as io
-from cottonhold.decide import retry, slow_start, state
-from cottonhold.decide.gateway_state import PEER_GAP_MOST_MS, TRAFFIC_MEMORY_MS, GatewayState
+from cottonhold.decide.gateway_state import GatewayState
 from cottonhold.decide.interface import Effect, EngineState, Outcome
+from cottonhold.decide.parameters import (
+    ALPHA,
+    CANDIDATES,
+    EPSILON,
+    GOLDEN,
+    HEARTBEAT_MS,
+    LEFT_LEAST,
+    PASSED,
+    PEER_GAP_MOST_MS,
+    PEER_GAPS,
+    REPLAN_MS,
+    REPORT_FRESH_MS,
+    SUSPICION_MS,
+    THREADS_PER_CORE,
+    TRAFFIC_MEMORY_MS,
+)
 from cottonhold.decide.state import EngineView, Query
 
-EPSILON = 2.0  # speed slack; sets alpha = 3, so rounded densities pass from a factor of 4 on
 BETA = 0.2  # share of the slack that is reserved: tentative run time is 1.4 p
-ALPHA = 2 + 2 / EPSILON  # passing margin of Algorithm 1
 REDRAWN = 2  # engines drawn anew for a held query where engines are rarely heard of: more is only CPU
 HOMES = 0.4  # share of the engines that take the loads on a set of tables: the others serve its readers
-CANDIDATES = 8  # engines compared for each query; the paper sees no more gain from 10 on
-THREADS_PER_CORE = 2.0  # thread room, the design page's start; lower leaves cores idle while threads read
-PASSED = 0.25  # of the work out that a query passes counts: one priority above gets four times the cores
 MEMORY_ROOM = 0.9  # share of an engine's memory planned for; needs are estimates
 LATE_FALL = 0.5  # of the aim: how fast worth falls to its late value behind the aim (finish is a guess)
 RATE_HALF_MS = 3000.0  # half life of an engine's learned rate: some queries long, yet seconds short
 RATE_PRIOR_MS = 800.0  # thread time for which the fleet's rate stands in while an engine taught little
-LEFT_LEAST = 0.15  # share of a run taken to be left when it ought to be over
 TEACH_LIMIT = 3.0  # an attempt teaches rate up to so many planned run times: a bad plan is not the engine
 CLASS_GAIN = 0.03  # weight of one answer in a class's bias and error: tens of answers settle it
 PRESSED_RATE = 0.6  # of the fleet's best rate: a slower engine is under pressure
 IDLE_FILL = 0.8  # of the fleet in use: below it one that looks worthless costs no other, and looks deceive
 PRESSED_UTIL = 0.9  # reported share of cores busy that means pressure
 OUTDATED = 1.2  # own queries out for each reported that show a report to be late: it lags and is noisy
-REPORT_FRESH_MS = 3000.0  # a load report older than this tells nothing
 FULL_REST_MS = 500.0  # pressure holds so long after a full refusal or a wait for memory
 CHANCE = 1.5  # standard deviations of an engine's memory in use left free for chance
 BEST_HALF_MS = 60000.0  # half life of the best rate seen, so that one lucky moment is forgotten
@@ -50,27 +59,24 @@
 ERROR_SUSPECT = 0.35  # error share from which an engine is suspect; clean engines stay far below
 ERROR_CLEAR = 0.15  # and below which it is trusted again, so that it does not flap
 TRICKLE_MS = 150.0  # gap between the safe queries that all gateways together send to a suspect engine
-DOUBT_MS = 10000.0  # without a new bad sign a suspicion ends: at a small share the trickle never tests it
 TRICKLE_GOOD = 3  # served queries in a row that end a suspicion of death or silence
 OVERFULL = 1.25  # times the room is too full also for what passes: work done falls steeply from there
-REPLAN_MS = 250.0  # held queries are planned anew so often
-HEARTBEAT_MS = 100.0  # sweep while something is held, out or suspect
 RESCUE_FACTOR = 2.0  # plans run before a rescue, times run that are guessed to be left, times sooner than it
 GRANT_PAGE = 2.0  # grant over need where unused memory stays free to others
 GRANT_TIGHT = 1.3  # grant over need where granted memory is taken from others
+ASK_AGAIN_MS = 400.0  # after a call for the list that failed
 PROBES_PER_QUERY = 0.3  # own probes for each own query, at most
 PROBE_PRICE = 0.003  # of the result that probes may cost: where they are dear fewer are sent
 PEER_PRICE = 0.003  # of the result that messages on loads may cost: their gap follows from it
 PEER_GAP_LEAST_MS = 250.0  # the shortest gap between messages on loads
-PEER_GAPS = 3.5  # gaps after which a silent peer is taken to have nothing out
 PATIENCE_ALIKE = 0.02  # of the time that most clients leave a first try: ticks and the way here scatter it
 REPEATS_MOST = 1.5  # repeats for each query turned away: clients of other gateways come too
 PATIENCE_VOTES = 40  # majority vote on it, at most: where clients differ too much, none counts as a repeat
-RETRY_AFTER_MS = 400.0  # shortest advice on when to come back
-MAYBE_RUNNING = (Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED)  # may run on unseen
 UNHEARD = ("silent", "deaf")  # suspicions of engines that take work and say nothing
 LOAD, LOADS = 2, 3  # kinds of peer message
 
+__all__ = ["PEER_PRICE", "THREADS_PER_CORE", "Scheduler"]
+
 
 class Scheduler(GatewayState):
     """Decides for one gateway: call step with the clock and what happened, carry out what it returns."""
@@ -91,7 +97,7 @@
             io.Timer: lambda _: None,
             io.Retune: lambda event: self._adopt(event.settings),
             io.Bounds: self._on_bounds,
-            io.Price: lambda event: setattr(self, "price", event),
+            io.Price: lambda event: setattr(self, "threshold", event),
             io.Leaving: lambda event: self.deadlines.cut(event.until),
         }
         self._adopt(settings)
@@ -100,7 +106,7 @@
         """The settings in force from now on; a query keeps its class and its attempts to its end."""
         # Danger: known by place, a class that moved or came back with another effect got what another taught.
         known = dict(zip(self.settings.classes, self.classes, strict=False))
-        self.classes = [known.get(cls) or state.Learned.blank(DOUBT_MS) for cls in settings.classes]
+        self.classes = [known.get(cls) or state.Learned.blank(SUSPICION_MS) for cls in settings.classes]
         self.tenants = [state.Traffic(TRAFFIC_MEMORY_MS) for _ in settings.tenants]
         self.settings, self.slack = settings, HEARTBEAT_MS + 2 * settings.tick
         self.probe_part = min(PROBES_PER_QUERY, PROBE_PRICE / max(settings.prices.probe, 1e-9))
@@ -115,7 +121,7 @@
             self.handlers[type(event)](event)
         for q in self.deadlines.take(now + self.slack):
             if not q.out:
-                self._answer(q)
+                answers.answer(self, q)
         if now >= self.next_beat - self.settings.tick / 2:
             self._sweep()
         if now >= self.next_peer:
@@ -140,7 +146,7 @@
     # --- engine view ---
 
     def _on_failed(self, event: io.ListFailed) -> None:
-        self.next_ask = self.now + RETRY_AFTER_MS
+        self.next_ask = self.now + ASK_AGAIN_MS
 
     def _on_list(self, event: io.EngineList) -> None:
         named = {info.id for info in event.engines}
@@ -276,7 +282,7 @@
     def _doubt(self, e: EngineView, why: str) -> None:
         # Danger: a crash, hang, cut link or fast errors eat queries until the list tells, seconds late.
         # It may hurt when a healthy engine is merely slow to speak; the trickle clears it, or time.
-        e.suspect_until = self.now + DOUBT_MS
+        e.suspect_until = self.now + SUSPICION_MS
         if e.suspect == why:
             return
         if not e.suspect:
@@ -501,7 +507,7 @@
         for q in sorted(held, key=lambda q: q.order):
             self._place(q, round(CANDIDATES - (CANDIDATES - REDRAWN) * self.blind))
             if q.engine is not None and (q.density <= 0 or self.now + q.p > q.due):
-                self._answer(q)
+                answers.answer(self, q)
 
     # --- release ---
 
@@ -537,7 +543,7 @@
         if not busy:
             return used <= self.share or self.now >= self.pool_rest
         turn = self.settings.me + self.now // max(REPLAN_MS, q.p)
-        turn = self.price.told and turn * slow_start.GOLDEN % 1
+        turn = self.threshold.told and turn * GOLDEN % 1
         return used <= self.share + turn * q.cls.threads / self.full_room
 
     def _release(self) -> None:
@@ -611,8 +617,7 @@
                 self._probe(e)
         if q.tenant < len(self.tenants):
             self.tenants[q.tenant].add(self.now)
-        if q.key is not None:
-            self.turns.join(q.key, q)
+        ordering.join(self, q)
         self.deadlines.add(q)
         self._place(q)
         self.actions += [io.Offered(q.id, q.top, q.work())] if event.draw is not None else []
@@ -622,12 +627,12 @@
         # each with a client's connection. So one is held if it can be in time; may hurt in a short burst.
         late = q.cls.loads and q.finish > q.aim_at and q.engine.line.get(q.tables, 0.0) > q.p
         if late or self._underpriced(q, event.draw) or q.density <= 0 and q.began < q.arrived:
-            self._answer(q)
+            answers.answer(self, q)
 
     def _underpriced(self, q: Query, draw: float | None) -> bool:
         # Danger: each shed by its own plan: cheap ones were served at one gateway and dear ones refused at
         # another. May hurt where the price is wrong; it holds for a second at most.
-        p, worth = self.price, q.top / max(q.work(), 1e-3)
+        p, worth = self.threshold, q.top / max(q.work(), 1e-3)
         return draw is not None and self.now < p.until and worth < (p.density if draw < p.share else p.above)
 
     def _first_tried(self, q: Query, marked: bool) -> float:
@@ -662,10 +667,9 @@
         if event.outcome is Outcome.TIMEOUT and not self.settings.permits.cancel:
             self.unseen = [u for u in self.unseen if u[0] > self.now] + [(self.now + q.p * (1 - q.done), q)]
         retry.note_risk(q, e, event.outcome)
-        if q.key is not None and event.outcome in MAYBE_RUNNING:
-            self.turns.rest(q.key, self.now, self.now + self.settings.rules.key_quiet)
+        ordering.rest_after(self, q, event.outcome)
         if q.over or event.final:
-            self._close(q, served=True)
+            answers.close(self, q, served=True)
             return
         self._again(q, event.outcome)
 
@@ -683,7 +687,7 @@
             # Danger: a jammed or hung engine turns work away at once, and gets yet more. So it is passed over
             # for a time that doubles; may hurt where it had room again sooner.
             e.jams, e.pressed_until = e.jams + 1, self.now + FULL_REST_MS
-            e.rest_until = self.now + min(FULL_REST_MS * 2**e.jams, DOUBT_MS)
+            e.rest_until = self.now + min(FULL_REST_MS * 2**e.jams, SUSPICION_MS)
         elif outcome in (Outcome.ERROR, Outcome.CONNECT_FAILED, Outcome.RESET):
             self._bad_sign(e, q, outcome)
 
@@ -717,41 +721,18 @@
             or retry.repeat_barred(self, q)
             or self.now + max(q.p / 2, self.slack) > q.due
         ):
-            self._answer(q)
+            answers.answer(self, q)
         else:
             self._place(q)
             self._release()
 
-    def _answer(self, q: Query) -> None:
-        """The one place for every final answer: refused where honest, told when the plans have drained."""
-        q.leave_plan()
-        if retry.harmless_to_try_again(q):
-            drained = sum(e.held_area for e in self.active.values()) / self.own_room
-            most = self.settings.permits.max_retry_after if self.settings.permits.retry_after else 0.0
-            self.actions.append(io.Refuse(q.id, min(most, max(RETRY_AFTER_MS, drained, self.price.cooldown))))
-        else:
-            self.actions.append(io.Fail(q.id))
-        self._close(q)
-
-    def _close(self, q: Query, served: bool = False) -> None:
-        """The query is over; it is forgotten once no attempt of it is out."""
-        if not served:
-            q.learned.turned.add(self.now)
-        q.over = True
-        self.homeless.pop(q.id, None)
-        if q.out:
-            return
-        self.queries.pop(q.id, None)
-        if q.key is not None:
-            self.turns.tidy(q.key)
-
     def _on_gone(self, event: io.ClientGone) -> None:
         if (q := self.queries.get(event.query)) and not q.over:
             q.leave_plan()
             # Danger: the attempt of a client that left runs on for nobody. A load still runs to its end.
             if self.settings.permits.cancel and q.cls.effect is not Effect.UNSAFE:
                 self._cancel(q)
-            self._close(q)
+            answers.close(self, q)
 
     def _cancel(self, q: Query) -> None:
         if q.out and not q.cancelled:
@@ -799,8 +780,7 @@
         """Checks every rule before a send; names the rule that bars it, or nothing."""
         if q.out or q.over or not self._fits(q, e):
             return "attempt out, drain or placement"
-        rests = not q.attempts and q.key is not None and self.now < self.turns.rests.get(q.key, -math.inf)
-        if rests or q.key is not None and self.turns.lines[q.key][0] is not q:
+        if ordering.out_of_turn(self, q):
             return "order"
         if q.attempts and (why := retry.repeat_barred(self, q)):
             return why
--- a/cottonhold/decide/slow_start.py
+++ b/cottonhold/decide/slow_start.py
@@ -9,11 +9,11 @@
 import math
 
 from cottonhold.decide.gateway_state import GatewayState
+from cottonhold.decide.parameters import GOLDEN
 from cottonhold.decide.state import EngineView, Query
 
 COLD_MARGIN = 0.5  # of a cold engine's budget: true speed, cost estimates and shares are all guesses
 BOUND_BURST_MS = 250.0  # of a bound's work may come at once: the fleet's parts add up within a moment
-GOLDEN = (math.sqrt(5) - 1) / 2  # its multiples spread evenly, however many: turns come up in few at a time
 CODES = 2**32  # engine codes there are: a code over it is a place between 0 and 1
 
 
