Split learning, estimates and pressure off the scheduler

decide/learning.py: what answers, notes and reports teach. decide/estimates.py: cost, memory, worth and grants of a query. decide/pressure.py: how full engines and the fleet are.

--- a/cottonhold/decide/scheduler.py
+++ b/cottonhold/decide/scheduler.py
@@ -15,7 +15,7 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
-from cottonhold.decide import answers, ordering, retry, slow_start, state
+from cottonhold.decide import answers, estimates, learning, ordering, pressure, retry, slow_start, state
 from cottonhold.decide import interface as io
 from cottonhold.decide.gateway_state import GatewayState
 from cottonhold.decide.interface import Effect, EngineState, Outcome
@@ -41,29 +41,16 @@
 REDRAWN = 2  # engines drawn anew for a held query where engines are rarely heard of: more is only CPU
 HOMES = 0.4  # share of the engines that take the loads on a set of tables: the others serve its readers
 MEMORY_ROOM = 0.9  # share of an engine's memory planned for; needs are estimates
-LATE_FALL = 0.5  # of the aim: how fast worth falls to its late value behind the aim (finish is a guess)
-RATE_HALF_MS = 3000.0  # half life of an engine's learned rate: some queries long, yet seconds short
-RATE_PRIOR_MS = 800.0  # thread time for which the fleet's rate stands in while an engine taught little
-TEACH_LIMIT = 3.0  # an attempt teaches rate up to so many planned run times: a bad plan is not the engine
-CLASS_GAIN = 0.03  # weight of one answer in a class's bias and error: tens of answers settle it
-PRESSED_RATE = 0.6  # of the fleet's best rate: a slower engine is under pressure
-IDLE_FILL = 0.8  # of the fleet in use: below it one that looks worthless costs no other, and looks deceive
-PRESSED_UTIL = 0.9  # reported share of cores busy that means pressure
-OUTDATED = 1.2  # own queries out for each reported that show a report to be late: it lags and is noisy
-FULL_REST_MS = 500.0  # pressure holds so long after a full refusal or a wait for memory
 CHANCE = 1.5  # standard deviations of an engine's memory in use left free for chance
-BEST_HALF_MS = 60000.0  # half life of the best rate seen, so that one lucky moment is forgotten
 SILENCE_MIN_MS = 900.0  # no shorter silence is a symptom: engines pause for half a second at times
 OVERDUE = 1.5  # planned run times after which an attempt ought to have answered: silence counts from there
-ERROR_GAIN = 0.15  # weight of one outcome in an engine's error share, of a report in the fleet's util
+ERROR_GAIN = 0.15  # weight of one outcome in an engine's error share
 ERROR_SUSPECT = 0.35  # error share from which an engine is suspect; clean engines stay far below
 ERROR_CLEAR = 0.15  # and below which it is trusted again, so that it does not flap
 TRICKLE_MS = 150.0  # gap between the safe queries that all gateways together send to a suspect engine
 TRICKLE_GOOD = 3  # served queries in a row that end a suspicion of death or silence
 OVERFULL = 1.25  # times the room is too full also for what passes: work done falls steeply from there
 RESCUE_FACTOR = 2.0  # plans run before a rescue, times run that are guessed to be left, times sooner than it
-GRANT_PAGE = 2.0  # grant over need where unused memory stays free to others
-GRANT_TIGHT = 1.3  # grant over need where granted memory is taken from others
 ASK_AGAIN_MS = 400.0  # after a call for the list that failed
 PROBES_PER_QUERY = 0.3  # own probes for each own query, at most
 PROBE_PRICE = 0.003  # of the result that probes may cost: where they are dear fewer are sent
@@ -232,53 +219,6 @@
         if e.suspect in UNHEARD and sent_at < e.suspect_at:
             self._trust(e)
 
-    def _learn_report(self, e: EngineView, report: dict[str, float]) -> None:
-        """A load report, of an answer or a probe; values that make no sense tell nothing."""
-        if e.hear_report(self.now, report):
-            self.util += ERROR_GAIN * (min(e.report.get("util", self.util), 1.0) - self.util)
-
-    def _learn_rate(self, e: EngineView, work: float, thread_ms: float) -> None:
-        """Only work seen done teaches rate: a fast error must never make an engine look quick."""
-        for rate in (e.speed, self.fleet):
-            rate.learn(self.now, RATE_HALF_MS, work, thread_ms)
-
-    def _rate(self, e: EngineView) -> float:
-        """Learned rate; an engine with few or old samples of its own counts as the fleet does."""
-        if e.rate_at != self.now:
-            fleet = self.fleet.value(self.now, RATE_HALF_MS, RATE_PRIOR_MS, 1.0)
-            e.rate, e.rate_at = e.speed.value(self.now, RATE_HALF_MS, RATE_PRIOR_MS, fleet), self.now
-        return e.rate
-
-    def _pressed(self, e: EngineView) -> bool:
-        # Danger: reports lag, and a jammed engine's cores idle, so own work out is a sign too; others fill an
-        # engine as own work fills the own part of the fleet. Its report may deny up to twice the room.
-        if self.now < e.pressed_until or self._rate(e) < PRESSED_RATE * self.best:
-            return True
-        report = e.report if self.now - e.report_at < REPORT_FRESH_MS else {}
-        if report.get("util", 0.0) > PRESSED_UTIL or report.get("queue", 0.0) > 0:
-            return True
-        o = e.sum_told(self.now, self.alike)
-        used = max((e.threads_out + o.threads) / e.own_room, (e.memory_out + o.memory) / e.own_memory)
-        used += 0.0 if self.heard else self.blind * self._fleet_fill(self.util)
-        # Danger: late reports told of 17 queries where 54 were out, and engines filled to twice their room.
-        # One that holds fewer than this gateway alone has out there denies nothing.
-        late = report.get("inflight", math.inf) * OUTDATED < len(e.out)
-        if used < 1 or used > 2 or late:
-            return used >= 1
-        # Cores idle in a jam on memory: where engines page, half busy is no proof of room.
-        most = 1 / THREADS_PER_CORE if self.settings.when_short is io.WhenShort.PAGE else PRESSED_UTIL
-        return report.get("inflight", report.get("util", self.util) / most * e.cores) > e.cores
-
-    def _not_passed(self, density: float) -> float:
-        """Part of the work out on the fleet that holds such a query back, as own work out shows."""
-        above = self.pool.sound.held_by(density, ALPHA)[0]
-        return PASSED + (1 - PASSED) * (above + 1) / (max(above, self.pool.threads) + 1)
-
-    def _fleet_fill(self, told: float) -> float:
-        """Part of the fleet in use: what is told, or own work out over the own share if that is more."""
-        filled = max(self.pool.threads / self.full_room, self.pool.memory / self.full_memory)
-        return max(told, filled / self.share)
-
     def _doubt(self, e: EngineView, why: str) -> None:
         # Danger: a crash, hang, cut link or fast errors eat queries until the list tells, seconds late.
         # It may hurt when a healthy engine is merely slow to speak; the trickle clears it, or time.
@@ -323,69 +263,17 @@
             self._probe(e)
         return False
 
-    # --- estimates ---
-
-    def _appraise(self, q: Query) -> None:
-        """The same on every engine: cost and memory (told less class bias, else the mean), aim, worth."""
-        c = q.learned
-        q.cost = q.told * math.exp(c.bias) if q.told > 0 else c.cost or q.cls.aim / 4
-        q.memory = q.told_memory * math.exp(c.memory_bias) if q.told_memory > 0 else c.memory
-        if not self.settings.permits.grants and q.told_memory > 0:
-            # The engine grants what was told and some more, whatever is needed; a paging one counts need too.
-            granted = GRANT_TIGHT * q.told_memory
-            q.memory = min(granted, q.memory) if self.settings.when_short is io.WhenShort.PAGE else granted
-        q.aim = min(q.cls.aim + q.cls.aim_stretch * q.cost / q.cls.threads, q.cls.deadline)
-        q.aim_at = q.began + q.aim
-        q.top = q.cls.worth * self._tenant_scale(q)
-
-    def _density(self, q: Query, p: float, finish: float) -> float:
-        """Worth over cost, rounded down to a power of two (Algorithm 1, lines 3 to 6): full worth to the aim,
-        then falling to what a late answer earns, nothing past the deadline."""
-        if finish > q.due or q.top <= 0:
-            return 0.0
-        over = (finish - q.aim_at) / (LATE_FALL * q.aim)
-        late = q.cls.late_worth
-        kept = 1.0 if over <= 0 else late + (1 - late) * max(0.0, 1 - over)
-        u = q.top * kept / (p * q.cls.threads)
-        return math.ldexp(0.5, math.frexp(u)[1]) if u > 0 else 0.0
-
-    def _tenant_scale(self, q: Query) -> float:
-        """Mean worth of this tenant's next query: beyond its share it earns little."""
-        if q.tenant >= len(self.tenants):
-            return 1.0
-        rate = self.tenants[q.tenant].per_s(self.now)
-        over = max(0.0, rate - self.settings.tenants[q.tenant].quota_per_s * self.share)
-        return 1 - (1 - self.settings.over_share_worth) * over / rate if over else 1.0
-
-    def _learn_answer(self, q: Query, e: EngineView, event: io.AttemptEnded) -> None:
-        """What a served query needed corrects its class and the engine's rate."""
-        c = q.learned
-        cost = event.cost or q.cost
-        thread_ms, rate = max(event.elapsed, 1.0) * q.cls.threads, self._rate(e)
-        implied = event.cost or min(max(thread_ms * rate, cost / 8), cost * 8)
-        c.answer(max(CLASS_GAIN, 1 / (c.seen + 2)), q, cost, implied, event.memory)
-        if q.told > 0 and not event.cost:
-            state.centre_bias(self.classes)  # only biases between classes can be told from an engine's rate
-        miss = min(max(event.elapsed / q.p - 1, 0.0), 1.0) if q.p else 0.0
-        c.delta += CLASS_GAIN * 0.5 * (miss - c.delta)
-        if not q.cls.loads and (self.now - q.sent_at <= TEACH_LIMIT * q.p or event.cost):
-            self._learn_rate(e, cost * max(0.0, 1 - q.done), (self.now - q.seen_at) * q.cls.threads)
-
     def _on_note(self, event: io.Note) -> None:
         q, e = self.queries.get(event.query), self.engines.get(event.engine)
         if q is None or e is None or q.id not in e.out:
             return
         self._word(e, q.sent_at)
         if event.kind is io.NoteKind.PROGRESS:
-            if self.now - q.sent_at <= TEACH_LIMIT * q.p:
-                work = q.cost * max(0.0, event.value - q.done)
-                self._learn_rate(e, work, (self.now - q.seen_at) * q.cls.threads)
-            q.done, q.seen_at, q.waits = max(q.done, min(event.value, 1.0)), self.now, False
+            learning.learn_progress(self, q, e, event.value)
         elif event.kind is io.NoteKind.SPILL:
-            if q.told_memory > 0 and q.grant:
-                q.learned.needed(CLASS_GAIN, q, q.grant + event.value)
+            learning.learn_spill(q, event.value)
         elif event.value == 1:
-            q.waits, q.run_at, e.pressed_until = True, self.now, self.now + FULL_REST_MS
+            q.waits, q.run_at, e.pressed_until = True, self.now, self.now + pressure.FULL_REST_MS
         elif q.tables not in e.locks or e.locks[q.tables] < self.now:
             e.locks[q.tables] = self.now + self.settings.note_period
 
@@ -394,23 +282,23 @@
     def _tentative(self, q: Query, e: EngineView) -> tuple[float, int, float, float]:
         """Tentative finish, plan position, density and p of q on e, at the densest place it may take."""
         work = q.cost * (1 + q.learned.delta)
-        p = work / (q.cls.threads * max(e.rate if e.rate_at == self.now else self._rate(e), 0.02))
+        p = work / (q.cls.threads * max(e.rate if e.rate_at == self.now else learning.rate(self, e), 0.02))
         room, memory = e.own_room, e.own_memory
         start = self.now + (1 + BETA * EPSILON) * p
-        density = self._density(q, p, start)
+        density = estimates.density(q, p, start)
         passing = density if self.settings.permits.priorities else 0.0
         start += e.ahead(self.now, LEFT_LEAST, passing, ALPHA, PASSED)
         o = e.sum_told(self.now, self.alike)
         wide = max(1 / e.room, o.memory / max(o.threads, 1) / e.memory_room)
-        start += o.area * wide * self._not_passed(passing)
+        start += o.area * wide * pressure.not_passed(self, passing)
         if e.locks and (q.cls.waits or q.cls.loads):  # it stands still behind a load that holds its tables
             start += max(0.0, e.locks.get(q.tables, 0.0) - self.now)
         if q.cls.loads and e.line:  # loads on the same tables run one at a time, all gateways' in turn
             start += e.line.get(q.tables, 0.0) / self.share
         area, space = e.held_area, e.held_space
         best_finish = start + max(area / room, space / memory)
-        best_place, best = len(e.plan), self._density(q, p, best_finish)
-        ceiling, behind = self._density(q, p, start) if e.plan else 0.0, 0.0
+        best_place, best = len(e.plan), estimates.density(q, p, best_finish)
+        ceiling, behind = estimates.density(q, p, start) if e.plan else 0.0, 0.0
         for place in range(len(e.plan) - 1, -1, -1):
             other = e.plan[place]
             if other.finish + p * q.cls.threads / room > other.aim_at:  # else it loses nothing by waiting
@@ -421,7 +309,7 @@
             if place and e.plan[place - 1].density <= behind:
                 continue
             finish = start + max(area / room, space / memory)
-            u = self._density(q, p, finish)
+            u = estimates.density(q, p, finish)
             if u > best and u > ALPHA * behind:
                 best_finish, best_place, best = finish, place, u
         return best_finish + e.errors * (best_finish - self.now) * 3, best_place, best, p
@@ -472,7 +360,7 @@
     def _place(self, q: Query, k: int = CANDIDATES) -> None:
         """Put q into the plan of the candidate with the earliest tentative finish."""
         self.homeless.pop(q.id, None)
-        self._appraise(q)
+        estimates.appraise(self, q)
         e = self._trickle(q)
         if e is not None:
             place, (q.finish, _, q.density, q.p) = 0, self._tentative(q, e)
@@ -515,7 +403,7 @@
         """Thread and memory room bind only under pressure; one query of this gateway may always be out."""
         # Memory binds also without pressure: paging shows only in the jam. Where grants are trimmed one query
         # pays, not all, so there it binds as far as the fleet is reported busy.
-        pressed, short = self._pressed(e), self.settings.when_short
+        pressed, short = pressure.pressed(self, e), self.settings.when_short
         binds = {io.WhenShort.WAIT: 0.0, io.WhenShort.SHRINK: self.util, io.WhenShort.PAGE: 1.0}[short]
         # Danger: a lookup waited for room until reports of seconds ended, and was refused as too late, though
         # the engine would have let it pass them. So what q passes holds it back in part only.
@@ -523,7 +411,7 @@
         above, needed, _ = e.levels.held_by(density, ALPHA)
         wide = above + (e.threads_out - above) * PASSED + q.cls.threads
         needed += (e.memory_out - needed) * PASSED + q.memory
-        part = self._not_passed(density)
+        part = pressure.not_passed(self, density)
         wide, needed = (wide + o.threads * part) / e.room, (needed + o.memory * part) / e.memory_room
         # Danger: each of forty saw its own few out and let more in, till memory ran over and all spilled.
         over = max((e.threads_out + o.threads) / e.room, (e.memory_out + o.memory) / e.memory_room) / OVERFULL
@@ -558,7 +446,11 @@
                 if blocked and q.density <= ALPHA * blocked or q.cls.loads and e.loading.get(q.tables):
                     place += 1
                     continue
-                if not self._has_room(q, e) or q.density <= 0 and self._fleet_fill(self.util) > IDLE_FILL:
+                if (
+                    not self._has_room(q, e)
+                    or q.density <= 0
+                    and pressure.fleet_fill(self, self.util) > pressure.IDLE_FILL
+                ):
                     blocked = q.density  # above any before it, else it was passed over
                     if not blocked or not self.settings.permits.priorities:
                         break
@@ -572,14 +464,11 @@
 
     def _send(self, q: Query, e: EngineView) -> None:
         permits, now = self.settings.permits, self.now
-        # Too small a grant spills; too big a one starves others, save where only used memory counts.
-        over = GRANT_PAGE if self.settings.when_short is io.WhenShort.PAGE else GRANT_TIGHT
-        most = e.memory * self.settings.max_grant_share or math.inf
-        grant = int(min(most, over * q.memory)) if permits.grants else 0
+        grant = estimates.grant(self, q, e)
         if grant != q.grant or q.lane != q.lane_told:
             self.actions.append(io.Terms(q.id, grant, q.lane))
             q.grant, q.lane_told = grant, q.lane
-        timeout = TEACH_LIMIT * q.p + SILENCE_MIN_MS if q.trickle else 0.0
+        timeout = learning.TEACH_LIMIT * q.p + SILENCE_MIN_MS if q.trickle else 0.0
         self.actions.append(io.Send(q.id, e.id, timeout))
         if q.attempts:
             retry.count_further_attempt(self)
@@ -676,18 +565,18 @@
     def _judge(self, e: EngineView, q: Query | None, event: io.AttemptEnded) -> None:
         """What an outcome says of the engine."""
         outcome, sent_at = event.outcome, self.now - event.elapsed
-        self._learn_report(e, event.report)
+        learning.hear_report(self, e, event.report)
         if outcome in (Outcome.OK, Outcome.ERROR):  # a hung engine still turns work away
             self._word(e, sent_at)
         if outcome is Outcome.OK:
             self._good_sign(e, sent_at)
             if q is not None and q.out:
-                self._learn_answer(q, e, event)
+                learning.learn_answer(self, q, e, event)
         elif outcome is Outcome.FULL:
             # Danger: a jammed or hung engine turns work away at once, and gets yet more. So it is passed over
             # for a time that doubles; may hurt where it had room again sooner.
-            e.jams, e.pressed_until = e.jams + 1, self.now + FULL_REST_MS
-            e.rest_until = self.now + min(FULL_REST_MS * 2**e.jams, SUSPICION_MS)
+            e.jams, e.pressed_until = e.jams + 1, self.now + pressure.FULL_REST_MS
+            e.rest_until = self.now + min(pressure.FULL_REST_MS * 2**e.jams, SUSPICION_MS)
         elif outcome in (Outcome.ERROR, Outcome.CONNECT_FAILED, Outcome.RESET):
             self._bad_sign(e, q, outcome)
 
@@ -768,7 +657,7 @@
             if e is not None and e.out and event.outcome in (Outcome.TIMEOUT, Outcome.CONNECT_FAILED):
                 self._doubt(e, "deaf" if event.outcome is Outcome.TIMEOUT else "dead")
             return
-        self._learn_report(e, event.report)
+        learning.hear_report(self, e, event.report)
         if e.suspect == "deaf":  # ends by the kind of sign that it came from
             self._trust(e)
         elif e.suspect == "dead":
@@ -791,8 +680,7 @@
     def _sweep(self) -> None:
         """Silence, rescues and suspicions that end, every heartbeat."""
         now, self.next_beat, self.changed = self.now, math.inf, True
-        fleet = self.fleet.value(now, RATE_HALF_MS, RATE_PRIOR_MS, 1.0)
-        self.best = max(self.best * 0.5 ** (HEARTBEAT_MS / BEST_HALF_MS), fleet)
+        learning.follow_best(self)
         for e in list(self.active.values()):
             if not e.suspect and self._silent(e):
                 self._doubt(e, "silent")
@@ -831,7 +719,9 @@
         # Danger: bad plans, hung or slowed engines hold a query far past its plan; cancel where a fresh
         # attempt ends much sooner. On a full fleet most runs pass two plans, and those given up there were a
         # fifth of all work: where engines are rarely heard of, up to twice as many are waited for then.
-        plans = RESCUE_FACTOR * (1 + self.blind * (self._fleet_fill(0.0) > IDLE_FILL))  # reports lag
+        plans = RESCUE_FACTOR * (
+            1 + self.blind * (pressure.fleet_fill(self, 0.0) > pressure.IDLE_FILL)
+        )  # reports lag
         for q in list(e.out.values()):
             age = self.now - q.sent_at
             if q.cancelled or q.over or q.streaming or q.cls.effect is not Effect.SAFE:
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -10,6 +10,7 @@
 
 from cottonhold import Scheduler
 from cottonhold.decide import interface as io
+from cottonhold.decide import pressure
 from cottonhold.decide.scheduler import THREADS_PER_CORE
 
 ROOM = math.ceil(8 * THREADS_PER_CORE)  # threads that fill the one engine of 8 cores
@@ -485,4 +486,4 @@
     report = {"inflight": inflight, "util": 0.5}
     s.step(2.0, [ended("r0", io.Outcome.OK, final=True, elapsed=1.0, report=report)])
     e = s.engines["e1"]
-    assert e.threads_out > e.room and s._pressed(e) is pressed
+    assert e.threads_out > e.room and pressure.pressed(s, e) is pressed
