Split placement off the scheduler

decide/placement.py: candidates, homes, tentative finish, plan positions, the trickle to suspect engines, and the plan made anew. The four values of a tentative placement have names; where a query passes others in a plan is a function of its own.

--- a/cottonhold/decide/scheduler.py
+++ b/cottonhold/decide/scheduler.py
@@ -9,20 +9,28 @@
 from __future__ import annotations
 
 import dataclasses
-import heapq
 import math
 import random
 from collections.abc import Callable, Iterable
 from typing import Any
 
-from cottonhold.decide import answers, estimates, learning, ordering, pressure, retry, slow_start, state
+from cottonhold.decide import (
+    answers,
+    estimates,
+    learning,
+    ordering,
+    placement,
+    pressure,
+    retry,
+    slow_start,
+    state,
+)
 from cottonhold.decide import interface as io
 from cottonhold.decide.gateway_state import GatewayState
 from cottonhold.decide.interface import Effect, EngineState, Outcome
 from cottonhold.decide.parameters import (
     ALPHA,
     CANDIDATES,
-    EPSILON,
     GOLDEN,
     HEARTBEAT_MS,
     LEFT_LEAST,
@@ -37,9 +45,6 @@
 )
 from cottonhold.decide.state import EngineView, Query
 
-BETA = 0.2  # share of the slack that is reserved: tentative run time is 1.4 p
-REDRAWN = 2  # engines drawn anew for a held query where engines are rarely heard of: more is only CPU
-HOMES = 0.4  # share of the engines that take the loads on a set of tables: the others serve its readers
 MEMORY_ROOM = 0.9  # share of an engine's memory planned for; needs are estimates
 CHANCE = 1.5  # standard deviations of an engine's memory in use left free for chance
 SILENCE_MIN_MS = 900.0  # no shorter silence is a symptom: engines pause for half a second at times
@@ -47,7 +52,6 @@
 ERROR_GAIN = 0.15  # weight of one outcome in an engine's error share
 ERROR_SUSPECT = 0.35  # error share from which an engine is suspect; clean engines stay far below
 ERROR_CLEAR = 0.15  # and below which it is trusted again, so that it does not flap
-TRICKLE_MS = 150.0  # gap between the safe queries that all gateways together send to a suspect engine
 TRICKLE_GOOD = 3  # served queries in a row that end a suspicion of death or silence
 OVERFULL = 1.25  # times the room is too full also for what passes: work done falls steeply from there
 RESCUE_FACTOR = 2.0  # plans run before a rescue, times run that are guessed to be left, times sooner than it
@@ -145,7 +149,7 @@
             if e.info.state is not EngineState.LIVE:
                 self._trust(e)
                 for q in e.empty():
-                    self._place(q)
+                    placement.place(self, q)
             if e.info.state is EngineState.GONE and not e.out:
                 del self.engines[e.id]
         self._count_room()
@@ -159,7 +163,7 @@
                 self._trust(e)  # the fleet returns to it: what it was doubted for is past
         self._count_room()
         for q in [q for e in self.engines.values() if not e.bound for q in e.empty()]:
-            self._place(q)
+            placement.place(self, q)
 
     def _count_room(self) -> None:
         """Live engines, weighted in the draw by the cores they have now, and their thread and memory room."""
@@ -228,11 +232,11 @@
         if not e.suspect:
             self.doubted[e.id], e.suspect_at = e, self.now
             self.pool.hide(e)
-            e.trickle_at = self.now + TRICKLE_MS / self.share * self.random.random()
+            e.trickle_at = self.now + placement.TRICKLE_MS / self.share * self.random.random()
             self.actions.append(io.LogLine(f"engine {e.id} suspect: {why}"))
         e.suspect, e.good = why, 0
         for q in e.empty():
-            self._place(q)
+            placement.place(self, q)
 
     def _trust(self, e: EngineView) -> None:
         if e.suspect:
@@ -277,126 +281,6 @@
         elif q.tables not in e.locks or e.locks[q.tables] < self.now:
             e.locks[q.tables] = self.now + self.settings.note_period
 
-    # --- plan (Algorithm 1) ---
-
-    def _tentative(self, q: Query, e: EngineView) -> tuple[float, int, float, float]:
-        """Tentative finish, plan position, density and p of q on e, at the densest place it may take."""
-        work = q.cost * (1 + q.learned.delta)
-        p = work / (q.cls.threads * max(e.rate if e.rate_at == self.now else learning.rate(self, e), 0.02))
-        room, memory = e.own_room, e.own_memory
-        start = self.now + (1 + BETA * EPSILON) * p
-        density = estimates.density(q, p, start)
-        passing = density if self.settings.permits.priorities else 0.0
-        start += e.ahead(self.now, LEFT_LEAST, passing, ALPHA, PASSED)
-        o = e.sum_told(self.now, self.alike)
-        wide = max(1 / e.room, o.memory / max(o.threads, 1) / e.memory_room)
-        start += o.area * wide * pressure.not_passed(self, passing)
-        if e.locks and (q.cls.waits or q.cls.loads):  # it stands still behind a load that holds its tables
-            start += max(0.0, e.locks.get(q.tables, 0.0) - self.now)
-        if q.cls.loads and e.line:  # loads on the same tables run one at a time, all gateways' in turn
-            start += e.line.get(q.tables, 0.0) / self.share
-        area, space = e.held_area, e.held_space
-        best_finish = start + max(area / room, space / memory)
-        best_place, best = len(e.plan), estimates.density(q, p, best_finish)
-        ceiling, behind = estimates.density(q, p, start) if e.plan else 0.0, 0.0
-        for place in range(len(e.plan) - 1, -1, -1):
-            other = e.plan[place]
-            if other.finish + p * q.cls.threads / room > other.aim_at:  # else it loses nothing by waiting
-                behind = max(behind, other.density)
-            if ceiling <= ALPHA * behind or ceiling <= best:
-                break
-            area, space = area - other.area, space - other.p * other.memory
-            if place and e.plan[place - 1].density <= behind:
-                continue
-            finish = start + max(area / room, space / memory)
-            u = estimates.density(q, p, finish)
-            if u > best and u > ALPHA * behind:
-                best_finish, best_place, best = finish, place, u
-        return best_finish + e.errors * (best_finish - self.now) * 3, best_place, best, p
-
-    # --- placement (Algorithm 3) ---
-
-    def _candidates(self, q: Query, k: int = CANDIDATES) -> list[EngineView]:
-        """k random engines drawn by size; suspect ones and those just tried only if nothing else is left."""
-        near = self.near
-        if q.cls.loads or q.cls.waits:
-            homes = self._homes(q.tables)
-            if q.cls.loads and (pool := [e for e in homes if e.id not in q.tried and self._fits(q, e)]):
-                # Danger: loads went to homes that this gateway hears nothing of, which looked empty to it.
-                known = [e for e in pool if e.id in self.mine] or pool
-                return [e for e in known if not slow_start.barred(self, q, e)] or known
-            # Danger: readers kept off all homes at all times left homes of much read tables half idle,
-            # and waited in line elsewhere till they were refused. So they keep off while a load is there.
-            near = [e for e in near if e not in homes or not e.loads_on(q.tables, self.now)] or near
-        drawn = heapq.nlargest(k, near, key=lambda e: self.random.random() ** (1 / e.room))
-        fresh = [e for e in drawn if not e.suspect and e.id not in q.tried and self._fits(q, e)]
-        if pool := [e for e in fresh if self.now >= e.rest_until and not slow_start.barred(self, q, e)]:
-            return pool
-        live = [e for e in self.live if self._fits(q, e)]
-        sound = [e for e in live if e.sound()]
-        return [e for e in sound if e.id not in q.tried] or sound or live
-
-    def _homes(self, tables: int) -> list[EngineView]:
-        """The engines that take the loads on these tables, the same at every gateway; readers avoid them."""
-        # Danger: readers stand still behind any load on their tables. Spread over all engines, a few loads a
-        # second held every table on every engine, and the fleet idled full of waiting queries. So the loads
-        # on one set keep to its homes, sets taking turns round the engines; may hurt where one set is most.
-        if tables not in self.homes and self.ring:
-            first = tables % len(self.ring)
-            turn = dict.fromkeys(self.ring[first:] + self.ring[:first])
-            self.homes[tables] = [e for e in turn if e.sound()][: math.ceil(len(turn) * HOMES)]
-        return self.homes.get(tables, [])
-
-    def _fits(self, q: Query, e: EngineView) -> bool:
-        """Rules that hold for this query and engine at any time: drain, placement, keyed group."""
-        c, info = q.cls, e.info
-        if info.state is not EngineState.LIVE:
-            return False
-        for allowed, here in ((c.zones, info.zone), (c.models, info.model)):
-            if allowed is not None and here not in allowed:
-                return False
-        return retry.in_first_group(q, e)
-
-    def _place(self, q: Query, k: int = CANDIDATES) -> None:
-        """Put q into the plan of the candidate with the earliest tentative finish."""
-        self.homeless.pop(q.id, None)
-        estimates.appraise(self, q)
-        e = self._trickle(q)
-        if e is not None:
-            place, (q.finish, _, q.density, q.p) = 0, self._tentative(q, e)
-        else:
-            options = [(*self._tentative(q, c), i, c) for i, c in enumerate(self._candidates(q, k))]
-            if not options:
-                q.engine, self.homeless[q.id] = None, q
-                return
-            q.finish, place, q.density, q.p, _, e = min(options, key=lambda o: (o[0], o[4]))
-        q.engine, q.area = e, q.p * q.cls.threads
-        for other in e.plan[place:]:
-            other.finish += q.area / e.own_room
-        passed = [o.lane for o in e.plan[place:]]
-        passed += e.levels.lanes_below(q.density, ALPHA)
-        q.lane = min(3, 1 + max(passed)) if passed and self.settings.permits.priorities else 1
-        self.active[e.id], self.changed = e, True
-        e.hold(place, q)
-
-    def _trickle(self, q: Query) -> EngineView | None:
-        """A suspect engine gets single safe queries, so that its recovery is seen at little risk."""
-        if q.cls.effect is not Effect.SAFE or q.attempts or q.cost > q.cls.aim:
-            return None
-        for e in self.doubted.values():
-            if self.now >= e.trickle_at and self._fits(q, e) and not slow_start.barred(self, q, e):
-                e.trickle_at, q.trickle = self.now + TRICKLE_MS / self.share, True
-                return e
-        return None
-
-    def _replan(self) -> None:
-        """Replay the held arrivals against what is known now: rates, aims missed, engines come and gone."""
-        held = [q for e in self.active.values() for q in e.empty()] + list(self.homeless.values())
-        for q in sorted(held, key=lambda q: q.order):
-            self._place(q, round(CANDIDATES - (CANDIDATES - REDRAWN) * self.blind))
-            if q.engine is not None and (q.density <= 0 or self.now + q.p > q.due):
-                answers.answer(self, q)
-
     # --- release ---
 
     def _has_room(self, q: Query, e: EngineView) -> bool:
@@ -508,7 +392,7 @@
             self.tenants[q.tenant].add(self.now)
         ordering.join(self, q)
         self.deadlines.add(q)
-        self._place(q)
+        placement.place(self, q)
         self.actions += [io.Offered(q.id, q.top, q.work())] if event.draw is not None else []
         if q.engine is None:
             return
@@ -612,7 +496,7 @@
         ):
             answers.answer(self, q)
         else:
-            self._place(q)
+            placement.place(self, q)
             self._release()
 
     def _on_gone(self, event: io.ClientGone) -> None:
@@ -667,7 +551,7 @@
 
     def _barred(self, q: Query, e: EngineView) -> str:
         """Checks every rule before a send; names the rule that bars it, or nothing."""
-        if q.out or q.over or not self._fits(q, e):
+        if q.out or q.over or not placement.fits(q, e):
             return "attempt out, drain or placement"
         if ordering.out_of_turn(self, q):
             return "order"
@@ -696,7 +580,7 @@
         if now >= self.next_replan:
             self.next_replan = now + REPLAN_MS
             self._count_room()
-            self._replan()
+            placement.replan(self)
 
     def _tell_peers(self) -> None:
         """This gateway's traffic, for shares, and what it has on engines, to those that draw on them too."""
@@ -733,7 +617,7 @@
             left = math.inf if gone else RESCUE_FACTOR * age
             if self.settings.note_period and not gone:
                 left = (self.now - q.run_at) / max(q.done, 0.05) * (1 - q.done)
-            others = [o for o in self._candidates(q) if o is not e and not o.suspect]
-            fresh = min((self._tentative(q, o)[0] for o in others), default=math.inf) - self.now
+            others = [o for o in placement.candidates(self, q) if o is not e and not o.suspect]
+            fresh = min((placement.tentative(self, q, o)[0] for o in others), default=math.inf) - self.now
             if left > RESCUE_FACTOR * fresh and self.now + fresh < q.due:
                 self._cancel(q)
