--- a/cottonhold/decide/scheduler.py
+++ b/cottonhold/decide/scheduler.py
@@ -16,6 +16,7 @@
 
 from cottonhold.decide import (
     answers,
+    engine_health,
     estimates,
     learning,
     ordering,
@@ -47,12 +48,6 @@
 
 MEMORY_ROOM = 0.9  # share of an engine's memory planned for; needs are estimates
 CHANCE = 1.5  # standard deviations of an engine's memory in use left free for chance
-SILENCE_MIN_MS = 900.0  # no shorter silence is a symptom: engines pause for half a second at times
-OVERDUE = 1.5  # planned run times after which an attempt ought to have answered: silence counts from there
-ERROR_GAIN = 0.15  # weight of one outcome in an engine's error share
-ERROR_SUSPECT = 0.35  # error share from which an engine is suspect; clean engines stay far below
-ERROR_CLEAR = 0.15  # and below which it is trusted again, so that it does not flap
-TRICKLE_GOOD = 3  # served queries in a row that end a suspicion of death or silence
 OVERFULL = 1.25  # times the room is too full also for what passes: work done falls steeply from there
 RESCUE_FACTOR = 2.0  # plans run before a rescue, times run that are guessed to be left, times sooner than it
 ASK_AGAIN_MS = 400.0  # after a call for the list that failed
@@ -63,7 +58,6 @@
 PATIENCE_ALIKE = 0.02  # of the time that most clients leave a first try: ticks and the way here scatter it
 REPEATS_MOST = 1.5  # repeats for each query turned away: clients of other gateways come too
 PATIENCE_VOTES = 40  # majority vote on it, at most: where clients differ too much, none counts as a repeat
-UNHEARD = ("silent", "deaf")  # suspicions of engines that take work and say nothing
 LOAD, LOADS = 2, 3  # kinds of peer message
 
 __all__ = ["PEER_PRICE", "THREADS_PER_CORE", "Scheduler"]
@@ -81,7 +75,7 @@
             io.Note: self._on_note,
             io.EngineList: self._on_list,
             io.ClientGone: self._on_gone,
-            io.Probed: self._on_probed,
+            io.Probed: lambda event: engine_health.on_probed(self, event),
             io.PeerMessage: self._on_peer,
             io.StreamStarted: self._on_stream,
             io.ListFailed: self._on_failed,
@@ -147,7 +141,7 @@
             if event.whole and e.id not in named:
                 e.info = dataclasses.replace(e.info, state=EngineState.GONE)
             if e.info.state is not EngineState.LIVE:
-                self._trust(e)
+                engine_health.trust(self, e)
                 for q in e.empty():
                     placement.place(self, q)
             if e.info.state is EngineState.GONE and not e.out:
@@ -160,7 +154,7 @@
         work = event.work if any(event.work.get(e.id, math.inf) for e in self.live) else {}
         for e in self.engines.values():
             if e.set_bound(self.now, work.get(e.id, math.inf), event.until):
-                self._trust(e)  # the fleet returns to it: what it was doubted for is past
+                engine_health.trust(self, e)  # the fleet returns to it: what it was doubted for is past
         self._count_room()
         for q in [q for e in self.engines.values() if not e.bound for q in e.empty()]:
             placement.place(self, q)
@@ -212,66 +206,16 @@
             e = self.engines[info.id] = EngineView.listed(info, self.settings.models, self.now)
         elif info.started_at != e.info.started_at:
             e.restart()
-            self._trust(e)
+            engine_health.trust(self, e)
         e.info = info
         if info.started_at > 0:
             slow_start.begin(self, e, info.started_at + self.settings.rules.warm_within)
 
-    def _word(self, e: EngineView, sent_at: float) -> None:
-        """The engine spoke. An answer to a query sent before a silence proves that the process lived."""
-        e.last_word = self.now
-        if e.suspect in UNHEARD and sent_at < e.suspect_at:
-            self._trust(e)
-
-    def _doubt(self, e: EngineView, why: str) -> None:
-        # Danger: a crash, hang, cut link or fast errors eat queries until the list tells, seconds late.
-        # It may hurt when a healthy engine is merely slow to speak; the trickle clears it, or time.
-        e.suspect_until = self.now + SUSPICION_MS
-        if e.suspect == why:
-            return
-        if not e.suspect:
-            self.doubted[e.id], e.suspect_at = e, self.now
-            self.pool.hide(e)
-            e.trickle_at = self.now + placement.TRICKLE_MS / self.share * self.random.random()
-            self.actions.append(io.LogLine(f"engine {e.id} suspect: {why}"))
-        e.suspect, e.good = why, 0
-        for q in e.empty():
-            placement.place(self, q)
-
-    def _trust(self, e: EngineView) -> None:
-        if e.suspect:
-            self.actions.append(io.LogLine(f"engine {e.id} trusted again"))
-            del self.doubted[e.id]
-            self.pool.show(e)
-        e.suspect, e.good = "", 0
-
-    def _good_sign(self, e: EngineView, sent_at: float) -> None:
-        """Served work clears suspicion; one that may have died is held to the cold budget meanwhile."""
-        e.errors, e.good, e.jams = e.errors - ERROR_GAIN * e.errors, e.good + 1, 0
-        if e.suspect in ("dead", *UNHEARD) and e.good == 1 and sent_at >= e.suspect_at:
-            slow_start.begin(self, e, self.now + self.settings.rules.warm_within)
-        if e.suspect and e.good >= TRICKLE_GOOD and e.errors < ERROR_CLEAR:
-            self._trust(e)
-
-    def _silent(self, e: EngineView) -> bool:
-        """Queries are out and neither answer nor note comes: a hang, a vanished host, a cut link."""
-        # Danger: one told to wait for memory gets no further word until it runs, and the line was taken for a
-        # hang, its engine left and its queries cancelled. May hurt where an engine hangs with a line only.
-        heard = [q.sent_at + OVERDUE * q.p for q in e.out.values() if not q.waits]
-        silence = self.now - max(e.last_word, min(heard, default=self.now))
-        if self.settings.note_period or not self.settings.permits.probes:
-            return silence > max(SILENCE_MIN_MS, self.settings.note_period)
-        # Danger: without notes one long query is silence, and its engine was doubted and left by all. So a
-        # probe is asked, and only one unanswered is a sign; may hurt where hung engines still answer probes.
-        if silence > 0:
-            self._probe(e)
-        return False
-
     def _on_note(self, event: io.Note) -> None:
         q, e = self.queries.get(event.query), self.engines.get(event.engine)
         if q is None or e is None or q.id not in e.out:
             return
-        self._word(e, q.sent_at)
+        engine_health.heard_from(self, e, q.sent_at)
         if event.kind is io.NoteKind.PROGRESS:
             learning.learn_progress(self, q, e, event.value)
         elif event.kind is io.NoteKind.SPILL:
@@ -352,7 +296,7 @@
         if grant != q.grant or q.lane != q.lane_told:
             self.actions.append(io.Terms(q.id, grant, q.lane))
             q.grant, q.lane_told = grant, q.lane
-        timeout = learning.TEACH_LIMIT * q.p + SILENCE_MIN_MS if q.trickle else 0.0
+        timeout = learning.TEACH_LIMIT * q.p + engine_health.SILENCE_MIN_MS if q.trickle else 0.0
         self.actions.append(io.Send(q.id, e.id, timeout))
         if q.attempts:
             retry.count_further_attempt(self)
@@ -387,7 +331,7 @@
         if self.settings.permits.probes and self.probes >= 2 and self.near:
             e = min(self.near, key=lambda e: (max(e.report_at, e.probed_at), e.rank))
             if self.now - e.report_at > REPORT_FRESH_MS:
-                self._probe(e)
+                engine_health.probe(self, e)
         if q.tenant < len(self.tenants):
             self.tenants[q.tenant].add(self.now)
         ordering.join(self, q)
@@ -423,7 +367,7 @@
     def _on_ended(self, event: io.AttemptEnded) -> None:
         q, e = self.queries.get(event.query), self.engines.get(event.engine)
         if e is not None:
-            self._judge(e, q, event)
+            engine_health.judge(self, e, q, event)
         if q is None or not q.out:
             return
         q.out, q.trickle, self.changed = False, False, True
@@ -446,47 +390,6 @@
             return
         self._again(q, event.outcome)
 
-    def _judge(self, e: EngineView, q: Query | None, event: io.AttemptEnded) -> None:
-        """What an outcome says of the engine."""
-        outcome, sent_at = event.outcome, self.now - event.elapsed
-        learning.hear_report(self, e, event.report)
-        if outcome in (Outcome.OK, Outcome.ERROR):  # a hung engine still turns work away
-            self._word(e, sent_at)
-        if outcome is Outcome.OK:
-            self._good_sign(e, sent_at)
-            if q is not None and q.out:
-                learning.learn_answer(self, q, e, event)
-        elif outcome is Outcome.FULL:
-            # Danger: a jammed or hung engine turns work away at once, and gets yet more. So it is passed over
-            # for a time that doubles; may hurt where it had room again sooner.
-            e.jams, e.pressed_until = e.jams + 1, self.now + pressure.FULL_REST_MS
-            e.rest_until = self.now + min(pressure.FULL_REST_MS * 2**e.jams, SUSPICION_MS)
-        elif outcome in (Outcome.ERROR, Outcome.CONNECT_FAILED, Outcome.RESET):
-            self._bad_sign(e, q, outcome)
-
-    def _bad_sign(self, e: EngineView, q: Query | None, outcome: Outcome) -> None:
-        """An error, a broken connection or a failed connect: how much it says against the engine."""
-        # Danger: a query that no engine can run failed on all of them, and all were doubted. The second error
-        # shows that it was the query, and the first engine gets back what it lost.
-        if outcome is Outcome.ERROR and q is not None:
-            q.failures += 1
-            if q.blamed is not None:
-                q.blamed.errors = max(0.0, q.blamed.errors - ERROR_GAIN)
-                return
-            q.blamed = e
-        # Danger: one reset connection or one spoilt answer was taken for a death, and half the fleet was left
-        # for seconds. All that was out on it is one sign; a dead engine shows in the next connect, which is
-        # proof. May hurt where an engine dies and takes connections, but answers nothing.
-        if outcome is Outcome.RESET:
-            if e.broke_at == self.now:
-                return
-            e.broke_at = self.now
-            if self.settings.permits.probes:
-                self._probe(e)
-        e.errors, e.good = e.errors + ERROR_GAIN * (1 - e.errors), 0
-        if outcome is Outcome.CONNECT_FAILED or e.errors > ERROR_SUSPECT:
-            self._doubt(e, "errors" if outcome is Outcome.ERROR else "dead")
-
     def _again(self, q: Query, outcome: Outcome) -> None:
         """Try elsewhere if rules and time allow, else answer at once."""
         if (
@@ -529,24 +432,6 @@
             for e in self.live:
                 e.hear(event.peer, told[1].get(e.code), self.now + PEER_GAPS * self.gap)
 
-    def _probe(self, e: EngineView) -> None:
-        """Ask an engine for a word, within what own traffic allows: each probe has its price."""
-        if self.probes >= 1 and self.now - e.probed_at >= SILENCE_MIN_MS:
-            self.probes, e.probed_at = self.probes - 1, self.now
-            self.actions.append(io.Probe(e.id))
-
-    def _on_probed(self, event: io.Probed) -> None:
-        e = self.engines.get(event.engine)
-        if e is None or event.outcome is not Outcome.OK:
-            if e is not None and e.out and event.outcome in (Outcome.TIMEOUT, Outcome.CONNECT_FAILED):
-                self._doubt(e, "deaf" if event.outcome is Outcome.TIMEOUT else "dead")
-            return
-        learning.hear_report(self, e, event.report)
-        if e.suspect == "deaf":  # ends by the kind of sign that it came from
-            self._trust(e)
-        elif e.suspect == "dead":
-            e.trickle_at = min(e.trickle_at, self.now)
-
     # --- guards ---
 
     def _barred(self, q: Query, e: EngineView) -> str:
@@ -566,17 +451,12 @@
         now, self.next_beat, self.changed = self.now, math.inf, True
         learning.follow_best(self)
         for e in list(self.active.values()):
-            if not e.suspect and self._silent(e):
-                self._doubt(e, "silent")
+            engine_health.check_silence(self, e)
             if self.settings.permits.cancel:
                 self._rescue(e)
             if not e.out and not e.plan:
                 del self.active[e.id]
-        for e in list(self.doubted.values()):
-            if now >= e.suspect_until:
-                self._trust(e)
-            elif self.settings.permits.probes and e.bound:
-                self._probe(e)
+        engine_health.check_suspicions(self)
         if now >= self.next_replan:
             self.next_replan = now + REPLAN_MS
             self._count_room()
@@ -611,7 +491,7 @@
             if q.cancelled or q.over or q.streaming or q.cls.effect is not Effect.SAFE:
                 continue
             told = q.seen_at > q.run_at  # a note told its pace: a bad plan shows in the first one
-            gone = e.suspect in UNHEARD or not e.bound
+            gone = e.suspect in engine_health.UNHEARD or not e.bound
             if not gone and age < plans * q.p and not told or retry.repeat_barred(self, q):
                 continue
             left = math.inf if gone else RESCUE_FACTOR * age
