Split capacity and the engine list off the scheduler

decide/capacity.py: room of engines and of the fleet, the engines that a gateway draws on, its share (was one method of 50 lines, _count_room). decide/engine_list.py: the list, restarts and the fleet's bounds.

--- /dev/null
+++ b/cottonhold/decide/engine_list.py
@@ -0,0 +1,72 @@
+"""The engine list and the fleet's bounds: which engines there are, and what may be sent to each."""
+
+from __future__ import annotations
+
+import dataclasses
+import math
+
+from cottonhold.decide import capacity, engine_health, placement, slow_start
+from cottonhold.decide import interface as io
+from cottonhold.decide.gateway_state import GatewayState
+from cottonhold.decide.interface import EngineState
+from cottonhold.decide.state import EngineView
+
+ASK_AGAIN_MS = 400.0  # after a call for the list that failed
+
+
+def on_list(gateway: GatewayState, event: io.EngineList) -> None:
+    """The list, whole or what changed: queries held for engines that leave are placed anew."""
+    named = {info.id for info in event.engines}
+    for info in event.engines:
+        _on_entry(gateway, info)
+    for engine in list(gateway.engines.values()):
+        if event.whole and engine.id not in named:
+            engine.info = dataclasses.replace(engine.info, state=EngineState.GONE)
+        if engine.info.state is not EngineState.LIVE:
+            engine_health.trust(gateway, engine)
+            for query in engine.empty():
+                placement.place(gateway, query)
+        if engine.info.state is EngineState.GONE and not engine.out:
+            del gateway.engines[engine.id]
+    capacity.count_room(gateway)
+
+
+def _on_entry(gateway: GatewayState, info: io.Engine) -> None:
+    """A new start time means a restart: what was learned of the old process is void."""
+    engine = gateway.engines.get(info.id)
+    if engine is None:
+        engine = EngineView.listed(info, gateway.settings.models, gateway.now)
+        gateway.engines[info.id] = engine
+    elif info.started_at != engine.info.started_at:
+        engine.restart()
+        engine_health.trust(gateway, engine)
+    engine.info = info
+    if info.started_at > 0:
+        slow_start.begin(gateway, engine, info.started_at + gateway.settings.rules.warm_within)
+
+
+def on_list_failed(gateway: GatewayState, event: io.ListFailed) -> None:
+    """A call for the list failed: the old one holds, and it is asked for again."""
+    gateway.next_ask = gateway.now + ASK_AGAIN_MS
+
+
+def ask(gateway: GatewayState) -> None:
+    """Ask for list changes, where they do not come by themselves."""
+    gateway.next_ask = math.inf
+    if gateway.settings.permits.ask_list:
+        gateway.actions.append(io.Subscribe(True))
+
+
+def on_bounds(gateway: GatewayState, event: io.Bounds) -> None:
+    """The fleet bounds what is sent to some engines."""
+    # Danger: each gateway left a failing zone by itself, engine by engine, and came back in a herd. So
+    # the fleet's word bounds what is sent. May hurt where it is wrong: one that leaves nobody is skipped.
+    leaves_some = any(event.work.get(e.id, math.inf) for e in gateway.live)
+    work = event.work if leaves_some else {}
+    for engine in gateway.engines.values():
+        if engine.set_bound(gateway.now, work.get(engine.id, math.inf), event.until):
+            engine_health.trust(gateway, engine)  # the fleet returns to it: what it was doubted for is past
+    capacity.count_room(gateway)
+    held = [query for engine in gateway.engines.values() if not engine.bound for query in engine.empty()]
+    for query in held:
+        placement.place(gateway, query)
--- a/cottonhold/decide/scheduler.py
+++ b/cottonhold/decide/scheduler.py
@@ -8,7 +8,6 @@
 
 from __future__ import annotations
 
-import dataclasses
 import math
 import random
 from collections.abc import Callable, Iterable
@@ -16,7 +15,9 @@
 
 from cottonhold.decide import (
     answers,
+    capacity,
     engine_health,
+    engine_list,
     estimates,
     learning,
     ordering,
@@ -28,7 +29,7 @@
 )
 from cottonhold.decide import interface as io
 from cottonhold.decide.gateway_state import GatewayState
-from cottonhold.decide.interface import Effect, EngineState, Outcome
+from cottonhold.decide.interface import Effect, Outcome
 from cottonhold.decide.parameters import (
     ALPHA,
     CANDIDATES,
@@ -46,11 +47,8 @@
 )
 from cottonhold.decide.state import EngineView, Query
 
-MEMORY_ROOM = 0.9  # share of an engine's memory planned for; needs are estimates
-CHANCE = 1.5  # standard deviations of an engine's memory in use left free for chance
 OVERFULL = 1.25  # times the room is too full also for what passes: work done falls steeply from there
 RESCUE_FACTOR = 2.0  # plans run before a rescue, times run that are guessed to be left, times sooner than it
-ASK_AGAIN_MS = 400.0  # after a call for the list that failed
 PROBES_PER_QUERY = 0.3  # own probes for each own query, at most
 PROBE_PRICE = 0.003  # of the result that probes may cost: where they are dear fewer are sent
 PEER_PRICE = 0.003  # of the result that messages on loads may cost: their gap follows from it
@@ -73,15 +71,15 @@
             io.Arrival: self._on_arrival,
             io.AttemptEnded: self._on_ended,
             io.Note: self._on_note,
-            io.EngineList: self._on_list,
+            io.EngineList: lambda event: engine_list.on_list(self, event),
             io.ClientGone: self._on_gone,
             io.Probed: lambda event: engine_health.on_probed(self, event),
             io.PeerMessage: self._on_peer,
             io.StreamStarted: self._on_stream,
-            io.ListFailed: self._on_failed,
+            io.ListFailed: lambda event: engine_list.on_list_failed(self, event),
             io.Timer: lambda _: None,
             io.Retune: lambda event: self._adopt(event.settings),
-            io.Bounds: self._on_bounds,
+            io.Bounds: lambda event: engine_list.on_bounds(self, event),
             io.Price: lambda event: setattr(self, "threshold", event),
             io.Leaving: lambda event: self.deadlines.cut(event.until),
         }
@@ -111,9 +109,8 @@
             self._sweep()
         if now >= self.next_peer:
             self._tell_peers()
-        if now >= self.next_ask:  # list changes are asked for where they do not come by themselves
-            self.next_ask = math.inf
-            self.actions += [io.Subscribe(True)] if self.settings.permits.ask_list else []
+        if now >= self.next_ask:
+            engine_list.ask(self)
         if self.changed:
             self._release()
         self._wake()
@@ -128,89 +125,6 @@
             self.wake_at = due
             self.actions.append(io.Wake(max(due - self.now, self.settings.tick), 0))
 
-    # --- engine view ---
-
-    def _on_failed(self, event: io.ListFailed) -> None:
-        self.next_ask = self.now + ASK_AGAIN_MS
-
-    def _on_list(self, event: io.EngineList) -> None:
-        named = {info.id for info in event.engines}
-        for info in event.engines:
-            self._on_entry(info)
-        for e in list(self.engines.values()):
-            if event.whole and e.id not in named:
-                e.info = dataclasses.replace(e.info, state=EngineState.GONE)
-            if e.info.state is not EngineState.LIVE:
-                engine_health.trust(self, e)
-                for q in e.empty():
-                    placement.place(self, q)
-            if e.info.state is EngineState.GONE and not e.out:
-                del self.engines[e.id]
-        self._count_room()
-
-    def _on_bounds(self, event: io.Bounds) -> None:
-        # Danger: each gateway left a failing zone by itself, engine by engine, and came back in a herd. So
-        # the fleet's word bounds what is sent. May hurt where it is wrong: one that leaves nobody is skipped.
-        work = event.work if any(event.work.get(e.id, math.inf) for e in self.live) else {}
-        for e in self.engines.values():
-            if e.set_bound(self.now, work.get(e.id, math.inf), event.until):
-                engine_health.trust(self, e)  # the fleet returns to it: what it was doubted for is past
-        self._count_room()
-        for q in [q for e in self.engines.values() if not e.bound for q in e.empty()]:
-            placement.place(self, q)
-
-    def _count_room(self) -> None:
-        """Live engines, weighted in the draw by the cores they have now, and their thread and memory room."""
-        self.live = [e for e in self.engines.values() if e.info.state is EngineState.LIVE]
-        # Danger: engines fill unevenly by chance, what others sent is hardly seen, one that pages jams. So
-        # memory is left free for chance the more, the rarer this gateway hears of each engine.
-        heard = 1000 * len(self.live) / max(self.traffic.per_s(self.now), 1e-3)  # so often of each engine
-        self.heard = self.now - self.heard_at < PEER_GAPS * self.gap
-        self.blind = (1 - self.share) * (1 - math.exp(-heard / REPORT_FRESH_MS))
-        for e in self.live:
-            e.room = e.cores * THREADS_PER_CORE * e.warmth(self.now, self.settings.rules)
-            e.room *= min(1.0, max(e.bound / (e.cores * self.share), 0.05)) if e.bound else 1.0
-            chance = CHANCE * math.sqrt(self.blind / (e.cores * THREADS_PER_CORE))
-            e.memory_room = e.memory * MEMORY_ROOM * (1 - min(chance, 0.5)) or math.inf
-        # Danger: where engines are rarely heard of, the best of k is the one last seen by luck, and all fill
-        # unevenly. So k are drawn from engines of this gateway's own, evenly covered, which it gets to know;
-        # k times its share of the fleet, k at least. Suspect ones are replaced. Hurts if `me` is not set.
-        ranked = sorted(self.live, key=lambda e: e.id)
-        for rank, e in enumerate(ranked):
-            e.rank = rank
-        first = round(self.settings.me * len(ranked) / self.settings.gateways)
-        count = math.ceil(CANDIDATES * max(1.0, len(ranked) * self.share))
-        turned = ranked[first:] + ranked[:first]
-        # Danger: taken from the list, left engines changed whom peers tell of loads, and the others idled.
-        self.near = [e for e in turned if e.sound()][:count]
-        last = self.near[-1].rank if self.near else -1
-        self.mine = {e.id for e in turned[: (last - first) % len(ranked) + 1]} if self.near else set[str]()
-        self.reach = min(1.0, sum(e.sound() for e in ranked) / max(len(self.near), 1) * self.share) or 1.0
-        least = min((e.cores for e in self.live), default=1.0)
-        self.ring = [e for e in ranked for _ in range(round(e.cores / least))] if len(ranked) > 1 else []
-        self.homes.clear()
-        self.full_room = sum(e.room for e in self.live) or 1.0
-        self.full_memory = sum(e.memory_room for e in self.live) or math.inf
-        self.own_room, own_memory = self.full_room * self.share, self.full_memory * self.share
-        # Own held work is drained by the own part of its engine, by all of it where peers tell of theirs, and
-        # by the own part of the whole fleet where engines are unseen.
-        part, self.alike = 1.0 if self.heard else self.share, (1 / self.reach - 1) * self.heard
-        for e in self.live:
-            e.own_room = max(e.room * part, self.blind * min(e.room, self.own_room))
-            e.own_memory = max(e.memory_room * part, self.blind * min(e.memory_room, own_memory))
-
-    def _on_entry(self, info: io.Engine) -> None:
-        """A new start time means a restart: what was learned of the old process is void."""
-        e = self.engines.get(info.id)
-        if e is None:
-            e = self.engines[info.id] = EngineView.listed(info, self.settings.models, self.now)
-        elif info.started_at != e.info.started_at:
-            e.restart()
-            engine_health.trust(self, e)
-        e.info = info
-        if info.started_at > 0:
-            slow_start.begin(self, e, info.started_at + self.settings.rules.warm_within)
-
     def _on_note(self, event: io.Note) -> None:
         q, e = self.queries.get(event.query), self.engines.get(event.engine)
         if q is None or e is None or q.id not in e.out:
@@ -459,7 +373,7 @@
         engine_health.check_suspicions(self)
         if now >= self.next_replan:
             self.next_replan = now + REPLAN_MS
-            self._count_room()
+            capacity.count_room(self)
             placement.replan(self)
 
     def _tell_peers(self) -> None:
