Place engines' starts on a clock that no step of the wall clock moves

Seen: startedAtMs is Unix time, and the own clock was "Unix ms", with the offset of both clocks read once at start. With the wall clock an hour ahead at start an engine that had just begun passed for warm (no cold budget at all); an hour behind it was held to the budget for an hour; and connections to the process before were kept, since all had been opened "after" the restart.

Ruled out: steps in service. The offset was read once, so deadlines, rests and timers (loop.call_later, asyncio.timeout) never saw one; a test holds that now. Requests' limits are spans (`allow`), counted from arrival.

At fault: LoopClock (node/driver.py), whose zero was a wall clock's, and View (discovery/view.py), which took a trusted source's stamp as a time of that clock.

Change: Clock.now() is monotonic; its origin lies 1e9 ms before the machine's boot, so that 0 goes on meaning "long past" on a machine that has just booted. An observation's started_at is a stamp in Unix ms, and only discovery/starts.py makes a time of it, once for each new stamp: - No process is told of before it began. So the latest stamp, less the own time when it was heard, is at most the true difference of the clocks, and a start worked out with it is not too early: the budget binds. It may be too late by how late the promptest of all starts was told, and no start is later than now, so a warm engine is throttled for `warm_within` at most. - The own wall clock makes a start only later (a stamp may be ahead), but for one use: stamps that it holds for over two hours old (two steps of an hour) are old indeed.

Alternatives weighed: believing the own wall clock within those bounds lets an engine be too old by as much as the list was silent, 8 s in an outage; counting each new engine from when it is told needs no stamps, but throttles for longer after an outage, and all of the first list at each start of a dispatcher; the Date header of the answers is not in the protocol and may be stepped as well. At the first list nothing tells a wall clock that is right from one an hour ahead: the engine that began last counts as begun now, the others as long before as their stamps tell.

--- a/cottonhold/discovery/belief.py
+++ b/cottonhold/discovery/belief.py
@@ -67,18 +67,27 @@
 class Belief:
     """The one list, and the sources that it is made from, in the order of their precedence."""
 
-    def __init__(self, sources: Sequence[tuple[str, Guard]], seed: int) -> None:
-        self.seed = seed
-        self.views = {name: View(name, i, guard, seed) for i, (name, guard) in enumerate(sources)}
+    def __init__(self, sources: Sequence[tuple[str, Guard]], seed: int, unix_offset: float = 0.0) -> None:
+        self.seed, self.unix_offset = seed, unix_offset
+        self.views = {name: self._view(name, i, guard) for i, (name, guard) in enumerate(sources)}
         self.standing: dict[str, Standing] = {}
         self.owners: dict[Address, str] = {}
         self.doubtful: set[str] = set()  # judged in each step: an end that others have not answered yet
 
+    def _view(self, name: str, precedence: int, guard: Guard) -> View:
+        return View(name, precedence, guard, self.seed, self.unix_offset)
+
     # --- what happens ---
 
     def step(self, now: float, events: Iterable[Event] = ()) -> list[Action]:
         """Take in what sources told by now; returns what is to be done. An unknown source raises KeyError."""
         actions: list[Action] = []
+        events = list(events)
+        # Danger: placed one by one, all starts of a list told in many reports counted as now, the last one
+        # only being as late as any; and a dispatcher that came back held the whole fleet for cold.
+        for event in events:
+            if isinstance(event, Report):
+                self.views[event.source].starts.hear(now, (o.started_at for o in event.observations))
         for event in events:
             view = self.views[event.source]
             match event:
@@ -101,8 +110,14 @@
         for view in self.views.values():
             view.tell(now, Report(view.name, 0, tuple(observations), whole=True))
             view.answers = 0  # the first real answer still tells of engines that were there before
+            view.starts.current(-math.inf)
         return self.step(now)
 
+    def current(self, now: float, source: str) -> None:
+        """A trusted source's answer is taken in whole; it may have told nothing new."""
+        if source in self.views:
+            self.views[source].starts.current(now)
+
     def next_at(self) -> float:
         """When `step` is due even if nothing is told; infinity if never."""
         return min((view.next_at() for view in self.views.values()), default=math.inf)
@@ -114,7 +129,7 @@
         old = self.views
         self.views = {}
         for precedence, (name, guard) in enumerate(sources):
-            view = old.pop(name) if name in old else View(name, precedence, guard, self.seed)
+            view = old.pop(name) if name in old else self._view(name, precedence, guard)
             self.views[name] = view
             view.precedence, view.guard, view.damping.guard = precedence, guard, guard
         for view in old.values():
--- a/cottonhold/discovery/bus.py
+++ b/cottonhold/discovery/bus.py
@@ -75,6 +75,7 @@
     ) -> None:
         self.host, self.offset, self.names, self.counters, self.tell = host, offset, names, counters, tell
         self.unanswered = False  # the last call, a short one
+        self.current: Callable[[], None] = lambda: None  # an answer is told whole, even if nothing is new
         self.restart()
 
     def restart(self) -> None:
@@ -124,8 +125,12 @@
             offset, reports = read_batch(orjson.loads(body), self.names, self.counters)
         except (orjson.JSONDecodeError, WireError) as error:
             self._malformed(error)
-        if offset <= self.offset:  # an answer that tells nothing new must not be told twice
-            return
+        if offset > self.offset:  # an answer that tells nothing new must not be told twice
+            self._tell(offset, reports)
+        if offset == self.offset:
+            self.current()
+
+    def _tell(self, offset: int, reports: list[Report]) -> None:
         known, self.offset = self.offset, offset
         for report in sorted(reports, key=lambda report: report.index):
             # Danger: an event sent again, of an engine as it was before it drained, put it back to work.
--- a/cottonhold/discovery/held.py
+++ b/cottonhold/discovery/held.py
@@ -21,7 +21,7 @@
     def __init__(self) -> None:
         self.known: dict[str, io.Engine] = {}  # as the list has them, those that are gone left out
         self.held: set[str] = set()
-        self.starts: dict[str, float] = {}  # engine -> when the process that is there now began, Unix ms
+        self.starts: dict[str, float] = {}  # engine -> when the process that is there now began, own clock
 
     def take(self, change: Change) -> Change:
         """A change of the list, as it is to be published."""
@@ -43,7 +43,7 @@
         return self._again(engine)
 
     def free(self, engine: str, started: float = 0.0) -> Change | None:
-        """The way back. started: since when another process than before is there, in Unix ms; 0: the same."""
+        """The way back. started: since when another process is there, on the own clock; 0: the same."""
         if engine not in self.held:
             return None
         self.held.discard(engine)
--- a/cottonhold/discovery/view.py
+++ b/cottonhold/discovery/view.py
@@ -21,6 +21,7 @@
 from cottonhold.decide.interface import EngineState
 from cottonhold.discovery.damping import Damping
 from cottonhold.discovery.model import Address, Confirm, Guard, Lost, Observation, Remark, Report, Verdict
+from cottonhold.discovery.starts import Starts
 
 STATES = {
     Verdict.IN: EngineState.LIVE,
@@ -37,7 +38,7 @@
 
     `seen` is the last word; `state` what it amounts to now. `back_at` is when a return counts (infinity: none
     is due); `held` that the floor keeps the last word from counting. `process`, `registered` and `address`
-    are of the process that served last.
+    are of the process that served last; `started_at` is its start on the own clock, made from `stamp`.
     """
 
     seen: Observation
@@ -46,6 +47,7 @@
     heard_at: float
     index: int
     started_at: float
+    stamp: float
     process: str
     registered: int
     address: Address | None
@@ -56,8 +58,9 @@
 class View:
     """All claims of one source."""
 
-    def __init__(self, name: str, precedence: int, guard: Guard, seed: int) -> None:
+    def __init__(self, name: str, precedence: int, guard: Guard, seed: int, unix_offset: float) -> None:
         self.name, self.precedence, self.guard = name, precedence, guard
+        self.starts = Starts(unix_offset)
         self.damping = Damping(guard, random.Random(f"{seed}/{name}"))
         self.claims: dict[str, Claim] = {}
         self.waiting: dict[str, float] = {}  # engines that are due back, and when
@@ -92,6 +95,8 @@
         else:
             falls += lost
         self._fall(now, falls, report.index, report.confirmed)
+        if not self.guard.trusted:  # of the event bus many reports may make up one answer
+            self.starts.current(now)
 
     def lose(self, now: float, event: Lost) -> None:
         """The source can't be reached: say so once, and again if the reason changes; keep everything."""
@@ -150,10 +155,9 @@
         """
         if o.verdict is Verdict.ENDED:
             return False
-        known = self.guard.trusted or first
-        started = o.started_at if known and o.started_at <= 0 or self.guard.trusted else self._start(now, o)
+        started = 0.0 if first and o.started_at <= 0 else self._start(now, o)
         state = STATES[o.verdict]
-        claim = Claim(o, state, now, now, index, started, o.process, o.registered, o.address)
+        claim = Claim(o, state, now, now, index, started, o.started_at, o.process, o.registered, o.address)
         self.claims[o.id] = claim
         self.touched.add(o.id)
         self._count(o.verdict, 1)
@@ -166,7 +170,7 @@
     def _renew(self, now: float, claim: Claim, o: Observation) -> None:
         """An engine in service is told of again: the same process, or another under its id."""
         if self.guard.trusted:
-            started = o.started_at
+            started = self._told_start(now, claim, o)
         elif self._same(claim, o):
             started = claim.started_at
             if started <= 0 < o.started_at:
@@ -180,7 +184,7 @@
 
     def _serve(self, claim: Claim, o: Observation, started: float) -> None:
         claim.started_at, claim.process, claim.registered = started, o.process, o.registered
-        claim.address = o.address
+        claim.address, claim.stamp = o.address, o.started_at
         self.touched.add(o.id)
 
     def _same(self, claim: Claim, o: Observation) -> bool:
@@ -191,8 +195,18 @@
         return claim.registered in (0, o.registered) and claim.address == o.address
 
     def _start(self, now: float, o: Observation) -> float:
-        """When a process not seen before began; a time to come is a clock that is off."""
-        return min(o.started_at, now) if o.started_at > 0 else now
+        """When a process not seen before began, on the own clock; without a stamp, a trusted source says that
+        it is long past, and of others nobody knows.
+        """
+        if o.started_at > 0:
+            return self.starts.place(now, o.started_at)
+        return 0.0 if self.guard.trusted else now
+
+    def _told_start(self, now: float, claim: Claim, o: Observation) -> float:
+        """The start of an engine told of again: the same stamp is the same process, and stays where it was
+        placed.
+        """
+        return claim.started_at if o.started_at == claim.stamp else self._start(now, o)
 
     def _return(self, now: float, claim: Claim, o: Observation) -> None:
         if self.guard.trusted:
@@ -211,7 +225,7 @@
     def _enter(self, now: float, claim: Claim, o: Observation, why: str) -> None:
         proven = bool(o.process) and self._same(claim, o)
         if self.guard.trusted:
-            started = o.started_at
+            started = self._told_start(now, claim, o)
         else:
             started = claim.started_at if proven else self._start(now, o)
         claim.state, claim.since = EngineState.LIVE, now
--- a/cottonhold/node/clock.py
+++ b/cottonhold/node/clock.py
@@ -1,4 +1,4 @@
-"""The one clock: milliseconds that only advance, anchored to Unix time, and timers on it."""
+"""The one clock: milliseconds that only advance, and timers on it. It has no part in any wall clock."""
 
 from __future__ import annotations
 
@@ -17,7 +17,7 @@
     """What the parts that know no socket need of time."""
 
     def now(self) -> float:
-        """Milliseconds of Unix time; steps of the system's clock after the start do not show."""
+        """Milliseconds of a monotonic clock: only differences mean something, and only in this process."""
 
     def call_in(self, ms: float, action: Callable[[], None]) -> Timer:
         """Call an action after some time."""
--- a/cottonhold/node/dispatcher.py
+++ b/cottonhold/node/dispatcher.py
@@ -75,10 +75,11 @@
         self.calls = Calls(self.life, clock, counters, log.note, self.parts.calls)
         self.peers = Peers(config.peers, config.peers_all, counters)
         self.gateway.tell = self.tell
-        self.belief = Belief(sources, config.seed)
+        self.belief = Belief(sources, config.seed, clock.unix_offset)
         self.belief_timer: Timer | None = None
         host = config.bus.host if config.bus else ""
         self.bus = Bus(host, config.offset, config.names, counters, lambda report: self.believe([report]))
+        self.bus.current = lambda: self.belief.current(clock.now(), SOURCE)
         self.stop, self.serving = asyncio.Event(), False
         self.following: asyncio.Task[None] | None = None
 
@@ -154,6 +155,7 @@
         """Serve until told to stop, then finish what is open."""
         driver, config = self.driver, self.config
         self.believe(config.known)
+        self.bus.current()
         if config.peer_listen is not None:
             udp = driver.udp_socket(config.peer_listen)
             driver.hear_peers(udp, self.peers, self.gateway.push, self.hear_others)
--- a/cottonhold/node/driver.py
+++ b/cottonhold/node/driver.py
@@ -35,6 +35,7 @@
 MOST_BROKEN = 64  # connections that broke in the queue, in a row, between two pauses
 QUEUE_PAUSES = 25  # that a listener's close waits at most for what accept lacks
 BACKOFF_S, MOST_BACKOFF_S = 0.05, 1.0
+ORIGIN_MS = 1e9  # 0, which means long past in many places, lies twelve days before the machine's start
 SO_ATTACH_REUSEPORT_CBPF = 51
 # "return 1" in classic BPF: the second socket of the address. Where there is none the kernel picks by hash.
 SECOND = struct.pack("@HBBI", 0x06, 0, 0, 1)
@@ -58,12 +59,18 @@
 class LoopClock:
     """The one clock, and timers on the loop."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
-        self.loop, self.offset = loop, time.time() - time.monotonic()
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        monotonic: Callable[[], float] = time.monotonic,
+        wall: Callable[[], float] = time.time,
+    ) -> None:
+        self.loop, self.monotonic = loop, monotonic
+        self.unix_offset = wall() * 1000 - self.now()  # right or not; only `discovery/starts.py` weighs it
 
     def now(self) -> float:
-        """Milliseconds of Unix time; a step of the system's clock after the start does not show."""
-        return (time.monotonic() + self.offset) * 1000
+        """Milliseconds of the monotonic clock, from an origin long before the machine's start."""
+        return ORIGIN_MS + self.monotonic() * 1000
 
     def call_in(self, ms: float, action: Callable[[], None]) -> asyncio.TimerHandle:
         """Call an action after some time."""
--- a/cottonhold/node/gateway.py
+++ b/cottonhold/node/gateway.py
@@ -171,7 +171,7 @@
         self.push(io.Retune(settings))
 
     def leave(self, until: float) -> None:
-        """This process ends: what has no answer by then (Unix ms) never gets one.
+        """This process ends: what has no answer by then (own clock) never gets one.
 
         Danger: the module went by the clients' time. So it held and began what SIGKILL then found: two in a
         hundred requests of a day of restarts, most of them reports and loads, got no answer, nor could their
--- /dev/null
+++ b/tests/discovery/test_starts.py
@@ -0,0 +1,183 @@
+"""Engines' starts are told in Unix time; the own wall clock may be off, and the cold budget has to bind."""
+
+from __future__ import annotations
+
+import asyncio
+
+import orjson
+import pytest
+
+from cottonhold import Scheduler
+from cottonhold.decide import interface as io
+from cottonhold.discovery.belief import Belief
+from cottonhold.discovery.bus import SOURCE, Bus, read_batch
+from cottonhold.discovery.model import Guard, Names, Publish, Report
+from cottonhold.discovery.starts import Starts
+from cottonhold.node.driver import ORIGIN_MS, LoopClock
+from cottonhold.observe.counters import Counters
+from tests.test_scheduler import RULES, settings
+
+STEPS = [0.0, 5.0, -5.0, 3600.0, -3600.0]  # seconds that a wall clock is stepped by
+UNIX, DAY = 1_790_000_000_000.0, 86_400_000.0
+WARM = RULES.warm_within
+
+
+class Machine:
+    """A machine's clocks: the wall clock is off by `wrong`, the monotonic one counts from the boot."""
+
+    def __init__(self, wrong_s: float = 0.0, up_s: float = 7.0) -> None:
+        self.up_s, self.wrong_s = up_s, wrong_s
+        self.booted = UNIX - up_s * 1000
+        self.clock = LoopClock(asyncio.new_event_loop(), lambda: self.up_s, lambda: self.wall_s())
+        self.clock.loop.close()
+
+    def wall_s(self) -> float:
+        return self.true() / 1000 + self.wrong_s
+
+    def true(self) -> float:
+        """Unix ms as they are."""
+        return self.booted + self.up_s * 1000
+
+
+class Node:
+    """What the dispatcher does with an answer of the event bus, up to its module's view of each engine."""
+
+    def __init__(self, machine: Machine, *known: tuple[str, float]) -> None:
+        self.machine, self.counters = machine, Counters()
+        self.names, self.offset = Names(("z",), ("a",)), 0
+        self.belief = Belief(((SOURCE, Guard(trusted=True)),), 1, machine.clock.unix_offset)
+        self.module = Scheduler(settings(), 1)
+        offset, reports = read_batch(self.batch(*known), self.names, self.counters)
+        self.bus = Bus("h", offset, self.names, self.counters, lambda report: self.believe(report))
+        self.bus.current = lambda: self.belief.current(machine.clock.now(), SOURCE)
+        self.believe(*reports)
+        self.bus.current()
+
+    def batch(self, *engines: tuple[str, float]) -> dict[str, object]:
+        entries = [
+            {"instanceId": name, "hostPort": "127.0.0.9:1", "lifecycle": "Ready", "startedAtMs": started}
+            for name, started in engines
+        ]
+        events = []
+        for entry in entries:  # one engine each; the very first event is a whole list by its number
+            self.offset += 1
+            events.append({"offset": self.offset, "topology": {"instances": [entry]}})
+        return {"offset": self.offset, "batch": events}
+
+    def answer(self, *engines: tuple[str, float]) -> None:
+        """An answer of the event bus; without engines one that tells nothing new."""
+        body = orjson.dumps(self.batch(*engines))
+        assert self.bus.receive(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+
+    def believe(self, *reports: Report) -> None:
+        now = self.machine.clock.now()
+        for action in self.belief.step(now, reports):
+            if isinstance(action, Publish):
+                self.module.step(now, [io.EngineList(action.change.engines, whole=False)])
+
+    def wait(self, seconds: float, step: float = 0.0) -> None:
+        self.machine.up_s += seconds
+        self.machine.wrong_s += step
+
+    def cold_for(self, engine: str) -> float:
+        """For so many ms more the engine is held to the cold budget."""
+        return max(self.module.engines[engine].cold_until - self.machine.clock.now(), 0.0)
+
+
+@pytest.mark.parametrize("step", STEPS)
+def test_the_own_clock_runs_on_whatever_the_wall_clock_does(step: float) -> None:
+    machine = Machine()
+    before = machine.clock.now()
+    machine.wrong_s += step
+    assert machine.clock.now() == before
+    machine.up_s += 2.5
+    assert machine.clock.now() - before == 2500.0 and before == ORIGIN_MS + 7000.0
+
+
+@pytest.mark.parametrize("late", [0.0, 0.3, 1.9, 8.0], ids=lambda s: f"told {s} s late")
+@pytest.mark.parametrize("step", STEPS)
+@pytest.mark.parametrize("wrong", STEPS)
+def test_a_late_start_is_cold_for_no_less_and_hardly_longer_than_its_time(
+    wrong: float, step: float, late: float
+) -> None:
+    """wrong: the wall clock's error at the own start; step: in service; late: the list was down meanwhile."""
+    node = Node(Machine(wrong), ("old", 0.0))
+    node.wait(60.0, step)
+    node.answer()
+    started = node.machine.true()
+    node.wait(late)
+    node.answer(("new", started))
+    assert node.cold_for("old") == 0.0
+    assert WARM - late * 1000 <= node.cold_for("new") <= WARM
+
+
+@pytest.mark.parametrize("wrong", STEPS)
+def test_once_a_start_was_told_promptly_those_told_late_are_placed_right(wrong: float) -> None:
+    node = Node(Machine(wrong), ("old", 0.0))
+    node.answer(("first", node.machine.true()))
+    node.wait(1.0)
+    started = node.machine.true()
+    node.wait(4.0)
+    node.answer(("second", started))
+    expected = WARM if wrong < 0 else WARM - 4000.0  # behind, the own wall clock makes a start later
+    assert node.cold_for("second") == pytest.approx(expected, abs=1.0)
+
+
+@pytest.mark.parametrize("wrong", STEPS)
+def test_engines_of_the_first_list_that_began_just_before_are_cold_and_none_for_long(wrong: float) -> None:
+    machine = Machine(wrong)
+    began = {"just now": 100.0, "before": 4000.0, "long": 600_000.0, "ages": 30 * DAY}
+    node = Node(machine, *((name, machine.true() - ago) for name, ago in began.items()))
+    for name, ago in began.items():
+        assert max(WARM - ago, 0.0) <= node.cold_for(name) <= WARM
+    assert node.cold_for("ages") == 0.0 and (wrong < 0 or node.cold_for("long") == 0.0)
+
+
+@pytest.mark.parametrize("wrong", STEPS)
+def test_a_fleet_that_began_ages_ago_is_warm_at_the_own_start(wrong: float) -> None:
+    machine = Machine(wrong)
+    node = Node(machine, *((f"e{i}", machine.true() - DAY) for i in range(3)))
+    assert [node.cold_for(f"e{i}") for i in range(3)] == [0.0] * 3
+
+
+@pytest.mark.parametrize("stamped", [-3600.0, -5.0, 5.0, 3600.0])
+def test_a_stamp_by_a_clock_that_is_off_counts_as_now_and_spoils_no_other(stamped: float) -> None:
+    node = Node(Machine(), ("old", 0.0))
+    node.wait(1.0)
+    node.answer()
+    node.wait(0.5)
+    node.answer(("odd", node.machine.true() + stamped * 1000))
+    assert node.cold_for("odd") == WARM
+    node.wait(3.0)
+    node.answer(("good", node.machine.true()))
+    assert node.cold_for("good") == WARM
+
+
+@pytest.mark.parametrize("wrong", STEPS)
+def test_a_start_told_again_stays_where_it_was_placed_and_a_new_one_is_cold_anew(wrong: float) -> None:
+    node = Node(Machine(wrong), ("e", 0.0))
+    node.wait(10.0)
+    first = node.machine.true()
+    node.answer(("e", first))
+    node.wait(6.0)
+    node.answer(("e", first))
+    assert node.cold_for("e") == WARM - 6000.0
+    node.wait(6.0)
+    node.answer(("e", node.machine.true()))
+    assert node.cold_for("e") == WARM
+
+
+@pytest.mark.parametrize("wrong", STEPS)
+def test_a_machine_that_has_just_booted_takes_no_cold_engine_for_long_past(wrong: float) -> None:
+    machine = Machine(wrong, up_s=0.5)
+    node = Node(machine, ("e", machine.true() - 2000.0))
+    assert WARM - 2000.0 <= node.cold_for("e") <= WARM
+    assert Starts(0.0).place(500.0, 1.0) > 0  # 0 would say: warm
+
+
+@pytest.mark.parametrize("stamp", [1e308, 1e300, 0.5, 1.79e9])
+def test_a_stamp_that_makes_no_sense_is_now_once_the_list_is_known(stamp: float) -> None:
+    node = Node(Machine(), ("old", 0.0))
+    node.wait(1.0)
+    node.answer(("odd", stamp))
+    assert node.cold_for("odd") == WARM
