Have an instance pass whatever stamp its words were last told under, whichever start it was

Seen: without a folder that lasts, the first half of a word's stamp (`life`) is the wall clock's second of the start. Started anew with the wall clock set back, by 5 s or by an hour, or in the same second, an instance told its words under a stamp lower than those of its start before, and all others passed them over: votes on zones, offered load, outlook.

Ruled out: membership itself. SWIM tells the receiver its own row first, and _refute takes a higher incarnation (tests/membership/test_swim.py, an hour back); instances with a folder number by boots.

At fault: fleet/zones/words.py, Words.take, which kept only the version of a word in its own name, and that nobody answered a sender that is behind its own words.

Change: Words.told is a whole stamp; `following` gives the next one, in all five users. Who hears an older word from its own sender than one known answers with the known one (words, loads, sites); in the usual run of things none is sent, a test counts them. A forged stamp as high as can be written no longer ends in a struct.error in the next step: versions go over into the next life, and stop at the highest.

tests/fleet/test_words.py asked for `refuted == 900`; it asks now for the next stamp, (1, 901).

--- a/cottonhold/fleet/core.py
+++ b/cottonhold/fleet/core.py
@@ -211,21 +211,20 @@
 
     def hear(self, now: float, sender: int, data: bytes) -> list[Action]:
         """A message from a member; one that makes no sense is counted and changes nothing."""
+        newer: bytes | None = None  # for a sender that is behind its own words
         try:
             kind = data[0] if data else 0
             if kind == words.WORDS:
-                news = [word for word in words.read_words(data) if self.words.take(now, word)]
-                if self.next_words > self.next_step and any(map(self._alarming, news)):
-                    self.next_words = self.next_step
+                newer = self._hear_words(now, sender, data)
             elif kind == words.LOADS:
                 if self.loads is not None:
-                    self.loads.hear(now, data)
+                    newer = self.loads.hear(now, data, sender)
             elif kind == shown.RAMP:
                 if self.ramp is not None:
                     self.ramp.hear(now, data)
             elif kind == SITES:
                 if self.outlook is not None:
-                    self.outlook.hear(now, data)
+                    newer = self.outlook.hear(now, data, sender)
             elif kind == words.ORDERS:
                 if any([self.orders.take(order) for order in by_hand.read_orders(now, data)]):
                     self.next_step = now
@@ -235,7 +234,15 @@
                 return self._say([(a.member, parts.pack_loan(a.what)) for a in answers])
         except words.WordError:
             self.counts["malformed"] += 1
-        return []
+        return self._say([(sender, newer)]) if newer is not None else []
+
+    def _hear_words(self, now: float, sender: int, data: bytes) -> bytes | None:
+        told = words.read_words(data)
+        news = [word for word in told if self.words.take(now, word)]
+        if self.next_words > self.next_step and any(map(self._alarming, news)):
+            self.next_words = self.next_step
+        newer = self.words.passed_by(sender, told)
+        return words.pack_words([newer], words.ROOM) if newer is not None else None
 
     def order(self, now: float, zone: str, mode: by_hand.Mode, last: float, who: str, why: str) -> bool:
         """An order by hand at this instance; false if there is no such zone."""
@@ -478,7 +485,7 @@
     # --- words ---
 
     def _word(self, now: float) -> Word:
-        self.version = max(self.version, self.words.refuted) + 1
+        self.life, self.version = self.words.following(self.life, self.version)
         zones = {}
         for zone, state in self.zones.states.items():
             pace = {Phase.IN: 1.0, Phase.OUT: 0.0, Phase.RETURN: state.pace}[state.phase]
--- a/cottonhold/fleet/outlook/outlook.py
+++ b/cottonhold/fleet/outlook/outlook.py
@@ -121,10 +121,13 @@
         """A zone has answered a probe after `trip` ms: its distance, without any work."""
         self.trips[zone] = self.trips.get(zone, trip) * 0.9 + trip * 0.1
 
-    def hear(self, now: float, data: bytes) -> None:
-        """A message of sites. Raises WordError."""
-        for site in read_sites(data):
+    def hear(self, now: float, data: bytes, sender: int = 0) -> bytes | None:
+        """A message of sites; returns one for its sender, if that is behind. Raises WordError."""
+        sites = read_sites(data)
+        for site in sites:
             self.words.take(now, site)
+        newer = self.words.passed_by(sender, sites)
+        return pack_sites([newer]) if newer is not None else None
 
     def hint(self, data: bytes) -> None:
         """A message of sites that was kept over a power loss. Raises WordError."""
@@ -398,7 +401,7 @@
 
     def _say(self, now: float) -> Site:
         """This instance's next word, as others read it."""
-        self.version = max(self.version, self.words.refuted) + 1
+        self.life, self.version = self.words.following(self.life, self.version)
         return read_sites(pack_sites([self.site(now)]))[0]
 
     def _tell(self, now: float, members: list[int]) -> list[tuple[int, bytes]]:
--- a/cottonhold/fleet/price/loads.py
+++ b/cottonhold/fleet/price/loads.py
@@ -128,10 +128,13 @@
         """One that was let in went out after a part of its patience, or its time ran out."""
         self.pricing.ended(wait, lost)
 
-    def hear(self, now: float, data: bytes) -> None:
-        """A message of loads. Raises WordError."""
-        for load in read_loads(data):
+    def hear(self, now: float, data: bytes, sender: int = 0) -> bytes | None:
+        """A message of loads; returns one for its sender, if that is behind. Raises WordError."""
+        loads = read_loads(data)
+        for load in loads:
             self.words.take(now, load)
+        newer = self.words.passed_by(sender, loads)
+        return pack_loads([newer]) if newer is not None else None
 
     def step(
         self, now: float, live: Iterable[int], capacity: float, owned: float = 0.0
@@ -153,7 +156,7 @@
         if not members or now < self.next_round and not hot:
             return []
         self.next_round = now + s.rest * (0.8 + 0.4 * self.draw.random())
-        self.version = max(self.version, self.words.refuted) + 1
+        self.life, self.version = self.words.following(self.life, self.version)
         mine = Load(self.me, self.life, self.version, own)
         if len(members) < s.close:
             data = pack_loads([mine])
--- a/cottonhold/fleet/recovery/ramp.py
+++ b/cottonhold/fleet/recovery/ramp.py
@@ -368,7 +368,7 @@
         if not members or not self.growing and not self.wanted & self.numbers:
             return []
         few = len(members) < self.settings.close
-        self.version = max(self.version, self.words.refuted) + 1
+        self.life, self.version = self.words.following(self.life, self.version)
         mine = RampWord(self.me, self.life, self.version, self._rows(few))
         if few:
             data = shown.pack_words([mine])
--- a/cottonhold/fleet/swap/engines.py
+++ b/cottonhold/fleet/swap/engines.py
@@ -247,7 +247,7 @@
         due = now - self.told_at >= self.settings.tell or rows != self.told
         if rows and due:
             self.told_at, self.told = now, rows
-            self.version = max(self.version, self.words.refuted) + 1
+            self.life, self.version = self.words.following(self.life, self.version)
             data = pack_word(DrainWord(self.me, self.life, self.version, rows))
             actions += [Tell(member, data) for member in sorted(drivers)]
         return actions
--- a/cottonhold/fleet/zones/words.py
+++ b/cottonhold/fleet/zones/words.py
@@ -23,6 +23,7 @@
 ROOM = 200  # bytes of a message: a datagram of 256 less membership's head and MAC
 MOST_ZONES = 16
 PASSED_MOST = 16  # more words than a datagram holds
+HIGHEST = 0xFFFFFFFF  # life and version as they are written
 
 
 class WordError(Exception):
@@ -158,14 +159,14 @@
     def __init__(self, me: int) -> None:
         self.me = me
         self.heard: dict[int, Heard[Said]] = {}
-        self.refuted = 0  # a word of this instance that it never said: the highest version of those
+        self.told: tuple[int, int] = (0, 0)  # the highest stamp that a word of this instance came under
 
     def take(self, now: float, word: Said) -> bool:
         """Merge a word; true if it was news."""
         if word.member == self.me:
-            # Danger: one that lies, or an earlier life with a clock that went back, would speak in this
-            # instance's name for good. The owner passes whatever version is told of it.
-            self.refuted = max(self.refuted, word.version)
+            # Danger: one that lies, or an earlier start with a wall clock that was ahead, would speak in this
+            # instance's name for good. The owner passes whatever stamp is told of it.
+            self.told = max(self.told, word.stamp)
             return False
         known = self.heard.get(word.member)
         if known is not None and word.stamp <= known.word.stamp:
@@ -174,6 +175,23 @@
         self.heard[word.member] = Heard(word, now)
         return True
 
+    def following(self, life: int, version: int) -> tuple[int, int]:
+        """The stamp of this instance's next word, after its last one and whatever was told of it."""
+        life, version = max((life, version), self.told)
+        if version < HIGHEST:
+            return life, version + 1
+        return (life + 1, 1) if life < HIGHEST else (life, version)
+
+    def passed_by(self, sender: int, said: Iterable[Said]) -> Said | None:
+        """The newest word of a member that has just said an older one: it ought to know of it.
+
+        Danger: without a folder a life is numbered by a wall clock, and that may have been set back between
+        two starts. In small fleets nobody passes words on, and those of the new start counted for nothing.
+        """
+        known = self.heard.get(sender)
+        older = known is not None and any(w.member == sender and w.stamp < known.word.stamp for w in said)
+        return known.word if known is not None and older else None
+
     def newest(self) -> Iterable[Heard[Said]]:
         """The words, those that came last first."""
         return itertools.islice(reversed(self.heard.values()), PASSED_MOST)
--- /dev/null
+++ b/tests/fleet/test_incarnations.py
@@ -0,0 +1,110 @@
+"""One that starts anew with a wall clock that was stepped: the others hear its words at once."""
+
+from __future__ import annotations
+
+import pytest
+
+from cottonhold.fleet.core import Fleet, FleetSettings, Say
+from cottonhold.fleet.outlook.outlook import OutlookSettings
+from cottonhold.fleet.outlook.words import SITES
+from cottonhold.fleet.price.loads import Load
+from cottonhold.fleet.zones.words import LOADS, WORDS, Word, Words
+
+BEGAN = 1_790_000_000  # seconds of Unix time; a life without a folder is the second of its start
+HIGHEST = 0xFFFFFFFF
+KINDS = (WORDS, LOADS, SITES)
+
+
+class Crowd:
+    """Instances that hear whatever they tell one another, in virtual time."""
+
+    def __init__(self, count: int) -> None:
+        self.now, self.told_back = 0.0, 0
+        self.settings = FleetSettings(
+            dispatchers=count, price=True, probed=False, outlook=OutlookSettings(), home="a"
+        )
+        self.fleets = {me: self.start(me, BEGAN) for me in range(1, count + 1)}
+        self.meet()
+
+    def start(self, me: int, life: int) -> Fleet:
+        fleet = Fleet(me, life, self.now, self.settings, me)
+        fleet.know({zone: {f"{zone}{i}": 4.0 for i in range(2)} for zone in "ab"}, self.now)
+        return fleet
+
+    def meet(self) -> None:
+        for fleet in self.fleets.values():
+            fleet.members(self.now, self.fleets)
+
+    def restart(self, me: int, life: int) -> Fleet:
+        self.fleets[me] = self.start(me, life)
+        self.meet()
+        return self.fleets[me]
+
+    def run(self, ms: float) -> None:
+        end = self.now + ms
+        while self.now < end:
+            self.now += 20.0
+            told = [(me, a) for me, fleet in self.fleets.items() for a in fleet.step(self.now)]
+            while told:
+                sender, action = told.pop()
+                if isinstance(action, Say):
+                    answers = self.fleets[action.member].hear(self.now, sender, action.data)
+                    told += [(action.member, answer) for answer in answers]
+                    self.told_back += sum(isinstance(a, Say) and a.data[0] in KINDS for a in answers)
+
+    def heard_since(self, at: float, of: int) -> list[bool]:
+        """By each other instance and kind of words: whether one of this instance came since."""
+        found = []
+        for me, fleet in self.fleets.items():
+            if me != of:
+                assert fleet.loads is not None and fleet.outlook is not None
+                for words in (fleet.words, fleet.loads.words, fleet.outlook.words):
+                    found.append(of in words.heard and words.heard[of].at > at)
+        return found
+
+
+@pytest.mark.parametrize("count", [2, 3, 16])
+@pytest.mark.parametrize("step", [0, 5, -5, 3600, -3600], ids=lambda s: f"{s:+} s")
+def test_words_of_a_new_start_count_however_the_wall_clock_was_stepped_between(step: int, count: int) -> None:
+    """With the same second (0) it is the versions that begin anew."""
+    crowd = Crowd(count)
+    crowd.run(30_000)
+    assert all(crowd.heard_since(crowd.now - 6000, 1))
+    crowd.restart(1, BEGAN + step)
+    begun = crowd.now
+    crowd.run(10_000)
+    assert all(crowd.heard_since(begun + 4000, 1))
+    new = crowd.fleets[1]
+    assert new.loads is not None and new.loads.life == new.life == BEGAN + max(step, 0)
+
+
+def test_the_usual_run_of_things_needs_no_words_told_back() -> None:
+    crowd = Crowd(16)
+    crowd.run(30_000)
+    assert crowd.told_back == 0
+    crowd.restart(1, BEGAN - 5)
+    crowd.run(10_000)
+    assert 3 <= crowd.told_back < 3 * 16 * 2, "of three kinds, and no more once it knows"
+
+
+def test_no_stamp_told_of_an_instance_stops_its_words() -> None:
+    """A forged one may be as high as can be written."""
+    view = Words[Word](1)
+    assert view.following(7, 0) == (7, 1)
+    view.take(0.0, Word(1, 6, 900, 0, 0, {}))
+    assert view.following(7, 3) == (7, 4)
+    view.take(0.0, Word(1, 7, 900, 0, 0, {}))
+    assert view.following(7, 3) == (7, 901)
+    view.take(0.0, Word(1, 9, HIGHEST, 0, 0, {}))
+    assert view.following(7, 901) == (10, 1) and view.following(10, 1) == (10, 2)
+    view.take(0.0, Word(1, HIGHEST, HIGHEST, 0, 0, {}))
+    assert view.following(10, 2) == (HIGHEST, HIGHEST)
+
+
+def test_only_an_older_word_of_the_sender_itself_is_answered() -> None:
+    view = Words[Load | Word](1)
+    new, old, other = Word(2, 9, 5, 0, 0, {}), Word(2, 8, 70, 0, 0, {}), Word(3, 1, 1, 0, 0, {})
+    assert not view.passed_by(2, [new]), "none is known"
+    view.take(0.0, new)
+    assert view.passed_by(2, [old]) is new
+    assert not view.passed_by(2, [new]) and not view.passed_by(3, [other, old])
--- a/tests/fleet/test_words.py
+++ b/tests/fleet/test_words.py
@@ -117,7 +117,7 @@
     old, new = Word(2, 1, 5, 0, 0, {}), Word(2, 1, 6, 0, 0, {})
     assert view.take(1.0, new) and not view.take(2.0, old) and not view.take(3.0, new)
     assert view.fresh(100.0, 50.0, [2]) == [] and view.fresh(40.0, 50.0, [2]) == [new]
-    assert not view.take(4.0, Word(1, 1, 900, 0, 0, {})) and view.refuted == 900
+    assert not view.take(4.0, Word(1, 1, 900, 0, 0, {})) and view.following(1, 6) == (1, 901)
 
 
 def test_orders_are_bounded_and_the_newest_on_a_zone_counts() -> None:
