Number a start without a folder by the wall clock as read once, and draw what has to differ

Seen: incarnations (node/fleet/membership.py) were Clock.now() as Unix ms, which it no longer is; lives (node/fleet/zones.py) read time.time() by themselves, and seeds and terms time.time_ns(). The second wall clock of a process that is stepped may differ from the first, and a seed from a clock that went back may come again.

Change: both come from LoopClock.unix(), the wall clock as it stood at the start, given by the caller; a folder's boot goes before. Seeds and first terms are drawn (secrets), so no clock can repeat them.

--- a/cottonhold/node/driver.py
+++ b/cottonhold/node/driver.py
@@ -72,6 +72,10 @@
         """Milliseconds of the monotonic clock, from an origin long before the machine's start."""
         return ORIGIN_MS + self.monotonic() * 1000
 
+    def unix(self) -> float:
+        """Milliseconds of Unix time by the wall clock as it stood at the start; it may be off by hours."""
+        return self.now() + self.unix_offset
+
     def call_in(self, ms: float, action: Callable[[], None]) -> asyncio.TimerHandle:
         """Call an action after some time."""
         return self.loop.call_later(max(ms, 0.0) / 1000, action)
--- a/cottonhold/node/fleet/membership.py
+++ b/cottonhold/node/fleet/membership.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import time
+import secrets
 from collections.abc import Callable, Iterable
 from typing import Any
 
@@ -37,22 +37,22 @@
     return {"inflight": float(detail >> 16), "util": (detail & 0xFFFF) / SCALE}
 
 
-def make_instance(installation: Installation, now: float, incarnation: int = 0) -> Instance:
+def make_instance(installation: Installation, now: float, incarnation: int) -> Instance:
     """The pure parts for an installation that has a section `membership`. incarnation: the least to begin
     with."""
     file, config = installation.file, installation.config
     section = file.membership
     assert section is not None and config.peer_listen is not None
     settings = SwimSettings(period=section.period_ms, timeout=section.timeout_ms)
-    # Danger: the clock may have gone back since the last life. Incarnations mend that; a life's terms are
-    # drawn.
-    life = time.time_ns()
+    # Danger: the wall clock may have gone back since the last life. The others tell of its incarnation, and
+    # that is passed; a life's terms, and what tells its datagrams from the last one's, are drawn.
+    life = secrets.randbits(32)
     swim = Swim(
         file.name,
         installation.announce or config.peer_listen,
         settings,
-        config.seed ^ (life & 0xFFFFFFFF),
-        max(int(now), 1) if not incarnation else incarnation,
+        config.seed ^ life,
+        max(incarnation, 1),
         installation.keys,
         config.peers,
     )
--- a/cottonhold/node/fleet/zones.py
+++ b/cottonhold/node/fleet/zones.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import time
+import secrets
 from collections.abc import Callable, Iterable, Mapping
 from typing import Any
 
@@ -42,9 +42,9 @@
     """An order by hand that can't be taken, with what is wrong in it."""
 
 
-def make_fleet(installation: Installation, me: int, now: float, life: int | None = None) -> Fleet:
-    """The pure part for an installation that has a section `fleet`. life: as its folder counts; else by the
-    clock."""
+def make_fleet(installation: Installation, me: int, now: float, life: int) -> Fleet:
+    """The pure part for an installation that has a section `fleet`. life: as its folder counts, else the
+    second of its start."""
     file, section = installation.file, installation.file.fleet
     assert section is not None and file.membership is not None
     settings = FleetSettings(
@@ -66,9 +66,9 @@
         outlook=OutlookSettings() if section.outlook else None,
         home=file.peers.zones[file.number] if file.peers is not None and file.peers.zones else "",
     )
-    # Danger: of two lives the later one has to count; a second is enough, since none starts twice in one.
-    life = int(time.time()) if life is None else life
-    return Fleet(me, life, now, settings, installation.config.seed ^ time.time_ns() & 0xFFFFFFFF)
+    # Danger: of two lives the later one has to count, also where the wall clock was set back between them.
+    # Whoever knows the earlier one tells of it, and its stamps are passed; see zones/words.py.
+    return Fleet(me, life, now, settings, installation.config.seed ^ secrets.randbits(32))
 
 
 class FleetRim:
--- a/cottonhold/node/installation.py
+++ b/cottonhold/node/installation.py
@@ -190,7 +190,9 @@
         clock, gateway = self.driver.clock, self.gateway
         self.membership = rim = MembershipRim(
             make_instance(
-                self.installation, clock.now(), BOOT_STEP * ledger.boot if ledger is not None else 0
+                self.installation,
+                clock.now(),
+                BOOT_STEP * ledger.boot if ledger is not None else int(clock.unix()),
             ),
             clock,
             self.counters,
@@ -202,7 +204,7 @@
         gateway.heard_probe = self._heard_probe
         if self.installation.file.fleet is not None:
             swim = rim.instance.swim
-            life = life_of(ledger) if ledger is not None else None
+            life = life_of(ledger) if ledger is not None else max(int(clock.unix() / 1000), 1)
             core = make_fleet(self.installation, swim.id, clock.now(), life)
             self.fleet = FleetRim(
                 core,
--- a/tests/membership/test_swim.py
+++ b/tests/membership/test_swim.py
@@ -140,13 +140,21 @@
     assert fleet.agree()
 
 
-@pytest.mark.parametrize("skew", [0.0, -3_600_000.0])
-def test_one_that_returns_from_nothing_while_its_old_self_is_suspected(skew: float) -> None:
-    """Also where its clock has gone back by an hour: it learns of its old incarnation and passes it."""
+@pytest.mark.parametrize("end", ["suspected", "dead", "left"])
+@pytest.mark.parametrize("skew", [0.0, 5000.0, -5000.0, 3_600_000.0, -3_600_000.0])
+def test_one_that_returns_from_nothing_passes_its_old_self(skew: float, end: str) -> None:
+    """Also where its clock has gone back: it learns of its old incarnation and passes it."""
     fleet = settled()
     fleet.run(3_000)
+    if end == "left":
+        for farewell in fleet.instances[2].swim.leave(fleet.network.now):
+            assert isinstance(farewell, Send)
+            fleet.network._send(fleet.addresses[2], farewell.address, farewell.data)
+        fleet.run(100)
     fleet.kill(2)
-    fleet.run(600)
+    fleet.run(15_000 if end == "dead" else 600)
+    seen = {m.status for i in fleet.instances.values() for m in i.swim.view() if m.name == "n2"}
+    assert seen == {Status[end.upper()]} if end != "suspected" else seen <= {Status.ALIVE, Status.SUSPECT}
     fleet.start(2, skew=skew)
     fleet.until_agreed(6000)
     fleet.run(10_000)
