Split messages between gateways off the scheduler and the state

decide/peers.py: what gateways tell one another and hear, and their shares of the traffic. decide/peer_messages.py: the wire form, which stood in state.py; bytes unchanged. One test follows users to its new place; PEER_PRICE and THREADS_PER_CORE can still be imported from the scheduler.

--- a/cottonhold/decide/scheduler.py
+++ b/cottonhold/decide/scheduler.py
@@ -21,6 +21,7 @@
     estimates,
     learning,
     ordering,
+    peers,
     placement,
     pressure,
     retry,
@@ -37,26 +38,22 @@
     HEARTBEAT_MS,
     LEFT_LEAST,
     PASSED,
-    PEER_GAP_MOST_MS,
-    PEER_GAPS,
     REPLAN_MS,
     REPORT_FRESH_MS,
     SUSPICION_MS,
     THREADS_PER_CORE,
     TRAFFIC_MEMORY_MS,
 )
+from cottonhold.decide.peers import PEER_PRICE
 from cottonhold.decide.state import EngineView, Query
 
 OVERFULL = 1.25  # times the room is too full also for what passes: work done falls steeply from there
 RESCUE_FACTOR = 2.0  # plans run before a rescue, times run that are guessed to be left, times sooner than it
 PROBES_PER_QUERY = 0.3  # own probes for each own query, at most
 PROBE_PRICE = 0.003  # of the result that probes may cost: where they are dear fewer are sent
-PEER_PRICE = 0.003  # of the result that messages on loads may cost: their gap follows from it
-PEER_GAP_LEAST_MS = 250.0  # the shortest gap between messages on loads
 PATIENCE_ALIKE = 0.02  # of the time that most clients leave a first try: ticks and the way here scatter it
 REPEATS_MOST = 1.5  # repeats for each query turned away: clients of other gateways come too
 PATIENCE_VOTES = 40  # majority vote on it, at most: where clients differ too much, none counts as a repeat
-LOAD, LOADS = 2, 3  # kinds of peer message
 
 __all__ = ["PEER_PRICE", "THREADS_PER_CORE", "Scheduler"]
 
@@ -74,7 +71,7 @@
             io.EngineList: lambda event: engine_list.on_list(self, event),
             io.ClientGone: self._on_gone,
             io.Probed: lambda event: engine_health.on_probed(self, event),
-            io.PeerMessage: self._on_peer,
+            io.PeerMessage: lambda event: peers.on_message(self, event),
             io.StreamStarted: self._on_stream,
             io.ListFailed: lambda event: engine_list.on_list_failed(self, event),
             io.Timer: lambda _: None,
@@ -108,7 +105,7 @@
         if now >= self.next_beat - self.settings.tick / 2:
             self._sweep()
         if now >= self.next_peer:
-            self._tell_peers()
+            peers.tell_work(self)
         if now >= self.next_ask:
             engine_list.ask(self)
         if self.changed:
@@ -205,7 +202,7 @@
                 self._send(q, e)
 
     def _send(self, q: Query, e: EngineView) -> None:
-        permits, now = self.settings.permits, self.now
+        now = self.now
         grant = estimates.grant(self, q, e)
         if grant != q.grant or q.lane != q.lane_told:
             self.actions.append(io.Terms(q.id, grant, q.lane))
@@ -221,15 +218,7 @@
         slow_start.spend(q, e)
         if q.cls.loads:
             e.locks[q.tables] = max(e.locks.get(q.tables, 0.0), now + q.p)
-            if permits.peers:
-                data = state.pack_load(LOAD, e, q.tables, q.p)
-                self.actions += [io.Tell(data, peer) for peer in self._users(e)]
-
-    def _users(self, e: EngineView) -> list[int]:
-        """The other gateways that draw on an engine: readers of theirs would stand still behind a load."""
-        n, wide = self.settings.gateways, self.settings.gateways / max(len(self.live), 1)
-        first = math.ceil((e.rank - max(len(self.near), CANDIDATES) + 1) * wide)
-        return sorted({m % n for m in range(first, math.floor(e.rank * wide) + 1)} - {self.settings.me})
+            peers.tell_load(self, q, e)
 
     # --- outcomes ---
 
@@ -333,19 +322,6 @@
         if q := self.queries.get(event.query):
             q.streaming = True
 
-    def _on_peer(self, event: io.PeerMessage) -> None:
-        """Peers tell their traffic, for shares, and their loads, for stalls; anything else is skipped."""
-        data = event.data
-        if load := state.read_load(LOAD, data):
-            code, tables, length = load
-            until = self.now + min(length, max(c.deadline for c in self.settings.classes))  # not for good
-            for e in (e for e in self.live if e.code == code):
-                e.locks[tables] = max(e.locks.get(tables, 0.0), until)
-        elif data[:1] == bytes([LOADS]) and (told := state.read_loads(self.now, data)):
-            self.heard_at, self.peers.heard[event.peer] = self.now, (self.now, told[0])
-            for e in self.live:
-                e.hear(event.peer, told[1].get(e.code), self.now + PEER_GAPS * self.gap)
-
     # --- guards ---
 
     def _barred(self, q: Query, e: EngineView) -> str:
@@ -376,23 +352,6 @@
             capacity.count_room(self)
             placement.replan(self)
 
-    def _tell_peers(self) -> None:
-        """This gateway's traffic, for shares, and what it has on engines, to those that draw on them too."""
-        now, own, settings = self.now, self.traffic.per_s(self.now), self.settings
-        lists = dict[int, list[EngineView]]()
-        for e in (e for e in self.live if e.id in self.mine or e.id in self.active):
-            e.ahead(now, LEFT_LEAST, 0.0, ALPHA, PASSED)
-            e.fresh = state.Told(now, 0, 0.0, 0.0)
-            for peer in self._users(e):
-                lists.setdefault(peer, []).extend([e] if e.out or e.plan else [])
-        told = {peer: state.pack_loads(LOADS, own, engines) for peer, engines in lists.items()}
-        self.actions += [io.Tell(data, peer) for peer, data in told.items()]
-        price = settings.prices.peer * sum(map(len, told.values())) / 256 / PEER_PRICE
-        self.gap = min(max(PEER_GAP_LEAST_MS, 1000 * price / max(own, 0.1)), PEER_GAP_MOST_MS)
-        self.next_peer = now + self.gap * (0.5 + 0.5 * self.random.random())  # not in step with all others
-        if total := self.peers.mean(own, now - 10 * PEER_GAP_MOST_MS) * settings.gateways:
-            self.share = min(1.0, max(own / total, 0.2 / settings.gateways))
-
     def _rescue(self, e: EngineView) -> None:
         # Danger: bad plans, hung or slowed engines hold a query far past its plan; cancel where a fresh
         # attempt ends much sooner. On a full fleet most runs pass two plans, and those given up there were a
--- a/cottonhold/decide/state.py
+++ b/cottonhold/decide/state.py
@@ -4,7 +4,6 @@
 
 import heapq
 import math
-import struct
 import zlib
 from collections import deque
 from dataclasses import InitVar, dataclass, field
@@ -468,45 +467,6 @@
         self.area += times * q.area
 
 
-LOAD = struct.Struct(">BIHf")  # kind, engine's code, tables and planned length of a load
-HEAD = struct.Struct(">Bf")  # kind and the peer's traffic
-LOADS = struct.Struct(">IBHH")  # an engine's code, threads, memory and planned thread time of a peer there
-MEMORY_UNIT, AREA_UNIT = 16.0, 32.0  # of one step on the wire, in MB and in milliseconds
-MOST_LOADS = 28  # entries of a message, which has 256 bytes at most
-
-
-def pack_load(kind: int, e: EngineView, tables: int, length: float) -> bytes:
-    """A load that is sent to an engine, as a message to a peer."""
-    return LOAD.pack(kind, e.code, tables & 0xFFFF, length)
-
-
-def read_load(kind: int, data: bytes) -> tuple[int, int, float] | None:
-    """Code of the engine, tables and length of a peer's load; None for another message or an absurd one."""
-    if len(data) != LOAD.size or data[0] != kind or not math.isfinite(LOAD.unpack(data)[3]):
-        return None
-    _, code, tables, length = LOAD.unpack(data)
-    return code, tables, length
-
-
-def pack_loads(kind: int, traffic: float, engines: list[EngineView]) -> bytes:
-    """This gateway's traffic and what it has on these engines, as a message to a peer."""
-    data = HEAD.pack(kind, traffic)
-    for e in engines[:MOST_LOADS]:
-        area = e.held_area + sum(area for area, _ in e.left.values())
-        steps = min(int(max(e.memory_out, 0.0) / MEMORY_UNIT), 65535), min(int(area / AREA_UNIT), 65535)
-        data += LOADS.pack(e.code, min(e.threads_out, 255), *steps)
-    return data
-
-
-def read_loads(now: float, data: bytes) -> tuple[float, dict[int, Told]] | None:
-    """A peer's traffic and its loads by engine code; None for a message that makes no sense."""
-    if len(data) % LOADS.size != HEAD.size or not math.isfinite(traffic := HEAD.unpack_from(data)[1]):
-        return None
-    rows = LOADS.iter_unpack(data[HEAD.size :])
-    loads = {code: Told(now, n, memory * MEMORY_UNIT, area * AREA_UNIT) for code, n, memory, area in rows}
-    return max(traffic, 0.0), loads
-
-
 @dataclass(slots=True)
 class Traffic:
     """An exponentially forgotten count of arrivals. young_ms: one that began this long ago tells in full what
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -10,6 +10,7 @@
 
 from cottonhold import Scheduler
 from cottonhold.decide import interface as io
+from cottonhold.decide import peers
 from cottonhold.decide.scheduler import PEER_PRICE
 from tests.test_scheduler import LOOKUP, PERMITS, RULES, answers, arrival, ended, engines, sends, settings
 
@@ -107,7 +108,7 @@
         for name, engine in sends(done):
             s.step(t + 100.0, [ended(name, io.Outcome.OK, engine=engine, final=True)])
     assert 0.01 * sum(len(a.data) for a in told) / 256 < 1.3 * PEER_PRICE * 160
-    near = {m for e in s.live if e.id in s.mine for m in s._users(e)}
+    near = {m for e in s.live if e.id in s.mine for m in peers.users(s, e)}
     assert told and 2 not in near and {a.peer for a in told} <= near and all(len(a.data) <= 256 for a in told)
 
 
