--- a/cottonhold/decide/scheduler.py
+++ b/cottonhold/decide/scheduler.py
@@ -18,26 +18,23 @@
     capacity,
     engine_health,
     engine_list,
-    estimates,
+    failover,
     learning,
     ordering,
     peers,
     placement,
     pressure,
+    release,
     retry,
-    slow_start,
     state,
 )
 from cottonhold.decide import interface as io
 from cottonhold.decide.gateway_state import GatewayState
 from cottonhold.decide.interface import Effect, Outcome
 from cottonhold.decide.parameters import (
-    ALPHA,
     CANDIDATES,
-    GOLDEN,
     HEARTBEAT_MS,
     LEFT_LEAST,
-    PASSED,
     REPLAN_MS,
     REPORT_FRESH_MS,
     SUSPICION_MS,
@@ -45,10 +42,8 @@
     TRAFFIC_MEMORY_MS,
 )
 from cottonhold.decide.peers import PEER_PRICE
-from cottonhold.decide.state import EngineView, Query
+from cottonhold.decide.state import Query
 
-OVERFULL = 1.25  # times the room is too full also for what passes: work done falls steeply from there
-RESCUE_FACTOR = 2.0  # plans run before a rescue, times run that are guessed to be left, times sooner than it
 PROBES_PER_QUERY = 0.3  # own probes for each own query, at most
 PROBE_PRICE = 0.003  # of the result that probes may cost: where they are dear fewer are sent
 PATIENCE_ALIKE = 0.02  # of the time that most clients leave a first try: ticks and the way here scatter it
@@ -109,7 +104,7 @@
         if now >= self.next_ask:
             engine_list.ask(self)
         if self.changed:
-            self._release()
+            release.release(self)
         self._wake()
         return self.actions
 
@@ -136,90 +131,6 @@
         elif q.tables not in e.locks or e.locks[q.tables] < self.now:
             e.locks[q.tables] = self.now + self.settings.note_period
 
-    # --- release ---
-
-    def _has_room(self, q: Query, e: EngineView) -> bool:
-        """Thread and memory room bind only under pressure; one query of this gateway may always be out."""
-        # Memory binds also without pressure: paging shows only in the jam. Where grants are trimmed one query
-        # pays, not all, so there it binds as far as the fleet is reported busy.
-        pressed, short = pressure.pressed(self, e), self.settings.when_short
-        binds = {io.WhenShort.WAIT: 0.0, io.WhenShort.SHRINK: self.util, io.WhenShort.PAGE: 1.0}[short]
-        # Danger: a lookup waited for room until reports of seconds ended, and was refused as too late, though
-        # the engine would have let it pass them. So what q passes holds it back in part only.
-        density, o = q.density if self.settings.permits.priorities else 0.0, e.sum_told(self.now, self.alike)
-        above, needed, _ = e.levels.held_by(density, ALPHA)
-        wide = above + (e.threads_out - above) * PASSED + q.cls.threads
-        needed += (e.memory_out - needed) * PASSED + q.memory
-        part = pressure.not_passed(self, density)
-        wide, needed = (wide + o.threads * part) / e.room, (needed + o.memory * part) / e.memory_room
-        # Danger: each of forty saw its own few out and let more in, till memory ran over and all spilled.
-        over = max((e.threads_out + o.threads) / e.room, (e.memory_out + o.memory) / e.memory_room) / OVERFULL
-        limit = 1.0 if self.heard else self.share
-        full = over > 1 or pressed and wide > limit or (pressed or self.heard) and needed > limit
-        if full and (e.out or o.threads):
-            return False
-        # Danger: one query of each gateway on each engine floods the fleet; paging shows only in the jam. So
-        # the share is of the whole fleet; any spare above it adds up. What q passes does not hold it back.
-        # Rounded down, 1.8 queries were one, and clients that a fleet's one price had let in waited in vain.
-        threads, memory, busy = self.pool.sound.held_by(density, ALPHA)
-        # Danger: a timed-out attempt that nothing cancels runs on unseen; it counts for the time planned.
-        unseen = [o for until, o in self.unseen if until > self.now]
-        filled = (memory + sum(o.memory for o in unseen) + q.memory) / self.full_memory
-        used = (threads + sum(o.cls.threads for o in unseen) + q.cls.threads) / self.full_room
-        used = max(used, filled) if pressed else filled * math.sqrt(self.blind) * binds
-        if not busy:
-            return used <= self.share or self.now >= self.pool_rest
-        turn = self.settings.me + self.now // max(REPLAN_MS, q.p)
-        turn = self.threshold.told and turn * GOLDEN % 1
-        return used <= self.share + turn * q.cls.threads / self.full_room
-
-    def _release(self) -> None:
-        """Send held queries in plan order while there is room; the densest plan goes first."""
-        for e in sorted(filter(lambda e: e.plan, self.active.values()), key=lambda e: -e.plan[0].density):
-            place, blocked = 0, 0.0
-            while place < len(e.plan):
-                q = e.plan[place]
-                # Danger: one without room at the head held all back, also those that pass it on the engine.
-                # A load behind another would only stand still there, and keep readers waiting the longer;
-                # asked for room at each step, those that wait for their tables took most of the CPU.
-                if blocked and q.density <= ALPHA * blocked or q.cls.loads and e.loading.get(q.tables):
-                    place += 1
-                    continue
-                if (
-                    not self._has_room(q, e)
-                    or q.density <= 0
-                    and pressure.fleet_fill(self, self.util) > pressure.IDLE_FILL
-                ):
-                    blocked = q.density  # above any before it, else it was passed over
-                    if not blocked or not self.settings.permits.priorities:
-                        break
-                    place += 1
-                    continue
-                if self._barred(q, e):
-                    place += 1
-                    continue
-                q.leave_plan()
-                self._send(q, e)
-
-    def _send(self, q: Query, e: EngineView) -> None:
-        now = self.now
-        grant = estimates.grant(self, q, e)
-        if grant != q.grant or q.lane != q.lane_told:
-            self.actions.append(io.Terms(q.id, grant, q.lane))
-            q.grant, q.lane_told = grant, q.lane
-        timeout = learning.TEACH_LIMIT * q.p + engine_health.SILENCE_MIN_MS if q.trickle else 0.0
-        self.actions.append(io.Send(q.id, e.id, timeout))
-        if q.attempts:
-            retry.count_further_attempt(self)
-        q.attempts += 1
-        q.out, q.sent_at, q.seen_at, q.run_at, q.done, q.engine = True, now, now, now, 0.0, e
-        q.cancelled = q.waits = False
-        self.pool.add_out(q, e)
-        slow_start.spend(q, e)
-        if q.cls.loads:
-            e.locks[q.tables] = max(e.locks.get(q.tables, 0.0), now + q.p)
-            peers.tell_load(self, q, e)
-
     # --- outcomes ---
 
     def _on_arrival(self, event: io.Arrival) -> None:
@@ -277,11 +188,7 @@
         if e is not None:
             self.pool.drop_out(q, e, LEFT_LEAST)
             q.tried.add(e.id)
-            # Danger: one query may always be out, and one wider than the own room, from each of hundreds of
-            # gateways, thrashes the fleet for good. So a rest follows such a one: the mean stays in room.
-            wide = max(q.cls.threads / self.full_room, q.memory / self.full_memory) / self.share
-            if wide > 1:
-                self.pool_rest = max(self.pool_rest, self.now) + (self.now - q.sent_at) * (wide - 1)
+            release.rest_after_wide(self, q)
             if q.cls.loads and not e.loading.get(q.tables):
                 e.locks.pop(q.tables, None)
         if event.outcome is Outcome.TIMEOUT and not self.settings.permits.cancel:
@@ -303,39 +210,20 @@
             answers.answer(self, q)
         else:
             placement.place(self, q)
-            self._release()
+            release.release(self)
 
     def _on_gone(self, event: io.ClientGone) -> None:
         if (q := self.queries.get(event.query)) and not q.over:
             q.leave_plan()
             # Danger: the attempt of a client that left runs on for nobody. A load still runs to its end.
             if self.settings.permits.cancel and q.cls.effect is not Effect.UNSAFE:
-                self._cancel(q)
+                failover.cancel(self, q)
             answers.close(self, q)
 
-    def _cancel(self, q: Query) -> None:
-        if q.out and not q.cancelled:
-            q.cancelled = True
-            self.actions.append(io.Cancel(q.id, q.attempts - 1))
-
     def _on_stream(self, event: io.StreamStarted) -> None:
         if q := self.queries.get(event.query):
             q.streaming = True
 
-    # --- guards ---
-
-    def _barred(self, q: Query, e: EngineView) -> str:
-        """Checks every rule before a send; names the rule that bars it, or nothing."""
-        if q.out or q.over or not placement.fits(q, e):
-            return "attempt out, drain or placement"
-        if ordering.out_of_turn(self, q):
-            return "order"
-        if q.attempts and (why := retry.repeat_barred(self, q)):
-            return why
-        if slow_start.barred(self, q, e):
-            return "cold engine"
-        return ""
-
     def _sweep(self) -> None:
         """Silence, rescues and suspicions that end, every heartbeat."""
         now, self.next_beat, self.changed = self.now, math.inf, True
@@ -343,7 +231,7 @@
         for e in list(self.active.values()):
             engine_health.check_silence(self, e)
             if self.settings.permits.cancel:
-                self._rescue(e)
+                failover.cancel_stragglers(self, e)
             if not e.out and not e.plan:
                 del self.active[e.id]
         engine_health.check_suspicions(self)
@@ -351,26 +239,3 @@
             self.next_replan = now + REPLAN_MS
             capacity.count_room(self)
             placement.replan(self)
-
-    def _rescue(self, e: EngineView) -> None:
-        # Danger: bad plans, hung or slowed engines hold a query far past its plan; cancel where a fresh
-        # attempt ends much sooner. On a full fleet most runs pass two plans, and those given up there were a
-        # fifth of all work: where engines are rarely heard of, up to twice as many are waited for then.
-        plans = RESCUE_FACTOR * (
-            1 + self.blind * (pressure.fleet_fill(self, 0.0) > pressure.IDLE_FILL)
-        )  # reports lag
-        for q in list(e.out.values()):
-            age = self.now - q.sent_at
-            if q.cancelled or q.over or q.streaming or q.cls.effect is not Effect.SAFE:
-                continue
-            told = q.seen_at > q.run_at  # a note told its pace: a bad plan shows in the first one
-            gone = e.suspect in engine_health.UNHEARD or not e.bound
-            if not gone and age < plans * q.p and not told or retry.repeat_barred(self, q):
-                continue
-            left = math.inf if gone else RESCUE_FACTOR * age
-            if self.settings.note_period and not gone:
-                left = (self.now - q.run_at) / max(q.done, 0.05) * (1 - q.done)
-            others = [o for o in placement.candidates(self, q) if o is not e and not o.suspect]
-            fresh = min((placement.tentative(self, q, o)[0] for o in others), default=math.inf) - self.now
-            if left > RESCUE_FACTOR * fresh and self.now + fresh < q.due:
-                self._cancel(q)
--- a/cottonhold/decide/state.py
+++ b/cottonhold/decide/state.py
@@ -78,6 +78,14 @@
         """Part of its run that is taken to be left."""
         return max(least, 1 - max(self.done, (now - self.sent_at) / max(self.p, 1.0)))
 
+    def begin_attempt(self, now: float, engine: EngineView) -> None:
+        """An attempt is sent to an engine now."""
+        self.engine = engine
+        self.out = True
+        self.sent_at = self.seen_at = self.run_at = now
+        self.done = 0.0
+        self.cancelled = self.waits = False
+
     def leave_plan(self) -> None:
         """Remove the query from the plan it is held in, if any."""
         e = self.engine
