Split admission off the scheduler

decide/admission.py: arrivals, first tries told from repeats, what is turned away at once, clients that leave.

--- a/cottonhold/decide/scheduler.py
+++ b/cottonhold/decide/scheduler.py
@@ -14,6 +14,7 @@
 from typing import Any
 
 from cottonhold.decide import (
+    admission,
     answers,
     capacity,
     engine_health,
@@ -30,13 +31,11 @@
 )
 from cottonhold.decide import interface as io
 from cottonhold.decide.gateway_state import GatewayState
-from cottonhold.decide.interface import Effect, Outcome
+from cottonhold.decide.interface import Outcome
 from cottonhold.decide.parameters import (
-    CANDIDATES,
     HEARTBEAT_MS,
     LEFT_LEAST,
     REPLAN_MS,
-    REPORT_FRESH_MS,
     SUSPICION_MS,
     THREADS_PER_CORE,
     TRAFFIC_MEMORY_MS,
@@ -46,9 +45,6 @@
 
 PROBES_PER_QUERY = 0.3  # own probes for each own query, at most
 PROBE_PRICE = 0.003  # of the result that probes may cost: where they are dear fewer are sent
-PATIENCE_ALIKE = 0.02  # of the time that most clients leave a first try: ticks and the way here scatter it
-REPEATS_MOST = 1.5  # repeats for each query turned away: clients of other gateways come too
-PATIENCE_VOTES = 40  # majority vote on it, at most: where clients differ too much, none counts as a repeat
 
 __all__ = ["PEER_PRICE", "THREADS_PER_CORE", "Scheduler"]
 
@@ -60,11 +56,11 @@
         super().__init__(settings, random.Random(seed), share=1.0 / settings.gateways)
         self.reach = self.share
         self.handlers: dict[type, Callable[[Any], None]] = {
-            io.Arrival: self._on_arrival,
+            io.Arrival: lambda event: admission.on_arrival(self, event),
             io.AttemptEnded: self._on_ended,
             io.Note: self._on_note,
             io.EngineList: lambda event: engine_list.on_list(self, event),
-            io.ClientGone: self._on_gone,
+            io.ClientGone: lambda event: admission.on_gone(self, event),
             io.Probed: lambda event: engine_health.on_probed(self, event),
             io.PeerMessage: lambda event: peers.on_message(self, event),
             io.StreamStarted: self._on_stream,
@@ -72,7 +68,7 @@
             io.Timer: lambda _: None,
             io.Retune: lambda event: self._adopt(event.settings),
             io.Bounds: lambda event: engine_list.on_bounds(self, event),
-            io.Price: lambda event: setattr(self, "threshold", event),
+            io.Price: lambda event: admission.on_threshold(self, event),
             io.Leaving: lambda event: self.deadlines.cut(event.until),
         }
         self._adopt(settings)
@@ -133,51 +129,6 @@
 
     # --- outcomes ---
 
-    def _on_arrival(self, event: io.Arrival) -> None:
-        q = Query(event, self.settings, self.classes[event.query_class], self.now, next(self.serial))
-        q.began = self._first_tried(q, event.retry)
-        self.queries[q.id] = q
-        retry.count_taken(self)
-        self.traffic.add(self.now)
-        self.probes = min(self.probes + self.probe_part, CANDIDATES)
-        # Danger: where only probes tell load, or answers are rare, load is a guess. A probe fills in where
-        # the report is oldest, within what is left over from doubts; may hurt where probes cost more.
-        if self.settings.permits.probes and self.probes >= 2 and self.near:
-            e = min(self.near, key=lambda e: (max(e.report_at, e.probed_at), e.rank))
-            if self.now - e.report_at > REPORT_FRESH_MS:
-                engine_health.probe(self, e)
-        if q.tenant < len(self.tenants):
-            self.tenants[q.tenant].add(self.now)
-        ordering.join(self, q)
-        self.deadlines.add(q)
-        placement.place(self, q)
-        self.actions += [io.Offered(q.id, q.top, q.work())] if event.draw is not None else []
-        if q.engine is None:
-            return
-        # Danger: loads that came faster than their tables come free stood in line to the deadline, all late,
-        # each with a client's connection. So one is held if it can be in time; may hurt in a short burst.
-        late = q.cls.loads and q.finish > q.aim_at and q.engine.line.get(q.tables, 0.0) > q.p
-        if late or self._underpriced(q, event.draw) or q.density <= 0 and q.began < q.arrived:
-            answers.answer(self, q)
-
-    def _underpriced(self, q: Query, draw: float | None) -> bool:
-        # Danger: each shed by its own plan: cheap ones were served at one gateway and dear ones refused at
-        # another. May hurt where the price is wrong; it holds for a second at most.
-        p, worth = self.threshold, q.top / max(q.work(), 1e-3)
-        return draw is not None and self.now < p.until and worth < (p.density if draw < p.share else p.above)
-
-    def _first_tried(self, q: Query, marked: bool) -> float:
-        # Danger: worth is judged from a client's first try; a repeat past its aim earns as little as any late
-        # answer, yet looked as dense as a new query and filled engines. Unmarked, it is told by a time left
-        # unlike that of most. Also covers clients' own time-outs; may hurt clients of unusual patience.
-        c, left = q.learned, q.due - self.now
-        alike = c.left_alike(self.now, left, PATIENCE_ALIKE, None if marked else PATIENCE_VOTES)
-        # Danger: clients that leave themselves little time looked like repeats and were refused as too late.
-        # Only what was turned away can come again: more than that are no repeats.
-        came = c.unlike.per_s(self.now) <= REPEATS_MOST * c.turned.per_s(self.now)
-        repeat = marked or not alike and came and c.votes > PATIENCE_VOTES / 4
-        return min(self.now, q.due - q.cls.deadline) if repeat else self.now
-
     def _on_ended(self, event: io.AttemptEnded) -> None:
         q, e = self.queries.get(event.query), self.engines.get(event.engine)
         if e is not None:
@@ -212,14 +163,6 @@
             placement.place(self, q)
             release.release(self)
 
-    def _on_gone(self, event: io.ClientGone) -> None:
-        if (q := self.queries.get(event.query)) and not q.over:
-            q.leave_plan()
-            # Danger: the attempt of a client that left runs on for nobody. A load still runs to its end.
-            if self.settings.permits.cancel and q.cls.effect is not Effect.UNSAFE:
-                failover.cancel(self, q)
-            answers.close(self, q)
-
     def _on_stream(self, event: io.StreamStarted) -> None:
         if q := self.queries.get(event.query):
             q.streaming = True
