Leave the scheduler to compose the parts: outcomes and timeouts are modules

decide/outcomes.py: notes, ends of attempts and what follows. decide/timeouts.py: deadlines and wake-ups. decide/scheduler.py is the entry point, the settings in force and the heartbeat; events go by a table from type to the part's function instead of lambdas with setattr.

--- /dev/null
+++ b/cottonhold/decide/timeouts.py
@@ -0,0 +1,47 @@
+"""Deadlines and wake-ups: what is answered because its time is up, and when the next step is due."""
+
+from __future__ import annotations
+
+import math
+
+from cottonhold.decide import answers
+from cottonhold.decide import interface as io
+from cottonhold.decide.gateway_state import GatewayState
+from cottonhold.decide.parameters import HEARTBEAT_MS
+
+
+def is_due(gateway: GatewayState, at: float) -> bool:
+    """Whether a time has come, to half a tick: timers are that exact."""
+    return gateway.now >= at - gateway.settings.tick / 2
+
+
+def begin_step(gateway: GatewayState, now: float) -> None:
+    """A step begins: a wake-up that has come counts no more."""
+    gateway.now = now
+    gateway.actions = []
+    gateway.changed = False
+    if is_due(gateway, gateway.wake_at):
+        gateway.wake_at = math.inf
+
+
+def answer_due(gateway: GatewayState) -> None:
+    """Answer the queries whose time is up; those with an attempt out wait for its end."""
+    for query in gateway.deadlines.take(gateway.now + gateway.slack):
+        if not query.out:
+            answers.answer(gateway, query)
+
+
+def on_leaving(gateway: GatewayState, event: io.Leaving) -> None:
+    """This gateway ends: no query has longer than until then."""
+    gateway.deadlines.cut(event.until)
+
+
+def wake(gateway: GatewayState) -> None:
+    """Ask to be woken for what is due next: a gateway with nothing held or out costs nothing."""
+    if gateway.active or gateway.doubted or gateway.homeless:
+        gateway.next_beat = min(gateway.next_beat, gateway.now + HEARTBEAT_MS)
+    first_deadline = gateway.deadlines.first() - gateway.slack
+    due = min(gateway.next_beat, gateway.next_peer, gateway.next_ask, first_deadline)
+    if due < gateway.wake_at:
+        gateway.wake_at = due
+        gateway.actions.append(io.Wake(max(due - gateway.now, gateway.settings.tick), 0))
