Take in an answer for a class that a reload took away before anything is learned

It needs a reload (Retune) that leaves no class in force of which an answer has come, and then an answer that tells no cost to a query with a told cost, of a class that is gone: its record is no longer among the classes, so none counts as seen. Ruled out: classes in force at first, where the answer's own class has just been counted. At fault: state.py, centre_bias, mean over no classes. It now changes nothing where none was seen. The new test fails without the guard (ZeroDivisionError) and passes with it.

--- a/cottonhold/decide/state.py
+++ b/cottonhold/decide/state.py
@@ -442,6 +442,10 @@
 def centre_bias(classes: list[Learned]) -> None:
     """Take the mean bias of the classes seen from each of them."""
     seen = [c for c in classes if c.seen]
+    # Danger: an answer for a class that a reload had taken away came before any for a class in force; the
+    # division failed the whole step, and with it other requests that ended in the same one.
+    if not seen:
+        return
     mean = sum(c.bias for c in seen) / len(seen)
     for c in seen:
         c.bias -= mean
--- a/tests/test_retune.py
+++ b/tests/test_retune.py
@@ -131,6 +131,17 @@
     assert s.classes[0].seen == (30 if 0 in places else 0)
 
 
+def test_an_answer_for_a_class_that_is_gone_is_taken_in() -> None:
+    """Danger: where nothing was learned yet of any class in force, the whole step failed on it."""
+    setup = settings(classes=(LOOKUP, LOAD))
+    s = Scheduler(setup, 1)
+    s.step(0.0, [engines("e1")])
+    ((name, engine),) = sends(s.step(100.0, [arrival("q", due=5000.0, cost=100.0)]))
+    s.step(150.0, [io.Retune(dataclasses.replace(setup, classes=(dataclasses.replace(LOOKUP, name="new"),)))])
+    s.step(200.0, [ended(name, io.Outcome.OK, engine=engine, final=True, elapsed=100.0)])
+    assert not s.queries and not s.engines["e1"].out and s.classes[0].seen == 0
+
+
 def test_reloads_leave_nothing_behind() -> None:
     setup = settings(classes=(LOOKUP, LOAD))
     s = Scheduler(setup, 1)
