Keep a connection that speaks when its engine's new start is told late

Seen: since a start may be placed later than it was (the own wall clock is behind, the first start of all, a late list), connections that were opened to the new process before it was told were closed, with what was out on them: a fragile request then fails, others run again.

Ruled out: a process that dies, whose connections are reset and taken out before (the test closes the old one first).

At fault: Engines.apply, which closes all that was opened before the start, as if that were known to the ms.

Change: what was opened before the start is closed if it is at rest, or has been silent for SILENT_MS, as when an engine is told gone; one that spoke within that second goes on, but gets nothing new until it speaks again, and its signs of life are asked for as ever. With another address all is closed as before.

--- a/cottonhold/node/engines.py
+++ b/cottonhold/node/engines.py
@@ -213,6 +213,7 @@
     info: io.Engine
     address: Address | None
     connections: list[Connection] = field(default_factory=list)
+    restarted_at: float = -math.inf  # when a new start was last told
 
 
 class Engines:
@@ -242,10 +243,10 @@
             if place is None:
                 place = self.places[info.id] = Place(info, None)
             address = change.addresses.get(info.id, place.address)
-            started = info.started_at > place.info.started_at
-            if started or address != place.address:
-                # Danger: connections to a machine that vanished stay open and silent after it is back.
+            if address != place.address:
                 self._close(place, lambda c, at=info.started_at: c.opened_at < at or not c.up)  # type: ignore[misc]
+            elif info.started_at > place.info.started_at:
+                self._restarted(place, info.started_at)
             place.info, place.address = info, address
             self._left(place)
         if change.whole:
@@ -254,6 +255,17 @@
                 place.info = io.Engine(name, state=EngineState.GONE)
                 self._left(place)
 
+    def _restarted(self, place: Place, at: float) -> None:
+        """Another process is at the address. Connections to a machine that vanished stay open and silent.
+
+        Danger: a start may be told late, or taken for later than it was; then what had been opened to the new
+        process already was closed, with all that ran there. So one that speaks is kept, but gets nothing new
+        until it has spoken again.
+        """
+        place.restarted_at = self.clock.now()
+        quiet = place.restarted_at - SILENT_MS
+        self._close(place, lambda c: not c.up or c.opened_at < at and (c.unused() or c.heard_at < quiet))
+
     def _left(self, place: Place) -> None:
         """Nothing new goes to an engine that drains or is gone; what was out on a gone one is lost."""
         if place.info.state is EngineState.LIVE:
@@ -354,6 +366,7 @@
             # Danger: a late answer to an attempt given up must not pass for one of the next under its id.
             and ref not in c.given_up
             and ref not in c.attempts
+            and (not c.up or c.heard_at >= place.restarted_at or c.opened_at >= place.info.started_at)
         ]
         if usable:
             return max(usable, key=lambda c: (c.up, len(c.attempts)))
