Try again to connect while this machine lacks a descriptor, memory or a port

Seen, with the calls failed by script: one failure of socket() with EMFILE, ENFILE, ENOBUFS or ENOMEM, or of connect() with EADDRNOTAVAIL, was told as connect_failed of the engine. The request went on to the next engine, which failed as well: three failures in a row used up three attempts and three engines' good names.

Ruled out: that anything may have run (all of it is before the first byte, so the request may be sent anew), a leak (the socket is closed on each path), a spin (one try each 20 ms). The other errors of connect (ECONNREFUSED, ENETUNREACH, EHOSTUNREACH, ETIMEDOUT, EACCES and so on, at once or in SO_ERROR) prove that nothing ran, are told so, and a load goes to another engine once: that held before.

At fault: Driver.dial, which raised them like an engine's refusal.

Change: dial tries again within its limit; connections_lacking counts, a line says so.

--- a/cottonhold/node/driver.py
+++ b/cottonhold/node/driver.py
@@ -20,7 +20,7 @@
 from cottonhold.node.mysql import Front, Session
 from cottonhold.node.ops import Calls
 from cottonhold.node.peers import Peers
-from cottonhold.node.sockets import LACKING, OF_ONE_CONNECTION, MakeSocket
+from cottonhold.node.sockets import LACKING, LACKING_TO_CONNECT, OF_ONE_CONNECTION, MakeSocket
 from cottonhold.observe.counters import Counters
 from cottonhold.wire import WireError
 
@@ -443,22 +443,32 @@
 
         Names are looked up here only: the platform has none, and its addresses never come to that.
         """
-        sock = None
+        # Danger: a machine that vanished never answers, and the system would try for minutes.
+        async with asyncio.timeout(limit_s):
+            if address.host[-1:].isdigit() or ":" in address.host:
+                kind, target = family(address), (address.host, address.port)
+            else:
+                found = await self.loop.getaddrinfo(address.host, address.port, type=socket.SOCK_STREAM)
+                kind, target = found[0][0], found[0][4][:2]
+            while True:
+                try:
+                    return await self._connected(kind, target)
+                except OSError as error:
+                    # Danger: without a free descriptor here, each engine in turn was told as unreachable.
+                    if error.errno not in LACKING_TO_CONNECT:
+                        raise
+                    self.counters.add("connections_lacking")
+                    self.say(f"connections: {error}")
+                await asyncio.sleep(LACKING_PAUSE_S)
+
+    async def _connected(self, kind: socket.AddressFamily, target: tuple[Any, ...]) -> socket.socket:
+        sock = tcp_socket(self.make_socket, kind)
         try:
-            # Danger: a machine that vanished never answers, and the system would try for minutes.
-            async with asyncio.timeout(limit_s):
-                if address.host[-1:].isdigit() or ":" in address.host:
-                    kind, target = family(address), (address.host, address.port)
-                else:
-                    found = await self.loop.getaddrinfo(address.host, address.port, type=socket.SOCK_STREAM)
-                    kind, target = found[0][0], found[0][4][:2]
-                sock = tcp_socket(self.make_socket, kind)
-                await self.loop.sock_connect(sock, target)
-                return sock
+            await self.loop.sock_connect(sock, target)
         except BaseException:
-            if sock is not None:
-                sock.close()
+            sock.close()
             raise
+        return sock
 
     # --- event bus ---
 
--- a/cottonhold/node/sockets.py
+++ b/cottonhold/node/sockets.py
@@ -33,3 +33,4 @@
 
 # What the system lacks for a moment, as a descriptor or memory: the call did nothing, a later one may.
 LACKING = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
+LACKING_TO_CONNECT = LACKING | {errno.EADDRNOTAVAIL}  # this machine's own ports
--- /dev/null
+++ b/tests/test_connect_faults.py
@@ -0,0 +1,93 @@
+"""socket and connect fail in the ways that Linux documents: it proves that nothing ran."""
+
+from __future__ import annotations
+
+import errno
+
+import pytest
+
+from tests.faulty_sockets import MADE
+from tests.loopback import GREETED, REF, ROWS, Rig, play
+
+PROOFS = [
+    errno.ECONNREFUSED,
+    errno.ENETUNREACH,
+    errno.EHOSTUNREACH,
+    errno.ENETDOWN,
+    errno.ETIMEDOUT,
+    errno.ECONNRESET,
+    errno.EACCES,
+    errno.EPERM,
+]
+LACKING = [errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM]
+
+
+@pytest.mark.parametrize("call", ["connect", "so_error"])
+@pytest.mark.parametrize("error", PROOFS)
+def test_a_connect_that_fails_proves_that_nothing_ran(call: str, error: int) -> None:
+    """So a load goes to the other engine, once."""
+
+    async def story(rig: Rig) -> None:
+        rig.faults.plan(call, error, on=MADE)
+        client = rig.client()
+        client.ask(1, "load")
+        await rig.serve(1)
+        await rig.until(lambda: client.answers() == ROWS)
+        assert rig.asked() == [REF % 1] and rig.counts["attempts_connect_failed"] == 1
+        assert rig.counts["connect_failed"] == 1
+
+    play(story, engines=2)
+
+
+@pytest.mark.parametrize("error", PROOFS)
+def test_where_no_connect_succeeds_the_client_is_told_that_it_never_ran(error: int) -> None:
+    async def story(rig: Rig) -> None:
+        rig.faults.always("connect", error, on=MADE)
+        client = rig.client()
+        client.ask(1, "load")
+        await rig.until(lambda: rig.counts["connect_failed"] >= 1)
+        await rig.pass_ms(5000)
+        await rig.until(lambda: len(client.answers()) > 2)
+        assert client.answers() == [*GREETED, "error 1226"] and not rig.asked()
+
+    play(story, engines=2)
+
+
+@pytest.mark.parametrize(
+    ("call", "error"),
+    [
+        *(("socket", error) for error in LACKING),
+        ("connect", errno.EADDRNOTAVAIL),
+        ("setsockopt", errno.ENOBUFS),
+    ],
+)
+def test_an_engine_is_not_blamed_for_what_lacks_here(call: str, error: int) -> None:
+    """Danger: without a free descriptor each engine in turn was told as unreachable."""
+
+    async def story(rig: Rig) -> None:
+        rig.driver.connect_s = 5.0  # however slow the machine is
+        rig.faults.plan(call, error, error, error, on=MADE)
+        client = rig.client()
+        client.ask(1, "load")
+        await rig.serve(1)
+        await rig.until(lambda: client.answers() == ROWS)
+        assert rig.asked() == [REF % 1] and rig.counts["attempts_connect_failed"] == 0
+        assert rig.counts["engine_connections"] == 1 and rig.counts["connections_lacking"] == 3
+
+    play(story, engines=2)
+
+
+@pytest.mark.parametrize("error", LACKING)
+def test_what_lacks_for_good_is_told_as_never_run_and_does_not_spin(error: int) -> None:
+    async def story(rig: Rig) -> None:
+        rig.driver.connect_s = 0.1
+        rig.faults.always("socket", error, on=MADE)
+        client = rig.client()
+        client.ask(1, "load")
+        await rig.until(lambda: rig.counts["connect_failed"] == 1)
+        assert 2 <= rig.faults.calls["socket"] <= 8  # the listener's, and one each 20 ms
+        await rig.pass_ms(5000)
+        await rig.until(lambda: len(client.answers()) > 2)
+        assert client.answers() == [*GREETED, "error 1226"] and not rig.asked()
+
+    play(story)
