Put a voter's promises again that the disk did not take, in their order

Seen: a voter whose record was refused once by its disk (full, failing or stalled, at the start say) never voted again in its life, though the disk was well soon after; one whose own record was refused answered nobody who returned. And a vote put just as the disk was well again could be durable without the registers copied before it, which had been refused. At fault: SwapRim._keep, which put each record once and by itself. Ruled out: promises told without being durable (each answer waits for its token).

--- a/cottonhold/fleet/swap/voter.py
+++ b/cottonhold/fleet/swap/voter.py
@@ -91,7 +91,7 @@
         self.durable = False  # this folder's run is on disk: until then it tells nobody of it
         self.waiting: dict[int, list[Say]] = {}  # answers by the token that they wait for
         self.pending: dict[str, int] = {}  # the last record of a name that isn't on disk yet
-        self.dropping: dict[int, str] = {}  # registers to be removed once the floor is on disk
+        self.dropping: dict[int, list[str]] = {}  # registers to be removed once the floor is on disk
         self.copied: dict[int, tuple[int, list[tuple[str, Register]]]] = {}  # by voter: its round, our copy
         self.round = run & 0x7FFFFFFF
         self.greeted: dict[int, Greeting] = {}
@@ -132,9 +132,9 @@
             if name == VOTER:
                 self.durable = True
         self.actions += self.waiting.pop(token, [])
-        name = self.dropping.pop(token, "")
-        if name and name not in self.registers:
-            self._keep(REGISTER + name, b"")
+        for name in self.dropping.pop(token, []):
+            if name not in self.registers:
+                self._keep(REGISTER + name, b"")
         if self.returning == token:
             self.returning, self.votes = None, True
 
@@ -204,7 +204,7 @@
         """Danger: without the floor, an ACCEPT of an old round that comes late would bring an old value
         back; so the record goes only once the floor is on disk."""
         self.floor = max(self.floor, self.registers.pop(name).promised.number)
-        self.dropping[self._keep_voter()] = name
+        self.dropping.setdefault(self._keep_voter(), []).append(name)
 
     def _known(self, name: str) -> Register:
         return self.registers.get(name) or Register(Ballot(self.floor, MOST_WHO if self.floor else 0))
@@ -234,6 +234,8 @@
         # Danger: the earlier record is overwritten and may never be on disk; its answers rest on this one.
         if earlier is not None and earlier in self.waiting:
             self.waiting.setdefault(self.token, []).extend(self.waiting.pop(earlier))
+        if earlier is not None and earlier in self.dropping:
+            self.dropping.setdefault(self.token, []).extend(self.dropping.pop(earlier))
         self.actions.append(Keep(name, data, self.token))
         return self.token
 
--- a/cottonhold/node/fleet/swap.py
+++ b/cottonhold/node/fleet/swap.py
@@ -26,6 +26,7 @@
 from cottonhold.membership.swim import Swim
 from cottonhold.node.clock import Clock, Timer
 from cottonhold.node.fleet.drains import DrainRim
+from cottonhold.node.fleet.inorder import InOrder
 from cottonhold.node.life import Life
 from cottonhold.observe.counters import Counters
 from cottonhold.store.ledger import Ledger
@@ -82,8 +83,9 @@
     ) -> None:
         file, now = installation.file, clock.now()
         assert file.membership is not None
-        self.ledger, self.swim, self.fleet, self.census, self.life = ledger, swim, fleet, census, life
-        self.clock, self.hop, self.say, self.open_requests = clock, hop, say, open_requests
+        self.swim, self.fleet, self.census, self.life = swim, fleet, census, life
+        self.promises = InOrder(ledger, hop, clock.call_in)
+        self.clock, self.say, self.open_requests = clock, say, open_requests
         self.counters, self.note, self.name, self.drains = counters, note, file.name, drains
         self.homes = file.peers.zones if file.peers is not None else ()
         self.voters = {member_id(name) for name in file.membership.voters}
@@ -264,12 +266,10 @@
 
     def _keep(self, name: str, data: bytes, then: int) -> None:
         # Danger: a promise that is told before the disk has it is broken by a power loss, and two decisions
-        # stand. One that the disk does not take is never told.
-        def done(durable: bool) -> None:
-            if durable:
-                self.hop(lambda: self._kept(then))
-
-        self.ledger.put([Record(Kind.PROMISE, name.encode(), data or None)], done)
+        # stand. One that the disk does not take is told once it does: never put again, it left a voter silent
+        # for the rest of its life.
+        record = Record(Kind.PROMISE, name.encode(), data or None)
+        self.promises.put(record, lambda: self._kept(then))
 
     def _kept(self, then: int) -> None:
         self._carry_out(self.registers.kept(self.clock.now(), then))
--- /dev/null
+++ b/tests/fleet/test_inorder.py
@@ -0,0 +1,326 @@
+"""Records in order, again until the disk takes them; and voters on disks that fail for a while."""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Callable, Iterable, Sequence
+from typing import Any, cast
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from cottonhold.fleet.swap.register import How
+from cottonhold.fleet.swap.voter import Acceptor, Register
+from cottonhold.fleet.swap.words import Ballot, Keep
+from cottonhold.node.fleet import inorder
+from cottonhold.node.fleet.inorder import InOrder
+from cottonhold.store.ledger import Health, Ledger, State
+from cottonhold.store.records import Kind, Record
+from tests.fleet.test_register import Fleet
+from tests.scenario import FakeClock
+
+Done = Callable[[bool], None]
+
+
+class ScriptedLedger:
+    """Takes what it is given while it is well; `answer` tells the writer what became of it."""
+
+    def __init__(self) -> None:
+        self.state = State.WELL
+        self.given: list[tuple[Sequence[Record], Done]] = []
+        self.disk: list[bytes] = []
+
+    def clock(self) -> float:
+        return 0.0
+
+    def health(self, now: float) -> Health:
+        return Health(self.state, "as told")
+
+    def put(self, records: Sequence[Record], done: Done) -> None:
+        if self.state is State.WELL:
+            self.given.append((records, done))
+        else:
+            done(False)
+
+    def answer(self, durable: bool) -> None:
+        records, done = self.given.pop(0)
+        if durable:
+            self.disk += [record.key + (record.value or b"") for record in records]
+        done(durable)
+
+
+class World:
+    def __init__(self) -> None:
+        self.clock, self.ledger = FakeClock(), ScriptedLedger()
+        self.told: list[str] = []
+        self.writer = InOrder(cast(Ledger, self.ledger), lambda then: then(), self.clock.call_in)
+
+    def put(self, key: str, value: str) -> None:
+        name = key + value
+        self.writer.put(
+            Record(Kind.PROMISE, key.encode(), value.encode()),
+            lambda: self.told.append(name),
+            lambda: self.told.append("-" + name),
+        )
+
+    def wait(self, ms: float) -> None:
+        self.clock.run_until(self.clock.now() + ms, lambda: None)
+
+
+def test_one_transaction_at_a_time_in_order() -> None:
+    world = World()
+    for key in "abc":
+        world.put(key, "1")
+    assert len(world.ledger.given) == 1
+    world.ledger.answer(True)
+    assert world.told == ["a1"] and len(world.ledger.given) == 1
+    world.ledger.answer(True)
+    assert world.told == ["a1", "b1", "c1"] and world.ledger.disk == [b"a1", b"b1", b"c1"]
+
+
+def test_what_the_disk_did_not_take_goes_first_the_next_time() -> None:
+    world = World()
+    for key, value in (("a", "1"), ("b", "1"), ("a", "2")):
+        world.put(key, value)
+    world.ledger.answer(False)
+    world.put("c", "1")
+    assert world.told == ["-a1"] and not world.ledger.given
+    world.wait(inorder.AGAIN_MS + 1)
+    world.ledger.answer(True)
+    assert world.ledger.disk == [b"b1", b"a2", b"c1"]
+    assert world.told == ["-a1", "b1", "a2", "c1"], "the later record of a key stands for the earlier one"
+
+
+@pytest.mark.parametrize("state", [State.STALLED, State.FULL, State.FAILED])
+def test_a_disk_that_isn_t_well_is_told_of_at_once_and_tried_again(state: State) -> None:
+    world = World()
+    world.put("a", "1")
+    world.ledger.state = state
+    world.put("b", "1")
+    assert world.told == ["-b1"], "behind one that hangs it isn't waited for"
+    world.ledger.answer(False)
+    world.wait(20 * inorder.AGAIN_MS)
+    assert set(world.told) == {"-a1", "-b1"} and not world.ledger.given
+    world.ledger.state = State.WELL
+    world.wait(inorder.AGAIN_MS + 1)
+    world.ledger.answer(True)
+    assert world.ledger.disk == [b"a1", b"b1"] and world.told[-2:] == ["a1", "b1"]
+
+
+def test_many_records_are_several_transactions() -> None:
+    world = World()
+    world.put("first", "")
+    for number in range(inorder.GROUP + 5):
+        world.put(f"{number}", "")
+    sizes = []
+    while world.ledger.given:
+        sizes.append(len(world.ledger.given[0][0]))
+        world.ledger.answer(True)
+    assert sizes == [1, inorder.GROUP, 5] and len(world.told) == sum(sizes)
+
+
+STEPS = st.lists(
+    st.one_of(st.tuples(st.just("put"), st.sampled_from("abc")), st.sampled_from(["ok", "no", "wait"])),
+    max_size=40,
+)
+
+
+def durable_in_order(steps: Iterable[Any]) -> None:
+    """Each key's durable values only grow, none is told as kept that isn't, and in the end the last of each
+    is there."""
+    world, last = World(), dict[str, str]()
+    for number, step in enumerate(steps):
+        if step == "wait":
+            world.wait(inorder.AGAIN_MS + 1)
+        elif step in ("ok", "no"):
+            if world.ledger.given:
+                world.ledger.answer(step == "ok")
+        else:
+            last[step[1]] = f"{number:03}"
+            world.put(step[1], last[step[1]])
+        kept = [name for name in world.told if not name.startswith("-")]
+        assert set(kept) <= {name.decode() for name in world.ledger.disk}
+    for _ in range(2 * len(last) + 2):
+        world.wait(inorder.AGAIN_MS + 1)
+        if world.ledger.given:
+            world.ledger.answer(True)
+    disk = [name.decode() for name in world.ledger.disk]
+    assert [name[1:] for name in disk] == sorted(name[1:] for name in disk), "out of order"
+    assert all(key + value in disk and key + value in world.told for key, value in last.items())
+
+
+@settings(max_examples=200, deadline=None)
+@given(STEPS)
+def test_any_history_is_durable_in_order(steps: list[Any]) -> None:
+    durable_in_order(steps)
+
+
+PUT = [("put", "a"), "no", ("put", "b"), "wait", "ok"]
+
+
+def test_putting_behind_what_came_since_is_caught(monkeypatch: pytest.MonkeyPatch) -> None:
+    def behind(self: InOrder, durable: bool) -> None:
+        flying, self.flying = self.flying, {}
+        if durable:
+            for entry in flying.values():
+                entry.kept()
+        else:
+            self.queue |= flying
+        if self.queue and not self.flying:
+            self._write()
+
+    durable_in_order([("put", "a"), ("put", "b"), "no", "ok"])
+    monkeypatch.setattr(InOrder, "_written", behind)
+    with pytest.raises(AssertionError, match="out of order"):
+        durable_in_order([("put", "a"), ("put", "b"), "no", "ok"])
+
+
+def test_never_putting_again_is_caught(monkeypatch: pytest.MonkeyPatch) -> None:
+    def forgotten(self: InOrder, durable: bool) -> None:
+        flying, self.flying = self.flying, {}
+        for entry in flying.values():
+            (entry.kept if durable else entry.refused)()
+
+    durable_in_order(PUT)
+    monkeypatch.setattr(InOrder, "_written", forgotten)
+    with pytest.raises(AssertionError):
+        durable_in_order(PUT)
+
+
+# --- voters ---
+
+
+class FailingLedger:
+    """A member's disk on the voters' network."""
+
+    def __init__(self, fleet: FailingFleet, member: int) -> None:
+        self.fleet, self.member = fleet, member
+
+    def clock(self) -> float:
+        return self.fleet.now
+
+    def health(self, now: float) -> Health:
+        return Health(State.FAILED if self.member in self.fleet.failing else State.WELL, "")
+
+    def put(self, records: Sequence[Record], done: Done) -> None:
+        self.fleet.later(self.member, 0.3, lambda: self._write(records, done))
+
+    def _write(self, records: Sequence[Record], done: Done) -> None:
+        well = self.member not in self.fleet.failing
+        for record in records if well else ():
+            self.fleet.disks[self.member].pop(record.key.decode(), None)
+            if record.value:
+                self.fleet.disks[self.member][record.key.decode()] = record.value
+        done(well)
+
+
+class FailingFleet(Fleet):
+    """Voters whose promises go to disks that fail."""
+
+    def __init__(self, failing: Iterable[int] = ()) -> None:
+        self.failing, self.writers = set(failing), dict[int, InOrder]()
+        super().__init__()
+
+    def start(self, member: int, empty: bool = False) -> None:
+        ledger = cast(Ledger, FailingLedger(self, member))
+        self.writers[member] = InOrder(
+            ledger, lambda then: then(), lambda ms, then: self.later(member, ms, then)
+        )
+        super().start(member, empty)
+
+    def later(self, member: int, ms: float, then: Callable[[], None]) -> None:
+        heapq.heappush(self.events, (self.now + ms, next(self.order), member, self.life[member], then))
+
+    def deliver(self, member: int, life: int, what: Any) -> None:
+        if not callable(what):
+            super().deliver(member, life, what)
+        elif member in self.up and life == self.life[member]:
+            what()
+
+    def act(self, member: int, actions: Iterable[Any]) -> None:
+        others = []
+        for action in actions:
+            if isinstance(action, Keep):
+                self.keep(member, action)
+            else:
+                others.append(action)
+        super().act(member, others)
+
+    def keep(self, member: int, action: Keep) -> None:
+        record = Record(Kind.PROMISE, action.name.encode(), action.data or None)
+
+        def kept() -> None:
+            self.act(member, self.up[member].kept(self.now, action.then))
+
+        self.writers[member].put(record, kept)
+
+
+def a_voter_votes_after_its_disk_failed_at_the_start() -> None:
+    fleet = FailingFleet(failing=[102])
+    fleet.run(10_000)
+    assert not fleet.up[102].votes() and not fleet.disks[102]
+    fleet.failing.clear()
+    fleet.run(10_000)
+    assert all(one.votes() for one in fleet.up.values())
+    fleet.stop(103)
+    assert fleet.change(101, "a", 0, b"x").how is How.WON, "its voice counts again"
+
+
+def test_a_voter_votes_after_its_disk_failed_at_the_start() -> None:
+    a_voter_votes_after_its_disk_failed_at_the_start()
+
+
+def test_a_voter_whose_records_are_not_put_again_is_caught(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(InOrder, "_again", lambda self: None)
+    with pytest.raises(AssertionError):
+        a_voter_votes_after_its_disk_failed_at_the_start()
+
+
+def test_promises_keep_over_a_disk_that_failed_and_a_kill() -> None:
+    fleet = FailingFleet()
+    fleet.run(1000)
+    assert fleet.change(101, "a", 0, b"one").how is How.WON
+    fleet.failing = {102, 103}
+    assert fleet.change(101, "a", 1, b"two").how is not How.WON, "nothing is told that isn't durable"
+    fleet.failing.clear()
+    fleet.run(5000)
+    for member in (102, 103):
+        fleet.stop(member)
+        fleet.start(member)
+    fleet.stop(101)
+    fleet.run(5000)
+    assert fleet.read(102).value in (b"one", b"two")
+
+
+def test_a_voter_returns_while_another_s_disk_failed_for_a_while() -> None:
+    """The one that greets writes the number of the return; that record failed once."""
+    fleet = FailingFleet()
+    fleet.run(1000)
+    assert fleet.change(101, "a", 0, b"one").how is How.WON
+    fleet.failing = {102}
+    fleet.stop(103)
+    fleet.start(103, empty=True)
+    fleet.run(10_000)
+    assert not fleet.up[103].votes()
+    fleet.failing.clear()
+    fleet.run(10_000)
+    assert fleet.up[103].votes()
+
+
+def test_all_finished_registers_go_once_the_last_floor_is_durable() -> None:
+    """Of one record only the last one's end is told; an earlier one may never have been on the disk."""
+    voter = Acceptor(101, [101], 7, {}, 64, 200.0)
+    voter.step(0.0)
+    for _ in range(2):
+        for action in voter.take():
+            if isinstance(action, Keep):
+                voter.kept(action.then)
+        voter.step(1000.0)
+    assert voter.votes
+    for name in "ab":
+        voter.registers[name] = Register(Ballot(3, 101))
+        voter._drop(name)
+    voter.kept(voter.token)
+    gone = {action.name for action in voter.take() if isinstance(action, Keep) and not action.data}
+    assert gone == {"reg/a", "reg/b"}
