Open the folder in a thread of its own, so that a disk that hangs holds up loads only

Seen: the ledger was opened on the event loop's thread, at the start and then four times a second for as long as the folder could not be had. A disk that hung in one sync at the start kept the dispatcher from listening at all; one that hung later stopped all its service, probes and memberships too. At fault: ServedInstallation._open_ledger. Ruled out: the writer's own syncs, which have had a thread from the start.

Now node/fleet/opening.py has a thread for each try, one at a time. The start waits 3 s for it, then serves without; whatever the try raises is one line, and tried again.

--- a/cottonhold/node/installation.py
+++ b/cottonhold/node/installation.py
@@ -30,6 +30,7 @@
 from cottonhold.node.fleet.drains import DrainRim
 from cottonhold.node.fleet.loads import Unkept, guarded
 from cottonhold.node.fleet.membership import MembershipRim, make_instance
+from cottonhold.node.fleet.opening import Opening
 from cottonhold.node.fleet.pins import PinsRim
 from cottonhold.node.fleet.recovery import BOOT_STEP, RecoveryRim, life_of, open_ledger
 from cottonhold.node.fleet.swap import SwapError, SwapRim
@@ -37,7 +38,7 @@
 from cottonhold.node.http import Tls
 from cottonhold.observe.counters import Counters
 from cottonhold.observe.structured import StructuredLog
-from cottonhold.store.ledger import Ledger, StoreBusy, StoreError
+from cottonhold.store.ledger import Ledger, StoreBusy
 from cottonhold.store.records import Kind
 
 if TYPE_CHECKING:
@@ -49,6 +50,9 @@
 LISTED_MS = 10_000.0  # loads wait so long for a source's first answer
 LEAVE_S = 3.0  # so long the registered entry is taken out, where SIGKILL leaves that time
 LEDGER_MS = 250.0  # so often a folder is tried that another process still has, as at an upgrade
+OPENING_S = 3.0  # so long the start waits for the folder before it serves without
+SLOW_S = 1.0  # one that takes longer than this is told of
+OPENED_MS = 20.0  # so often it is then seen whether the folder has been opened
 RELOADED = ("sources", "known", "log", "register")  # what a reload takes over; the rest needs a restart
 
 
@@ -78,23 +82,34 @@
         self.remembered: Remembered | None = None
         self.began = self.driver.clock.now()
         self.ledger_why = ""
+        self.opening = Opening(self._open)
+        self.opening.wait(OPENING_S)
         self.metrics = self._measure() if installation.file.metrics else None
-        ledger = self._open_ledger()
+        ledger = self._opened()
         if installation.file.membership is not None:
             self._join(ledger)
         if installation.file.state_dir:
             self._recover(ledger)
 
-    def _open_ledger(self) -> Ledger | None:
-        """The ledger, if one is kept and its folder can be had now."""
-        try:
-            return open_ledger(self.installation, self.path.resolve().parent)
-        except StoreError as error:
+    def _open(self) -> Ledger | None:
+        return open_ledger(self.installation, self.path.resolve().parent)
+
+    def _opened(self) -> Ledger | None:
+        """The ledger, if one is kept and its folder can be had by now; what is wrong is told once."""
+        error, why = self.opening.error, ""
+        if self.opening.waits(SLOW_S):
+            why = f"{self.installation.file.state_dir}: the disk has not answered yet"
+        elif error is not None:
             self.counters.add("ledger_busy" if isinstance(error, StoreBusy) else "ledger_faults")
-            if str(error) != self.ledger_why:
-                self.ledger_why = str(error)
-                self.log.note("ledger_unusable", why=str(error))
-            return None
+            why = str(error)
+        if why and why != self.ledger_why:
+            self.ledger_why = why
+            self.log.note("ledger_unusable", why=why)
+        return self.opening.ledger if self.opening.over else None
+
+    def _open_again(self) -> None:
+        self.opening = Opening(self._open)
+        self._recover(None)
 
     def _recover(self, ledger: Ledger | None) -> None:
         """Loads are guarded: by the ledger, or while it can't be had by refusing them."""
@@ -102,7 +117,10 @@
         if ledger is None:
             cooldown = min(self.config.settings.permits.max_retry_after, 1000.0)
             self.gateway.loads = Unkept(guards, cooldown, self.counters)
-            self.driver.clock.call_in(LEDGER_MS, lambda: self._recover(self._open_ledger()))
+            if self.opening.over:
+                self.driver.clock.call_in(LEDGER_MS, self._open_again)
+            else:
+                self.driver.clock.call_in(OPENED_MS, lambda: self._recover(self._opened()))
             return
         membership, fleet = self.membership, self.fleet
         self.recovery = RecoveryRim(
