Send nothing that has next to no time left, and blame no engine for its connect

Seen: (1) a request with 20 or 100 ms to wait was written to an engine with ms=1 or ms=65 where another one was tried again in the step in which it came; else such a request is refused in that step. (2) A request with 160 ms to wait, whose connect took longer than that, ended as a failed connect: its engine was suspect as dead for seconds, and other requests left it.

Ruled out: the time that an engine is told, for a request that waited for a connect, behind another one on its session or between two attempts: it counts from the last byte, and is less than the client has left.

At fault: (1) Scheduler._again releases what is held before Scheduler.step looks at deadlines. (2) Engines._time_out called whatever still waited in the queue a failed connect.

Change: (1) Scheduler._barred bars what the same step is going to answer for its deadline. (2) An attempt whose time runs out before a connect's does is moot. In the scenarios' fake driver a session with a command behind an open request asked for another turn in each turn; Session.take_output asks where it can go on only.

--- a/cottonhold/decide/release.py
+++ b/cottonhold/decide/release.py
@@ -64,6 +64,10 @@
     """Checks every rule before a send; names the rule that bars it, or nothing."""
     if query.out or query.over or not placement.fits(query, engine):
         return "attempt out, drain or placement"
+    # Danger: a step looks at deadlines behind its events. One that had come with next to no time went out
+    # if another one was tried again in the same step, though nothing could answer it in time.
+    if query.due <= gateway.now + gateway.slack:
+        return "time"
     if ordering.out_of_turn(gateway, query):
         return "order"
     if query.attempts and (why := retry.repeat_barred(gateway, query)):
--- a/cottonhold/node/engines.py
+++ b/cottonhold/node/engines.py
@@ -455,8 +455,13 @@
 
     def _time_out(self, attempt: Attempt) -> None:
         """The attempt's limit: it is given up before anyone hears of it."""
-        never = attempt.connection is not None and attempt in attempt.connection.queue
-        self.drop(attempt, Outcome.CONNECT_FAILED if never else Outcome.TIMEOUT)
+        connection = attempt.connection
+        if connection is None or attempt not in connection.queue:
+            self.drop(attempt, Outcome.TIMEOUT)
+            return
+        # Danger: an engine was left as dead for seconds by a request that had less time than a connect has.
+        patient = self.clock.now() - connection.opened_at < self.links.connect_ms
+        self.drop(attempt, Outcome.MOOT if patient else Outcome.CONNECT_FAILED)
 
     def _end(self, attempt: Attempt, outcome: Outcome, words: dict[str, str] | None = None) -> None:
         """Tell of an attempt's end, once."""
--- a/cottonhold/node/mysql.py
+++ b/cottonhold/node/mysql.py
@@ -247,7 +247,7 @@
         """What is to be written now."""
         data = bytes(self.output)
         self.output.clear()
-        if self.commands and not self.closing:
+        if self.commands and self.request is None and not self.closing:
             self.front.clock.call_soon(self._resume)
         return data
 
--- /dev/null
+++ b/tests/test_time_left.py
@@ -0,0 +1,86 @@
+"""How long an engine is told to work, and requests with little time left: all are answered, few are sent."""
+
+from __future__ import annotations
+
+import pytest
+
+from cottonhold.node.gateway import ANSWER_MS, LAG_MS, LAG_PART
+from tests.test_client_gone import NAMES, SITES, Turns, nothing_left
+
+LITTLE = {
+    "with nothing else going on": """
+        c1 query CLASS r1 allow=LEFT
+    """,
+    "in a turn in which another one goes out again": """
+        c9 query lookup r9
+        e1 expect GET r9 *
+        turn begins now
+        c1 query CLASS r1 allow=LEFT
+        e1 send r9 overload -
+        turn ends now
+        e2 expect GET r9 *
+        e2 send r9 served count=1 a|b|c/
+    """,
+    "while no engine can be connected to": """
+        e1 will vanish
+        e2 will vanish
+        c1 query CLASS r1 allow=LEFT
+    """,
+}
+
+
+@pytest.mark.parametrize("left", ["0.1", "0.5", "1", "20", "100"])
+@pytest.mark.parametrize("site", SITES)
+@pytest.mark.parametrize("name", NAMES)
+@pytest.mark.parametrize("moment", LITTLE)
+def test_a_request_with_little_time_left_is_refused_at_once_and_not_sent(
+    moment: str, name: str, site: str, left: str
+) -> None:
+    world = Turns(SITES[site])
+    for client in ("c1", "c9"):
+        world.client(client)
+    world.gateway.scheduler.util = 0.1  # else what can't be in time is not sent where the fleet may be full
+    world.run(LITTLE[moment].replace("CLASS", name).replace("LEFT", left))
+    world.run("c1 expect error 1226 *\nany nothing there")
+    assert not world.gateway.scheduler.doubted
+    nothing_left(world)
+
+
+def told(world: Turns) -> float:
+    """The time that the one engine that heard something is told, in ms."""
+    (line,) = [line for line in world.lines if line.heard]
+    fields = line.heard.pop(0)[2].decode()
+    return float(fields.partition("ms=")[2].partition(",")[0])
+
+
+@pytest.mark.parametrize("allow", [300, 1000, 3000, 20000])
+@pytest.mark.parametrize("waits", ["for a connect", "behind another one", "after a first attempt"])
+def test_an_engine_is_told_at_most_the_time_that_its_client_has_left(waits: str, allow: int) -> None:
+    """However the request waited: the time counts from its last byte."""
+    world = Turns(SITES["little allowed"])
+    world.client("c1")
+    world.gateway.scheduler.util = 0.1
+    came, passed = world.clock.now(), min(allow / 5, 200)
+    query = f"c1 query lookup r1 allow={allow},effort=20.0"
+    if waits == "for a connect":
+        world.run(f"e1 will vanish\n{query}\ntime wait {passed}\ne1 will up\ntime wait 1")
+    elif waits == "behind another one":
+        world.run(f"c1 query lookup r9\ne1 expect GET r9 *\n{query}\ntime wait {passed}")
+        world.run("e1 send r9 served count=1 a|b|c/\nc1 expect rows a|b|c")
+    else:
+        world.run(f"{query}\ne1 expect GET r1 *\ntime wait {passed}\ne1 send r1 overload -")
+    left = came + allow - min(LAG_MS, LAG_PART * allow) - ANSWER_MS - world.clock.now()
+    assert left - 2 < told(world) <= left + 1
+
+
+@pytest.mark.parametrize("site", SITES)
+@pytest.mark.parametrize("name", NAMES)
+def test_a_connect_that_outlasts_its_request_says_nothing_of_the_engine(name: str, site: str) -> None:
+    """Engines were left for seconds because of one request that could not wait for its connect."""
+    world = Turns(SITES[site])
+    world.client("c1")
+    world.gateway.scheduler.util = 0.1
+    world.run(f"e1 will vanish\nc1 query {name} r1 allow=160\nc1 expect nothing\ntime wait 115")
+    world.run("c1 expect error 1226 *\nany nothing there")
+    assert len(world.lines) == 1 and not world.gateway.scheduler.doubted
+    nothing_left(world)
