Tell retries what is known of their loads while the folder can't be had

Seen: while the folder could not be had every retry was told to come later, for as long as that lasted. Whoever had sent its load forgot it one hold after its end; then the folder was had, or the client asked another instance, all said never, and the load ran twice. What could be read of a folder whose boot could not be counted was not used either, though the design says so. At fault: Unkept.came, which knew nothing. Ruled out: Loads.came, which has had this bound since.

Now Unkept has a memory: an own record that could be read decides, and other retries are put off for 5 s and then told that they may have run; the time of their first asking goes over to the ledger's memory.

--- a/cottonhold/node/fleet/loads.py
+++ b/cottonhold/node/fleet/loads.py
@@ -36,9 +36,9 @@
     return frozenset(i for i, c in places if c.loads or c.effect is io.Effect.UNSAFE)
 
 
-def kept_loads(ledger: Ledger) -> tuple[list[LoadKept], dict[bytes, LoadRecord]]:
+def kept_loads(folder: Mapping[bytes, bytes]) -> tuple[list[LoadKept], dict[bytes, LoadRecord]]:
     """What the folder remembers of loads; one that can't be read may have run."""
-    found = loads(ledger.records(Kind.LOAD))
+    found = loads(folder)
     known = [LoadKept(load, ENDS.get(record.state)) for load, record in found.known.items()]
     return [*known, *(LoadKept(load) for load in found.unread)], dict(found.known)
 
@@ -47,17 +47,33 @@
     """The guard while there is no ledger: its folder is another process's still, or its disk fails. No load
     goes out, all else does."""
 
-    def __init__(self, classes: frozenset[int], cooldown: float, counters: Counters) -> None:
-        self.classes, self.cooldown, self.counters = classes, cooldown, counters
+    def __init__(
+        self,
+        classes: Mapping[int, bool],
+        cooldown: float,
+        memory: Memory,
+        now: Callable[[], float],
+        counters: Counters,
+    ) -> None:
+        self.classes, self.cooldown, self.memory, self.now = classes, cooldown, memory, now
+        self.counters, self.forgotten_at = counters, now()
 
     def guards(self, query_class: int) -> bool:
         """Whether requests of a class would have to be remembered."""
         return query_class in self.classes
 
     def came(self, taken: Taken, until: float, settled: Tell) -> None:
-        """Refused at once."""
+        """Told at once: to come later, or what is known of a retry."""
         self.counters.add("loads_unkept")
-        settled(Past.LATER, self.cooldown)
+        known, now = Known.LATER, self.now()
+        if taken.retry:
+            # Danger: told to come later for as long as the folder could not be had, a client came back after
+            # whoever had sent its load had forgotten it, and it ran again.
+            known = self.memory.later(now, identity(taken.service, taken.key or "", taken.body))
+        settled(_past(known, self.classes[taken.query_class]), self.cooldown)
+        if now - self.forgotten_at >= FORGET_MS:
+            self.forgotten_at = now
+            self.memory.own.forget(now, ())
 
     def sending(self, attempt: Attempt, taken: Taken, kept: Callable[[bool], None]) -> None:
         """One that was taken under another ledger."""
--- a/cottonhold/node/fleet/recovery.py
+++ b/cottonhold/node/fleet/recovery.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import secrets
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from pathlib import Path
 from typing import Any
 
@@ -19,7 +19,7 @@
 from cottonhold.fleet.zones.words import WordError
 from cottonhold.membership.swim import Swim
 from cottonhold.node.clock import Clock, Timer
-from cottonhold.node.fleet.loads import Loads, guarded, kept_loads
+from cottonhold.node.fleet.loads import Loads, Unkept, guarded, kept_loads
 from cottonhold.observe.counters import Counters
 from cottonhold.store import ledger as ledger_of
 from cottonhold.store.ledger import Ledger
@@ -41,6 +41,29 @@
     return Ledger.open(folder / installation.file.state_dir, installation.file.name)
 
 
+def guarded_by(installation: Installation) -> dict[int, bool]:
+    """The classes whose requests are remembered, and whether a good end of one may be said."""
+    classes = installation.file.classes
+    return {i: classes[i].again == "served" for i in guarded(installation.config.settings)}
+
+
+def hold_of(installation: Installation) -> float:
+    """How long after it was sent a load can still be asked about, in ms."""
+    classes = installation.file.classes
+    return hold_for(classes[i].deadline_ms for i in guarded(installation.config.settings))
+
+
+def unkept_guard(
+    installation: Installation, found: Mapping[bytes, bytes], clock: Clock, counters: Counters
+) -> Unkept:
+    """The guard while the folder can't be had. found: its loads, as far as they could be read."""
+    file, hold = installation.file, hold_of(installation)
+    kept, _ = kept_loads(found)
+    memory = Memory(file.number, file.dispatchers, 0, clock.now(), kept, MemorySettings(hold), 0)
+    cooldown = min(installation.config.settings.permits.max_retry_after, memory.settings.cooldown)
+    return Unkept(guarded_by(installation), cooldown, memory, clock.now, counters)
+
+
 def life_of(ledger: Ledger) -> int:
     """The life that an instance's words carry."""
     return LIFE_BASE + ledger.boot & 0xFFFF_FFFF
@@ -83,15 +106,13 @@
         self.say, self.counters, self.note = say, counters, note
         if fleet is not None and fleet.outlook is not None and not recall_site(ledger, fleet.outlook):
             counters.add("recovery_malformed")
-        kept, records = kept_loads(ledger)
+        kept, records = kept_loads(ledger.records(Kind.LOAD))
         known = _known(ledger)
         boot, mark = (int.from_bytes(ledger.records(Kind.LIFE).get(key, b""), "big") for key in (BASE, MARK))
         base = boot * BASE_STEP + mark if boot else 0
         whole = MemoryState.KEPT if base else MemoryState.OLD
         memory = whole if ledger.memory is ledger_of.Memory.KEPT else MemoryState.EMPTY
-        settings, classes = installation.config.settings, file.classes
-        guards = guarded(settings)
-        hold = hold_for(c.deadline_ms for i, c in enumerate(classes) if i in guards)
+        guards, hold = guarded_by(installation), hold_of(installation)
         self.hold, self.hop = hold, hop
         self.census = Census(
             file.number,
@@ -114,7 +135,7 @@
             self.memory,
             ledger,
             records,
-            {i: classes[i].again == "served" for i in guards},
+            guards,
             hold,
             clock.now,
             lambda: ledger.clock(),
--- a/cottonhold/node/installation.py
+++ b/cottonhold/node/installation.py
@@ -28,11 +28,11 @@
 from cottonhold.node import consul, status
 from cottonhold.node.dispatcher import Dispatcher, run_program
 from cottonhold.node.fleet.drains import DrainRim
-from cottonhold.node.fleet.loads import Unkept, guarded
+from cottonhold.node.fleet.loads import Unkept
 from cottonhold.node.fleet.membership import MembershipRim, make_instance
 from cottonhold.node.fleet.opening import Opening
 from cottonhold.node.fleet.pins import PinsRim
-from cottonhold.node.fleet.recovery import BOOT_STEP, RecoveryRim, life_of, open_ledger
+from cottonhold.node.fleet.recovery import BOOT_STEP, RecoveryRim, life_of, open_ledger, unkept_guard
 from cottonhold.node.fleet.swap import SwapError, SwapRim
 from cottonhold.node.fleet.zones import FleetRim, OrderError, make_fleet
 from cottonhold.node.http import Tls
@@ -82,6 +82,7 @@
         self.remembered: Remembered | None = None
         self.began = self.driver.clock.now()
         self.ledger_why = ""
+        self.unkept: Unkept | None = None
         self.opening = Opening(self._open)
         self.opening.wait(OPENING_S)
         self.metrics = self._measure() if installation.file.metrics else None
@@ -113,10 +114,12 @@
 
     def _recover(self, ledger: Ledger | None) -> None:
         """Loads are guarded: by the ledger, or while it can't be had by refusing them."""
-        guards = guarded(self.config.settings)
         if ledger is None:
-            cooldown = min(self.config.settings.permits.max_retry_after, 1000.0)
-            self.gateway.loads = Unkept(guards, cooldown, self.counters)
+            if self.unkept is None:
+                error = self.opening.error if self.opening.over else None
+                found = error.kept.get(Kind.LOAD, {}) if error is not None else {}
+                self.unkept = unkept_guard(self.installation, found, self.driver.clock, self.counters)
+                self.gateway.loads = self.unkept
             if self.opening.over:
                 self.driver.clock.call_in(LEDGER_MS, self._open_again)
             else:
@@ -134,6 +137,8 @@
             self.counters,
             self.log.note,
         )
+        if self.unkept is not None:  # retries count from when they were first heard of
+            self.recovery.memory.own.asked.update(self.unkept.memory.own.asked)
         self.gateway.loads = self.recovery.loads
         file = self.installation.file
         if fleet is not None and file.sources:
--- a/tests/fleet/test_unkept.py
+++ b/tests/fleet/test_unkept.py
@@ -12,13 +12,19 @@
 import pytest
 
 from cottonhold.config.installation import Installation, read
+from cottonhold.fleet.recovery.memory import How, Known, LoadKept, Memory, MemorySettings, identity
 from cottonhold.node import installation as installation_module
 from cottonhold.node.fleet.loads import Unkept
 from cottonhold.node.fleet.recovery import open_ledger
+from cottonhold.node.gateway import Taken
 from cottonhold.node.installation import ServedInstallation
+from cottonhold.observe.counters import Counters
 from cottonhold.observe.structured import StructuredLog
-from cottonhold.store.ledger import Ledger, Memory, StoreBusy, StoreError
+from cottonhold.store.ledger import Ledger, StoreBusy, StoreError
+from cottonhold.store.ledger import Memory as Folder
+from cottonhold.store.records import Kind, LoadRecord, LoadState
 from tests.observe.test_metrics import FILE, FLEET
+from tests.scenario import FakeClock
 
 MOST_TURNS = 2000  # of the event loop, each 10 ms at most: a bound for a test that has failed
 
@@ -104,7 +110,7 @@
 def test_a_disk_that_hangs_later_holds_up_loads_only(world: World, monkeypatch: pytest.MonkeyPatch) -> None:
     """At the start it failed at once; the next try hangs."""
     monkeypatch.setattr(installation_module, "SLOW_S", 0.0)
-    world.errors = [StoreError("planted", Memory.EMPTY, {})]
+    world.errors = [StoreError("planted", Folder.EMPTY, {})]
 
     async def story() -> None:
         node = world.make()
@@ -125,8 +131,8 @@
 @pytest.mark.parametrize(
     "errors",
     [
-        [StoreError("full", Memory.EMPTY, {})] * 5,
-        [StoreBusy("in use", Memory.EMPTY, {})] * 5,
+        [StoreError("full", Folder.EMPTY, {})] * 5,
+        [StoreBusy("in use", Folder.EMPTY, {})] * 5,
         [RuntimeError("never seen before")],
     ],
     ids=["full", "busy", "unknown"],
@@ -176,3 +182,87 @@
         end(node)
 
     play(story)
+
+
+# --- what loads are told meanwhile ---
+
+
+def told(unkept: Unkept, body: bytes, retry: bool) -> str:
+    heard = list[str]()
+    taken = Taken("ref", 1, "load", unkept.now(), 8000.0, 0.0, 0.0, -1, "k", retry, body)
+    unkept.came(taken, unkept.now() + 500.0, lambda past, ms: heard.append(past.value))
+    (past,) = heard
+    return past
+
+
+def unkept_with(clock: FakeClock, loads: dict[bytes, How | None]) -> Unkept:
+    kept = [LoadKept(identity("load", "k", body), how) for body, how in loads.items()]
+    memory = Memory(0, 3, 0, clock.now(), kept, MemorySettings(20_000.0), 0)
+    return Unkept({1: True, 2: False}, 1000.0, memory, clock.now, Counters())
+
+
+def put_off_by_turns(unkept: Unkept, clock: FakeClock) -> None:
+    """Its load was sent elsewhere, and is forgotten there after a hold."""
+    start, heard = clock.now(), list[str]()
+    for second in range(8):
+        clock.run_until(start + 1000.0 * second, lambda: None)
+        heard.append(told(unkept, b"INSERT a", True))
+    assert heard == ["later"] * 6 + ["may"] * 2
+
+
+def test_a_retry_is_not_put_off_for_long(monkeypatch: pytest.MonkeyPatch) -> None:
+    clock = FakeClock()
+    put_off_by_turns(unkept_with(clock, {}), clock)
+    monkeypatch.setattr(Memory, "later", lambda memory, now, load: Known.LATER)
+    with pytest.raises(AssertionError):
+        put_off_by_turns(unkept_with(clock, {}), clock)
+
+
+@pytest.mark.parametrize(
+    "how, retried", [(None, "may"), (How.FAILED, "may"), (How.WELL, "well"), (How.NEVER, "later")]
+)
+def test_a_retry_is_told_what_could_be_read(how: How | None, retried: str) -> None:
+    unkept = unkept_with(FakeClock(), {b"INSERT a": how})
+    assert told(unkept, b"INSERT a", True) == retried
+    assert told(unkept, b"INSERT a", False) == told(unkept, b"INSERT b", False) == "later"
+
+
+def test_what_retries_were_put_off_is_forgotten_after_a_hold() -> None:
+    clock = FakeClock()
+    unkept = unkept_with(clock, {})
+    for number in range(50):
+        clock.run_until(clock.now() + 1000.0, lambda: None)
+        told(unkept, b"INSERT %d" % number, True)
+    assert len(unkept.memory.own.asked) <= 22
+
+
+def test_a_retry_counts_from_its_first_time_once_the_folder_is_had(world: World) -> None:
+    world.errors = [StoreError("planted", Folder.EMPTY, {})]
+
+    async def story() -> None:
+        node = world.make()
+        assert node.unkept is not None
+        node.unkept.memory.later(node.unkept.now() - 4000.0, b"x" * 16)
+        first = node.unkept.memory.own.asked[b"x" * 16].first
+        await kept(node)
+        assert node.recovery is not None and node.recovery.memory.own.asked[b"x" * 16].first == first
+        end(node)
+
+    play(story)
+
+
+def test_a_full_folder_still_tells_what_became_of_loads(world: World) -> None:
+    """Of one that could be read, but whose boot could not be counted."""
+    body = b"INSERT a"
+    record = LoadRecord(identity("load", "k", body), "r", "k", b"", "e1", 1, 0.0, LoadState.SENT)
+    error = StoreError("full", Folder.KEPT, {Kind.LOAD: {record.load: record.pack()}})
+    world.errors = [error]
+
+    async def story() -> None:
+        node = world.make()
+        assert node.unkept is not None
+        assert node.unkept.memory.later(node.unkept.now(), record.load) is Known.MAY
+        await kept(node)
+        end(node)
+
+    play(story)
