Put an engine's drain again that the disk did not take

Seen: an engine drained for a swap while the disk was full or failing counted as drained, and its record was put once and lost. The disk was well again soon after, but a restart of the dispatcher knew of no drain, and sent requests to an engine that was out and could be powered off. At fault: DrainRim._keep, which took an end of any kind for the last word; _free the same for the way back. Ruled out: Kept, which reads what is there.

Measured: tests/fleet/test_remembered.py on a full and on a failing disk, then a cut; both cases fail on the code before.

--- a/cottonhold/node/fleet/drains.py
+++ b/cottonhold/node/fleet/drains.py
@@ -16,6 +16,7 @@
 from cottonhold.membership.codec import member_id
 from cottonhold.node.dispatcher import Logs
 from cottonhold.node.engines import Engines
+from cottonhold.node.fleet.inorder import InOrder
 from cottonhold.node.fleet.membership import MembershipRim
 from cottonhold.node.fleet.recovery import BOOT_STEP, LIFE_BASE, life_of
 from cottonhold.observe.counters import Counters
@@ -50,7 +51,8 @@
         voters: Iterable[str],
         hop: Callable[[Callable[[], None]], object],
     ) -> None:
-        self.owner, self.ledger, self.membership, self.fleet, self.hop = owner, ledger, membership, fleet, hop
+        self.owner, self.ledger, self.membership, self.fleet = owner, ledger, membership, fleet
+        self.records = InOrder(ledger, hop, membership.clock.call_in)
         self.swim, self.clock = membership.instance.swim, membership.clock
         swim, self.voters = self.swim, {member_id(name) for name in voters}
         now, settings = self.clock.now(), DrainSettings()
@@ -136,10 +138,7 @@
         }
 
     def _keep(self, engine: str, record: Record) -> None:
-        """It counts as drained here once the disk has it, or can't have it."""
-
-        def done(durable: bool) -> None:
-            self.hop(told)
+        """It counts as drained here once the disk has it, or can't have it now."""
 
         def told() -> None:
             if self.writing.get(engine) is record:
@@ -147,14 +146,16 @@
                 self.drains.drain(engine, record.serial, self.owner.engines.out(engine))
 
         self.writing[engine] = record
-        if records := self.kept.drain(engine):
-            self.ledger.put(records, done)
-        else:
+        if not (records := self.kept.drain(engine)):
             told()
+        for record_of in records:
+            # Danger: not put again once the disk was well, a drain was forgotten by the next restart, and its
+            # engine got requests while it was powered off.
+            self.records.put(record_of, told, told)
 
     def _free(self, now: float, engine: str, record: Record | None) -> None:
-        if records := self.kept.undrain(engine):
-            self.ledger.put(records)
+        for record_of in self.kept.undrain(engine):
+            self.records.put(record_of)
         self.owner.republish(self.owner.held.free(engine, now if fresh(record) else 0.0))
 
     def _settle(self, now: float, swap: Swap, live: set[int]) -> None:
--- a/tests/fleet/test_remembered.py
+++ b/tests/fleet/test_remembered.py
@@ -14,13 +14,16 @@
 from cottonhold.decide import interface as io
 from cottonhold.decide.interface import EngineState
 from cottonhold.discovery.model import Address, Change, Names, Observation, Report, Verdict
+from cottonhold.emulator import disk as disk_of
 from cottonhold.fleet.recovery.ramp import Lost, Ramp, RampSettings
 from cottonhold.fleet.recovery.remembered import Remembered
 from cottonhold.fleet.swap import plan
 from cottonhold.fleet.swap.plan import Step
 from cottonhold.fleet.swap.steps import Drain
+from cottonhold.node.fleet import inorder
 from cottonhold.node.installation import ServedInstallation
 from cottonhold.observe.structured import StructuredLog
+from cottonhold.store import ledger
 from cottonhold.store.records import MOST, Hint, Kind, Record
 from tests.observe.test_metrics import FILE, FLEET, VOTERS
 
@@ -204,3 +207,44 @@
 
     for story in (drained, back, after):
         asyncio.run(life(story))
+
+
+@pytest.mark.parametrize("fault", ["full", "failed"])
+def test_a_drain_that_the_disk_did_not_take_is_kept_once_it_does(
+    tmp_path: Path, fault: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """It counts at once, and outlasts a kill after the fault has passed."""
+    path = tmp_path / "n1.json"
+    path.write_text(json.dumps(FILE | FLEET | {"metrics": False}))
+    monkeypatch.setattr(ledger, "VFS", "drains")
+    monkeypatch.setattr(inorder, "AGAIN_MS", 1.0)
+
+    async def life(story: Callable[[ServedInstallation], Awaitable[None]]) -> None:
+        log = StructuredLog("logfmt", 100, 100, (), StringIO())
+        node = ServedInstallation(path, read(path), log, asyncio.get_running_loop())
+        node.believe_known()
+        assert node.recovery is not None and node.swap is not None
+        await asyncio.wait_for(story(node), 60.0)
+        for part in (node.swap, node.recovery):
+            part.close()
+
+    async def drained(node: ServedInstallation) -> None:
+        assert node.swap is not None and set(node.held.live()) == {"e1", "e2"}
+        node.swap.swap.scene.chain = {"e1": plan.Record(Step.DRAINING, 7)}
+        rim, swap = node.swap.drains, node.swap.swap
+        disk.orders = disk_of.Orders(full=True) if fault == "full" else disk_of.Orders(fail_sync=1.0)
+        rim.act(0.0, swap, Drain("e1"))
+        while "e1" not in rim.drains.drained:
+            await asyncio.sleep(0)
+        assert rim.records.queue or rim.records.flying, "not kept yet, and not given up"
+        disk.orders = disk_of.Orders()
+        while rim.records.queue or rim.records.flying:
+            await asyncio.sleep(0.01)
+        disk.cut()
+
+    async def back(node: ServedInstallation) -> None:
+        assert set(node.held.live()) == {"e2"}
+
+    for story in (drained, back):
+        disk = disk_of.install("drains")
+        asyncio.run(life(story))
