Hold drained engines of a folder that can be read while its boot can't be counted

Seen: at a start on a full disk the folder's drains could be read, but were not used: requests went to an engine that was out, until the disk had room. At fault: ServedInstallation._recover, which dropped what StoreError tells. Ruled out: loads, which are refused meanwhile.

--- a/cottonhold/node/installation.py
+++ b/cottonhold/node/installation.py
@@ -23,6 +23,7 @@
 from cottonhold.fleet.core import Fleet
 from cottonhold.fleet.recovery.found import Verdict
 from cottonhold.fleet.recovery.remembered import Remembered
+from cottonhold.fleet.swap.engines import DrainSettings, Kept
 from cottonhold.fleet.swap.plan import Machine, Step
 from cottonhold.membership.codec import Status
 from cottonhold.node import consul, status
@@ -112,18 +113,38 @@
         self.opening = Opening(self._open)
         self._recover(None)
 
+    def _hold_drained(self, folder: Mapping[bytes, bytes]) -> None:
+        """Engines drained in a life before, by a folder that could be read: held until its ledger holds them,
+        or for as long as they would be without the registers."""
+        engines = Kept(folder).before
+
+        def let_go() -> None:
+            kept = self.swap.drains.kept.engines if self.swap is not None else set[str]()
+            for engine in sorted(engines - kept):
+                self.republish(self.held.free(engine))
+
+        for engine in sorted(engines):
+            self.republish(self.held.hold(engine))
+        self.driver.clock.call_in(DrainSettings().wait, let_go)
+
+    def _do_without(self) -> None:
+        """Refuse loads, and see again whether the folder can be had."""
+        if self.unkept is None:
+            error = self.opening.error if self.opening.over else None
+            found = error.kept if error is not None else {}
+            loads = found.get(Kind.LOAD, {})
+            self.unkept = unkept_guard(self.installation, loads, self.driver.clock, self.counters)
+            self.gateway.loads = self.unkept
+            self._hold_drained(found.get(Kind.DRAIN, {}))
+        if self.opening.over:
+            self.driver.clock.call_in(LEDGER_MS, self._open_again)
+        else:
+            self.driver.clock.call_in(OPENED_MS, lambda: self._recover(self._opened()))
+
     def _recover(self, ledger: Ledger | None) -> None:
         """Loads are guarded: by the ledger, or while it can't be had by refusing them."""
         if ledger is None:
-            if self.unkept is None:
-                error = self.opening.error if self.opening.over else None
-                found = error.kept.get(Kind.LOAD, {}) if error is not None else {}
-                self.unkept = unkept_guard(self.installation, found, self.driver.clock, self.counters)
-                self.gateway.loads = self.unkept
-            if self.opening.over:
-                self.driver.clock.call_in(LEDGER_MS, self._open_again)
-            else:
-                self.driver.clock.call_in(OPENED_MS, lambda: self._recover(self._opened()))
+            self._do_without()
             return
         membership, fleet = self.membership, self.fleet
         self.recovery = RecoveryRim(
--- a/tests/fleet/test_unkept.py
+++ b/tests/fleet/test_unkept.py
@@ -13,6 +13,7 @@
 
 from cottonhold.config.installation import Installation, read
 from cottonhold.fleet.recovery.memory import How, Known, LoadKept, Memory, MemorySettings, identity
+from cottonhold.fleet.swap.engines import DrainSettings
 from cottonhold.node import installation as installation_module
 from cottonhold.node.fleet.loads import Unkept
 from cottonhold.node.fleet.recovery import open_ledger
@@ -22,7 +23,7 @@
 from cottonhold.observe.structured import StructuredLog
 from cottonhold.store.ledger import Ledger, StoreBusy, StoreError
 from cottonhold.store.ledger import Memory as Folder
-from cottonhold.store.records import Kind, LoadRecord, LoadState
+from cottonhold.store.records import Hint, Kind, LoadRecord, LoadState, Record
 from tests.observe.test_metrics import FILE, FLEET
 from tests.scenario import FakeClock
 
@@ -266,3 +267,38 @@
         end(node)
 
     play(story)
+
+
+def with_drain(folder: Path, drain: dict[Kind, dict[bytes, bytes]]) -> None:
+    """A folder of an earlier life."""
+    ledger = Ledger.open(folder, str(FILE["name"]))
+    ledger.put([Record(kind, key, value) for kind, kept in drain.items() for key, value in kept.items()])
+    ledger.close(True)
+
+
+@pytest.mark.parametrize("had", [True, False], ids=["had-later", "never-had"])
+def test_drains_of_a_folder_that_could_be_read_are_held(
+    world: World, monkeypatch: pytest.MonkeyPatch, had: bool
+) -> None:
+    """Until its ledger holds them, or for as long as registers are waited for."""
+    monkeypatch.setattr(installation_module, "LEDGER_MS", 1.0 if had else 1e6)
+    drain = {Kind.DRAIN: {b"e1": Hint(b"", 0.0).pack()}}
+    world.errors = [StoreError("full", Folder.KEPT, drain)]
+    with_drain(world.path.parent / "state", drain)
+
+    async def story() -> None:
+        node, due = world.make(), list[tuple[float, Callable[[], None]]]()
+        node.believe_known()
+        assert set(node.held.live()) == {"e2"}
+        if had:
+            await kept(node)
+            assert set(node.held.live()) == {"e2"}
+        monkeypatch.setattr(node.driver.clock, "call_in", lambda ms, then: due.append((ms, then)))
+        node._hold_drained(drain[Kind.DRAIN])
+        ((ms, let_go),) = due
+        assert ms == DrainSettings().wait
+        let_go()
+        assert set(node.held.live()) == ({"e2"} if had else {"e1", "e2"})
+        end(node)
+
+    play(story)
