Read each statement in time that grows with its length, and KILL of any number

Seen: one statement of 60 KB held up the loop, and all other clients with it, for 7 s: KILL 1 with blanks behind it and a letter, comments without an end, quotes behind backslashes. A KILL with 5,000 digits raised ValueError out of Session.receive; from a resumed session it ended in the loop's handler, and its client heard nothing.

Ruled out by drawn bytes (300 draws each): Session, statement.parse, RespReader and an engine's answers (gauges of nan, inf and 1e300 among them), Peers, operators' calls: only ProtocolError, FieldError and RespError come out, and the other client's request keeps its answer. Names, dots, blanks behind FROM and back quotes were linear already.

At fault: mysql.KILL (\s*;?\s* may split blanks in any way; int() takes 4,300 digits), statement.TOKEN (each opening mark without an end was looked for an end anew).

Change: each blank belongs to one part; a string or comment without an end takes the rest, and its inside is never split again.

--- a/cottonhold/node/mysql.py
+++ b/cottonhold/node/mysql.py
@@ -43,7 +43,8 @@
 PUSHED_OUT = ("silent", "idle", "halted")  # in this order
 ANY_IDS = Ids()
 COLUMNS = (b"c1", b"c2", b"c3")
-KILL = re.compile(rb"\s*KILL\s+(QUERY\s+|CONNECTION\s+)?(\d+)\s*;?\s*\Z", re.IGNORECASE)
+# Danger: blanks that could belong to either of two parts took 7 s of the loop, and int() takes 4,300 digits.
+KILL = re.compile(rb"\s*KILL\s+(QUERY\s+|CONNECTION\s+)?(\d{1,20})\s*(?:;\s*)?\Z", re.IGNORECASE)
 
 Error = tuple[int, bytes]
 BAD_HANDSHAKE: Error = (1043, b"08S01")
--- a/cottonhold/node/statement.py
+++ b/cottonhold/node/statement.py
@@ -10,10 +10,12 @@
 TOKEN_TEXT = re.compile(r"[0-9A-Za-z_.:+/-]{1,128}\Z")  # an idempotency key: passed on to engines as it is
 NUMBER = re.compile(r"[0-9]{1,9}(?:\.[0-9]{0,20})?\Z")  # float() takes more, as nan or 1_0
 MOST_MS = 3.6e6  # an hour; no query here may take or wait for longer
-# Strings and comments are matched first, so that names inside them do not count.
+# Strings and comments are matched first, so that names inside them do not count; one without an end has all.
+# Danger: each opening mark without an end was looked for an end anew, and 60 KB of them took 7 s of the loop.
 TOKEN = re.compile(
-    r"""'(?:[^'\\]|\\.|'')*'|"(?:[^"\\]|\\.|"")*"|/\*.*?\*/|\#[^\n]*|--(?=\s|\Z)[^\n]*"""
-    r"""|(?P<name>`(?:[^`]|``)*`|[A-Za-z_$\u0080-\uffff][\w$]*)|(?P<dot>\.)|(?P<comma>,)|(?P<other>\S)""",
+    r"""'(?:[^'\\]|\\(?:.|\Z)|'')*+(?:'|\Z)|"(?:[^"\\]|\\(?:.|\Z)|"")*+(?:"|\Z)"""
+    r"""|/\*.*?(?:\*/|\Z)|\#[^\n]*|--(?=\s|\Z)[^\n]*"""
+    r"""|(?P<name>`(?:[^`]|``)*+(?:`|\Z)|[A-Za-z_$\u0080-\uffff][\w$]*)|(?P<dot>\.)|(?P<comma>,)|(?P<other>\S)""",
     re.DOTALL,
 )
 GROUP = re.compile(r".*_(\d{1,9})\Z", re.DOTALL)
--- /dev/null
+++ b/tests/drawn.py
@@ -0,0 +1,25 @@
+"""What drawn tests of readers share."""
+
+from __future__ import annotations
+
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from tests.scenario import World
+
+CASES = settings(max_examples=300)
+FAULTS = ("step_faults", "action_faults", "answer_faults", "connection_faults")
+ODD = st.one_of(
+    st.none(),
+    st.booleans(),
+    st.integers(-(2**63), 2**64 - 1),
+    st.floats(allow_nan=False, allow_infinity=False),
+    st.text(max_size=6),
+    st.lists(st.integers(0, 3), max_size=2),
+    st.dictionaries(st.text(max_size=3), st.integers(0, 3), max_size=2),
+)
+
+
+def untroubled(world: World) -> bool:
+    """Nothing was caught that should not have come."""
+    return not any(world.counters.counts[name] for name in FAULTS)
--- /dev/null
+++ b/tests/test_bad_bytes.py
@@ -0,0 +1,185 @@
+"""Drawn bytes for each reader: only its own error may come out, and others keep their answers."""
+
+from __future__ import annotations
+
+import time
+
+import pytest
+from hypothesis import example, given
+from hypothesis import strategies as st
+
+from cottonhold.decide import interface as io
+from cottonhold.discovery.model import Address
+from cottonhold.node.mysql import MOST_PACKET
+from cottonhold.node.ops import Calls
+from cottonhold.node.peers import Peers
+from cottonhold.node.resp import RespError, RespReader, encode, read_count, read_fields, read_rows
+from cottonhold.node.statement import FieldError, parse
+from tests.drawn import CASES, untroubled
+from tests.scenario import LOGIN, FakeClock, World, packet
+
+MOST_SECONDS = 2.0  # of processor time for one statement; a quadratic reader takes over 10
+
+FIELDS = b"/* service=lookup,ref=%s,allow=5000 */ "
+STATEMENTS = st.one_of(
+    st.binary(max_size=80),
+    st.builds(
+        lambda verb, rest: verb + rest,
+        st.sampled_from(
+            [b"KILL ", b"KILL QUERY ", FIELDS % b"0123456789abcdef", b"/* service=lookup,", b"/*"]
+        ),
+        st.binary(max_size=60),
+    ),
+)
+COMMANDS = st.builds(
+    lambda sequence, command, rest: packet(sequence, bytes((command,)) + rest),
+    st.sampled_from([0, 0, 0, 1, 255]),
+    st.sampled_from([1, 2, 3, 3, 3, 14, 31, 200]),
+    STATEMENTS,
+)
+CLIENT_BYTES = st.lists(st.one_of(st.binary(max_size=40), COMMANDS, st.just(packet(1, LOGIN))), max_size=8)
+
+
+@CASES
+@given(CLIENT_BYTES, st.booleans(), st.integers(1, 30))
+@example([packet(0, b"\x03KILL " + b"1" * 5000)], True, 30)
+def test_a_clients_bytes(parts: list[bytes], logged_in: bool, pieces: int) -> None:
+    world = World().run("c1 query lookup r1\nany expect GET r1 *")
+    session = world.front.open()
+    data = b"".join(([packet(1, LOGIN)] if logged_in else []) + parts)
+    for at in range(0, len(data), pieces):
+        session.receive(data[at : at + pieces])
+        world.wait(0)
+    assert len(session.buffer) <= MOST_PACKET + 4 and untroubled(world)
+    session.closed()
+    world.run("e1 send r1 served count=1 a|b|c/\nc1 expect rows a|b|c")
+
+
+SLOW = {
+    "a KILL with blanks": b"KILL 1" + b" " * (60 << 10) + b"x",
+    "comments that do not end": FIELDS % b"0123456789abcdef" + b"/* " * (20 << 10),
+    "single quotes behind backslashes": FIELDS % b"0123456789abcdef" + b"'\\" * (30 << 10),
+    "double quotes behind backslashes": FIELDS % b"0123456789abcdef" + b'"\\' * (30 << 10),
+    "back quotes": FIELDS % b"0123456789abcdef" + b"`" * (60 << 10),
+    "blanks behind FROM": FIELDS % b"0123456789abcdef" + b"FROM" + b" " * (60 << 10),
+    "names": FIELDS % b"0123456789abcdef" + b"FROM a" + b"_1" * (30 << 10),
+    "dots": FIELDS % b"0123456789abcdef" + b"a_1." * (15 << 10),
+}
+
+
+@pytest.mark.parametrize("text", SLOW.values(), ids=SLOW)
+def test_no_statement_holds_up_the_others(text: bytes) -> None:
+    """Danger: one statement of 60 KB kept the loop, and with it all clients, for over 10 s."""
+    world = World().run("c1 query lookup r1\nany expect GET r1 *")
+    session, began = world.front.open(), time.process_time()
+    session.receive(packet(1, LOGIN) + packet(0, b"\x03" + text))
+    assert time.process_time() - began < MOST_SECONDS
+
+
+@CASES
+@given(STATEMENTS)
+def test_a_statement(text: bytes) -> None:
+    try:
+        parse(text)
+    except FieldError:
+        pass
+
+
+WORDS = st.one_of(
+    st.binary(max_size=20), st.sampled_from([b"served", b"rows", b"crashed", b"overload", b"-"])
+)
+PAIRS = st.builds(
+    lambda name, value: f"{name}={value}".encode(),
+    st.sampled_from(["count", "pos", "ticks", "footprint", "gauges"]),
+    st.one_of(
+        st.sampled_from(
+            ["nan", "inf", "-1", "1e308", "", "1", "2", "inflight:nan;util:inf", "util:-5;x0:1e300"]
+        ),
+        st.text(max_size=8),
+    ),
+)
+ANSWER = st.builds(
+    lambda ref, word, fields, body: encode(ref, word, b",".join(fields), body),
+    st.sampled_from([b"%016x" % 2, b"%016x" % 2, b"t1", b"x"]),
+    st.sampled_from(
+        [b"served", b"served", b"rows", b"crashed", b"overload", b"nobody", b"red", b"green", b"?"]
+    ),
+    st.lists(PAIRS, max_size=3),
+    st.one_of(st.just(b"a\tb\tc\n"), st.binary(max_size=20)),
+)
+ENGINE_BYTES = st.lists(
+    st.one_of(ANSWER, st.lists(WORDS, max_size=9).map(lambda words: encode(*words)), st.binary(max_size=30)),
+    max_size=6,
+)
+
+
+@CASES
+@given(ENGINE_BYTES, st.integers(1, 40))
+def test_an_engines_bytes(parts: list[bytes], pieces: int) -> None:
+    """The request there gets one final answer at most; the one at the other engine keeps its own."""
+    world = World().run("c1 query lookup r1\ne1 expect GET r1 *\nc2 query lookup r2\ne2 expect GET r2 *")
+    connection, data = world.line("e2").connection, b"".join(parts)
+    for at in range(0, len(data), pieces):
+        connection.receive(data[at : at + pieces])
+        world.wait(0)
+    world.wait(50.0)
+    assert untroubled(world) and len(world.clients["c2"].heard) <= 1
+    world.run("e1 send r1 served count=1 a|b|c/\nc1 expect rows a|b|c")
+    world.wait(6000.0)
+    assert untroubled(world) and len(world.clients["c2"].heard) == 1, world.log
+
+
+@CASES
+@given(st.lists(st.binary(max_size=60), max_size=5), st.binary(max_size=40))
+def test_the_engines_reader(parts: list[bytes], text: bytes) -> None:
+    reader = RespReader()
+    try:
+        for part in parts:
+            reader.feed(part)
+    except RespError:
+        pass
+    for call in (read_rows, lambda data: read_count(read_fields(data), "count", 1, 9)):
+        try:
+            call(text)
+        except RespError:
+            pass
+
+
+@CASES
+@given(st.binary(max_size=300), st.integers(0, 2))
+def test_a_peers_bytes(data: bytes, sender: int) -> None:
+    world = World().run("c1 query lookup r1\nany expect GET r1 *")
+    peers = Peers((Address("a", 1), Address("b", 1)), None, world.counters)
+    message = peers.receive(data, ("abc"[sender], 1))
+    assert (message is None) == (sender == 2 or len(data) > 256)
+    world.gateway.push(message or io.ListFailed())
+    world.wait(50.0)
+    world.run("e1 send r1 served count=1 a|b|c/\nc1 expect rows a|b|c")
+    assert untroubled(world), world.log
+
+
+CALL = st.one_of(
+    st.binary(max_size=60),
+    st.builds(
+        lambda method, path, rest: method + b" " + path + b" HTTP/1.1\r\n" + rest,
+        st.sampled_from([b"GET", b"POST", b"BREW", b""]),
+        st.one_of(
+            st.sampled_from([b"/healthcheck", b"/healthcheck/fail", b"*", b"/"]), st.binary(max_size=10)
+        ),
+        st.one_of(
+            st.just(b"\r\n"), st.just(b"Upgrade: h2c\r\nConnection: upgrade\r\n\r\n"), st.binary(max_size=40)
+        ),
+    ),
+)
+
+
+@CASES
+@given(st.lists(CALL, min_size=1, max_size=3), st.integers(1, 50))
+def test_an_operators_bytes(parts: list[bytes], pieces: int) -> None:
+    world, clock = World(), FakeClock()
+    calls = Calls(world.life, clock, world.counters, lambda event, **fields: None, 4)
+    call, data = calls.open(), b"".join(parts)
+    for at in range(0, len(data), pieces):
+        call.receive(data[at : at + pieces])
+    clock.run_until(clock.at + 5000, lambda: None)
+    assert call.closing and call.take_output().startswith(b"HTTP/1.1 ")
