Pass over one entry of a list whose port is no number

Seen, by drawn lists: an address with a digit of another script ('a:²') or with 5,000 digits raised ValueError out of Bus.receive. The link was opened anew and the same answer came again: nothing else that it told was ever heard.

Ruled out: wrong types and odd numbers in any field of an entry, an event or the answer, bytes that are no HTTP: counted, passed over or a WireError; what can be read reaches the gateway, and no number in it breaks a decision.

At fault: Address.parse (str.isdigit is true of what int() does not take).

Measured: tests/discovery/test_bad_lists.py fails without the change and passes with it.

--- a/cottonhold/discovery/model.py
+++ b/cottonhold/discovery/model.py
@@ -31,9 +31,11 @@
             host = host[1:-1]
         elif ":" in host:
             host = ""  # without brackets nobody knows where an IPv6 address ends
-        if not mark or not host or not port.isdigit() or not 0 < int(port) < 65536:
+        # Danger: isdigit() is true of digits that int() does not take, and one such entry hid a whole list.
+        number = int(port) if port.isascii() and port.isdigit() and len(port) < 6 else 0
+        if not mark or not host or not 0 < number < 65536:
             raise WireError(f"'{text}' is no address")
-        return cls(host, int(port))
+        return cls(host, number)
 
     def __str__(self) -> str:
         return f"[{self.host}]:{self.port}" if ":" in self.host else f"{self.host}:{self.port}"
--- /dev/null
+++ b/tests/discovery/test_bad_lists.py
@@ -0,0 +1,89 @@
+"""Drawn bytes for the event bus: what can be read of them counts, and no number in it breaks a decision."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import orjson
+from hypothesis import example, given
+from hypothesis import strategies as st
+
+from cottonhold.discovery.belief import Belief
+from cottonhold.discovery.bus import SOURCE, Bus
+from cottonhold.discovery.model import Guard, Names, Publish, Report
+from cottonhold.observe.counters import Counters
+from cottonhold.wire import WireError
+from tests.drawn import CASES, ODD, untroubled
+from tests.scenario import World
+
+ENTRY: dict[str, Any] = {
+    "instanceId": "s-1",
+    "hostPort": "10.0.0.1:90",
+    "zone": "z",
+    "machineType": "a",
+    "cell": 1,
+    "lifecycle": "Ready",
+    "weight": 4,
+    "startedAtMs": 0,
+}
+ADDRESSES = st.sampled_from(["a:²", "a:" + "9" * 5000, ":1", "a", "[::1]:5", "\ud7ff:1", "1.2.3.4:0"])
+ENTRIES = st.builds(
+    lambda key, value: {**ENTRY, key: value}, st.sampled_from(sorted(ENTRY)), st.one_of(ODD, ADDRESSES)
+)
+EVENTS = st.one_of(
+    ODD,
+    st.builds(
+        lambda offset, entries, reset: {"offset": offset, "topology": {"instances": entries, "reset": reset}},
+        st.one_of(st.integers(0, 9), ODD),
+        st.one_of(ODD, st.lists(st.one_of(ENTRIES, ODD), max_size=3)),
+        st.one_of(st.booleans(), ODD),
+    ),
+)
+LISTS = st.builds(
+    lambda offset, batch: orjson.dumps({"offset": offset, "batch": batch}),
+    st.one_of(st.integers(2, 9), ODD),
+    st.one_of(ODD, st.lists(EVENTS, max_size=3)),
+)
+
+
+def bus(reports: list[Report], counters: Counters) -> Bus:
+    return Bus("h", 1, Names(("z",), ("a",)), counters, reports.append)
+
+
+def answered(body: bytes) -> bytes:
+    return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body
+
+
+@CASES
+@given(st.one_of(LISTS.map(answered), st.binary(max_size=80), st.binary(max_size=40).map(answered)))
+@example(answered(orjson.dumps({"offset": 2, "batch": [{"offset": 2, "topology": {"instances": [
+    {**ENTRY, "hostPort": "a:²"}, ENTRY]}}]})))  # fmt: skip
+def test_a_lists_bytes(data: bytes) -> None:
+    """What can be read of it reaches the gateway, and no number in it breaks a decision."""
+    reports, counters = list[Report](), Counters()
+    try:
+        bus(reports, counters).receive(data)
+    except WireError:
+        assert counters.counts["bus_malformed"]
+    world = World().run("c1 query lookup r1\ne1 expect GET r1 *")
+    world.met = lambda name: name  # type: ignore[method-assign]  # any engine comes up, and never answers
+    belief = Belief(((SOURCE, Guard(trusted=True)),), 1)
+    for report in reports:
+        for action in belief.step(world.clock.now(), [report]):
+            if isinstance(action, Publish):
+                world.gateway.change_list(action.change)
+    world.wait(50.0)
+    world.run("c2 query lookup r2")
+    world.wait(50.0)
+    assert untroubled(world), world.log
+    world.wait(6000.0)
+    assert untroubled(world) and len(world.clients["c2"].heard) == 1, world.log
+
+
+def test_one_entry_that_can_not_be_read_costs_only_itself() -> None:
+    """Danger: one address with a digit of another script hid all that its answer told, again and again."""
+    entries = [{**ENTRY, "hostPort": "a:²"}, {**ENTRY, "hostPort": "a:" + "9" * 5000}, ENTRY]
+    body = orjson.dumps({"offset": 2, "batch": [{"offset": 2, "topology": {"instances": entries}}]})
+    reports, counters = list[Report](), Counters()
+    assert bus(reports, counters).receive(answered(body))
+    assert [o.id for o in reports[0].observations] == ["s-1"] and counters.counts["bus_malformed"] == 2
