Refuse a configuration with figures of no use, one that is huge or no regular file

Seen, by drawn configurations: a figure below 0 (memory of a machine kind) was taken, and then each decision divided by zero: every request failed as step_faults. A file without an end (/dev/zero) took all memory; a pipe would have kept SIGHUP's handler, and with it the loop, waiting for good.

Ruled out: empty, cut off, not UTF-8, deep, NaN and 1e999, no object, a directory, no such path; wrong types and missing keys; classes twice; deadline and attempts not over 0: one line and code 2 at the start, one line and nothing changed at SIGHUP.

At fault: relay.load (read_bytes without a bound), relay.decode (figures went unchecked).

Change: read_file takes regular files of 4 MB at most (3,200 engines take under one); check_numbers wants every figure of the settings from 0 to 1e12.

--- a/cottonhold/config/relay.py
+++ b/cottonhold/config/relay.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import dataclasses
+import os
+import stat
 from collections.abc import Mapping
 from dataclasses import dataclass
-from pathlib import Path
+from typing import Any
 
 import orjson
 
@@ -28,6 +31,8 @@
     "report": "fields how",
 }
 OF_CLASS = "name aim hard_limit effect worth late_worth"
+MOST_NUMBER = 1e12  # of any figure in the settings
+MOST_BYTES = 4 << 20  # of the file: 3,200 engines in its list take under one
 
 
 class ConfigError(Exception):
@@ -70,7 +75,7 @@
     if not path:
         raise ConfigError("RELAY_CONFIG is not set")
     try:
-        source = orjson.loads(Path(path).read_bytes())
+        source = orjson.loads(read_file(path))
         if not isinstance(source, dict):
             raise WireError("not an object")
         return decode(source, environ, counters)
@@ -78,6 +83,32 @@
         raise ConfigError(f"{path}: {error}") from error
 
 
+def read_file(path: str) -> bytes:
+    """A file's content. Raises OSError and WireError.
+
+    Danger: read whole, a huge one took all memory there is; a pipe kept the program waiting for good.
+    """
+    with open(os.open(path, os.O_RDONLY | os.O_NONBLOCK | os.O_CLOEXEC), "rb") as file:
+        if not stat.S_ISREG(os.fstat(file.fileno()).st_mode):
+            raise WireError("not a regular file")
+        data = file.read(MOST_BYTES + 1)
+    if len(data) > MOST_BYTES:
+        raise WireError(f"over {MOST_BYTES} bytes")
+    return data
+
+
+def check_numbers(value: Any, name: str) -> None:
+    """Name the first figure that is negative or beyond all use. Raises WireError."""
+    if isinstance(value, NUMBER) and not 0 <= value <= MOST_NUMBER:
+        raise WireError(f"'{name}' is {value!r}, not from 0 to {MOST_NUMBER:g}")
+    if dataclasses.is_dataclass(value):
+        for field in dataclasses.fields(value):
+            check_numbers(getattr(value, field.name), f"{name}.{field.name}")
+    elif isinstance(value, tuple):
+        for place, part in enumerate(value):
+            check_numbers(part, f"{name}[{place}]")
+
+
 def check_whole(settings: Json) -> None:
     """Name the first key that is missing, or the class that is there twice. Raises WireError."""
     for section, keys in ALWAYS.items():
@@ -134,6 +165,7 @@
     params, limits = read(source, "settings", dict), read(source, "limits", dict, {})
     check_whole(params)
     settings = read_settings(params)
+    check_numbers(settings, "settings")
     caps = read(params, "caps", dict)
     names = Names(tuple(read_list(params, "zones", str)), tuple(read_list(params, "models", str)))
     offset, known = read_batch(read(source, "known", dict), names, counters)
--- /dev/null
+++ b/tests/config/test_bad_relay.py
@@ -0,0 +1,141 @@
+"""Drawn configurations: one that can't be used is told as such, in one line."""
+
+from __future__ import annotations
+
+import asyncio
+import copy
+import os
+from pathlib import Path
+from typing import Any
+
+import orjson
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from cottonhold.__main__ import serve
+from cottonhold.config.relay import ConfigError, decode, load
+from cottonhold.decide.scheduler import Scheduler
+from cottonhold.node.dispatcher import Dispatcher
+from cottonhold.observe.counters import Counters
+from cottonhold.observe.log import Log
+from cottonhold.wire import WireError
+from tests.drawn import ODD, untroubled
+from tests.scenario import World
+from tests.test_parts import CONFIG
+
+
+def places(value: Any, path: tuple[Any, ...] = ()) -> list[tuple[Any, ...]]:
+    """The ways to all values in a JSON object."""
+    inner = value.items() if isinstance(value, dict) else enumerate(value) if isinstance(value, list) else ()
+    return [path] * bool(path) + [way for key, part in inner for way in places(part, (*path, key))]
+
+
+def changed(source: Any, path: tuple[Any, ...], value: Any) -> Any:
+    """A copy with another value at a place; ... takes it out."""
+    copied = copy.deepcopy(source)
+    part = copied
+    for key in path[:-1]:
+        part = part[key]
+    if value is ...:
+        del part[path[-1]]
+    else:
+        part[path[-1]] = value
+    return copied
+
+
+USABLE = {**CONFIG, "listen": "127.0.0.1:80"}
+VALUES = st.one_of(ODD, st.just(...), st.sampled_from([0, -1, 1e308, 1e-308, 2**63, -0.0, ""]))
+
+
+@settings(max_examples=1500)
+@given(st.sampled_from(places(USABLE)), VALUES)
+def test_a_configuration(path: tuple[Any, ...], value: Any) -> None:
+    """It can't be used, or a dispatcher under it decides without a fault."""
+    try:
+        config = decode(changed(USABLE, path, value), {}, Counters())
+    except (WireError, ValueError, TypeError):  # what load gives out as ConfigError
+        return
+    world = World(config.settings)
+    world.run("c1 query lookup r1" if "lookup" in world.gateway.kinds else "")
+    world.wait(50.0)
+    assert untroubled(world), world.log
+    Scheduler(config.settings, 1)
+
+
+FILES: dict[str, bytes] = {
+    "empty": b"",
+    "cut off": orjson.dumps(USABLE)[:-40],
+    "not UTF-8": b'{"name":"\xff\xfe"}',
+    "no object": b"[]",
+    "deep": b"[" * 100000,
+    "NaN": orjson.dumps(changed(USABLE, ("settings", "tick"), 12345)).replace(b"12345", b"NaN"),
+    "Infinity": orjson.dumps(changed(USABLE, ("settings", "tick"), 12345)).replace(b"12345", b"1e999"),
+    "huge": b" " * (64 << 20),
+}
+
+
+@pytest.mark.parametrize("content", FILES.values(), ids=FILES)
+def test_a_file_that_can_not_be_used(content: bytes, tmp_path: Path) -> None:
+    path = tmp_path / "config.json"
+    path.write_bytes(content)
+    with pytest.raises(ConfigError) as error:
+        load({"RELAY_CONFIG": str(path)}, Counters())
+    assert len(str(error.value).splitlines()) == 1 and len(str(error.value)) < 500
+
+
+def test_a_path_that_is_no_file(tmp_path: Path) -> None:
+    for path in (tmp_path, tmp_path / "none", Path("/dev/zero"), Path("a\0b")):
+        with pytest.raises(ConfigError) as error:
+            load({"RELAY_CONFIG": str(path)}, Counters())
+        assert len(str(error.value).splitlines()) == 1
+
+
+NOT_POSITIVE = ["aim", "hard_limit"]
+
+
+@pytest.mark.parametrize("value", [0, -1, None, "5000", True])
+@pytest.mark.parametrize("key", NOT_POSITIVE)
+def test_a_class_needs_its_figures(key: str, value: Any) -> None:
+    with pytest.raises(WireError, match=key):
+        decode(changed(USABLE, ("settings", "classes", 0, key), value), {}, Counters())
+
+
+def usable(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> Path:
+    path = tmp_path / "config.json"
+    path.write_bytes(orjson.dumps(USABLE))
+    monkeypatch.setenv("RELAY_CONFIG", str(path))
+    return path
+
+
+@pytest.mark.parametrize("content", FILES.values(), ids=FILES)
+def test_the_start_ends_with_one_line(
+    content: bytes, tmp_path: Path, monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
+) -> None:
+    usable(tmp_path, monkeypatch).write_bytes(content)
+    assert serve() == 2
+    lines = capsys.readouterr().err.splitlines()
+    assert len(lines) == 1 and lines[0].startswith("cottonhold: configuration: ")
+
+
+@pytest.mark.parametrize("content", FILES.values(), ids=FILES)
+def test_a_reload_changes_nothing(
+    content: bytes, tmp_path: Path, monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
+) -> None:
+    path, counters = usable(tmp_path, monkeypatch), Counters()
+    config = load(os.environ, counters)
+
+    async def scenario() -> None:
+        dispatcher = Dispatcher(config, counters, asyncio.get_running_loop(), Log())
+        events = list(dispatcher.gateway.events)
+        path.write_bytes(content)
+        dispatcher.reload()
+        assert dispatcher.config is config and dispatcher.gateway.events == events
+        path.write_bytes(orjson.dumps(changed(USABLE, ("settings", "classes", 0, "aim"), 1500.0)))
+        dispatcher.reload()
+        assert dispatcher.config.settings.classes[0].aim == 1500.0
+
+    asyncio.run(scenario())
+    assert (counters.counts["reloads_failed"], counters.counts["reloads"]) == (1, 1)
+    lines = capsys.readouterr().err.splitlines()
+    assert len(lines) == 2 and "the configuration stays as it is" in lines[0]
