Use an id no second time on a connection on which an attempt under it has ended

Seen: an engine that turned a load away and said so twice. Where the next attempt went to the same engine (the only one, or all had been tried) on the same connection, the second word ended that attempt while it ran: 'overload' and 'nobody' as proof that it never ran, so that the load went out a third time beside it; 'crashed' as a failure; 'served' as its result.

Ruled out: copies that come while nothing is out under the id, on another connection, after a result, of a page: they are passed over.

At fault: Engines._line kept an id off a connection only after it had been given up (DROP), not after an answer; and Engines.answer forgot it with the first late answer, though another copy may follow.

Change: each id that ended without a result stays off its connection, until MOST_GIVEN_UP newer ones have.

test_ids_given_up_are_remembered_for_a_while_only held that the first late answer forgets the id. That is what lets the second one in, so it now holds that the id stays, and as before that the oldest are forgotten.

--- a/cottonhold/node/engines.py
+++ b/cottonhold/node/engines.py
@@ -115,7 +115,7 @@
         self.up = self.over = self.closing = False
         self.queue: deque[Attempt | bytes] = deque()
         self.attempts: dict[bytes, Attempt] = {}
-        self.given_up: dict[bytes, None] = {}
+        self.given_up: dict[bytes, None] = {}  # ids that ended without a result: not used here again
         self.probes: dict[bytes, Probe] = {}
 
     line: Line | None
@@ -363,7 +363,8 @@
             if len(c.attempts) < self.links.streams
             and not self._stale(c)
             and not self._doubtful(c)
-            # Danger: a late answer to an attempt given up must not pass for one of the next under its id.
+            # Danger: an engine may answer late, and twice. Taken for the answer to the next attempt under its
+            # id, a second "overload" was the proof that a load which ran had not, and it went out once more.
             and ref not in c.given_up
             and ref not in c.attempts
             and (not c.up or c.heard_at >= place.restarted_at or c.opened_at >= place.info.started_at)
@@ -442,8 +443,6 @@
             connection.give_back(encode(b"CLOSE", attempt.ref))
         else:
             connection.give_back(encode(b"DROP", attempt.ref))
-        if attempt.written:
-            connection.given_up[attempt.ref] = None
         self._end(attempt, outcome)
 
     def hasten(self, attempt: Attempt, until: float) -> None:
@@ -469,6 +468,8 @@
         if connection is None:
             return
         connection.attempts.pop(attempt.ref, None)
+        if attempt.written and outcome is not Outcome.OK:
+            connection.given_up[attempt.ref] = None
         if attempt.timer is not None:
             attempt.timer.cancel()
         words = words or {}
@@ -503,7 +504,6 @@
         if attempt is not None and word not in WORDS:
             raise RespError(f"unknown word {word[:40]!r}")
         if attempt is None:
-            connection.given_up.pop(ref, None)
             self.counters.add("answers_late")
         elif word == b"crashed":
             self._end(attempt, Outcome.ERROR, fields)
