Hold the first byte of a repeat to the window in which engines drop repeats

Seen: a class with a window of 1000 ms; the first attempt's connection broke 900 ms after its send, the next attempt waited 100 and 140 ms for its connect, and was written past the window: the engine runs it anew.

Ruled out: the decision itself, which is held to the window less a tick (Scheduler._repeat_barred); groups and refusals, which hold for what ends so: refused in group all, failed in a zone or a cell.

At fault: nothing looked at the window between the decision and the first byte, up to connect_timeout later.

Change: Send says by when an attempt has to begin, counted from the send of the first attempt that may have run (Query.window_end); Engines.may_begin holds the first byte to it.

--- a/cottonhold/decide/interface.py
+++ b/cottonhold/decide/interface.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -366,11 +367,13 @@
 
 @dataclass(slots=True, frozen=True)
 class Send:
-    """Start an attempt; timeout 0 lasts until the client gives up."""
+    """Start an attempt; timeout 0 lasts until the client gives up. What has not begun by `begin_by`, as when
+    a connect takes long, must not begin any more: repeats are no longer dropped then."""
 
     query: str
     engine: str
     timeout: float = 0.0
+    begin_by: float = math.inf
 
 
 @dataclass(slots=True, frozen=True)
--- a/cottonhold/decide/release.py
+++ b/cottonhold/decide/release.py
@@ -150,7 +150,8 @@
     timeout = 0.0
     if query.trickle:
         timeout = learning.TEACH_LIMIT * query.p + engine_health.SILENCE_MIN_MS
-    gateway.actions.append(io.Send(query.id, engine.id, timeout))
+    begin_by = retry.latest_begin(gateway, query)
+    gateway.actions.append(io.Send(query.id, engine.id, timeout, begin_by))
     if query.attempts:
         retry.count_further_attempt(gateway)
     query.attempts += 1
--- a/cottonhold/decide/retry.py
+++ b/cottonhold/decide/retry.py
@@ -19,17 +19,20 @@
     if query.attempts >= query.most or query.failures >= FAILURES_MOST:
         return "attempts"
     if query.risk_at is not None:
-        effect = query.cls.effect
-        if effect is Effect.UNSAFE:
+        if query.cls.effect is Effect.UNSAFE:
             return "unsafe"
-        window_left = query.cls.window - gateway.settings.tick
-        if effect is Effect.KEYED and gateway.now - query.risk_at >= window_left:
+        if gateway.now >= latest_begin(gateway, query):
             return "window"
     if _allowance_spent(gateway):
         return "budget"
     return ""
 
 
+def latest_begin(gateway: GatewayState, query: Query) -> float:
+    """Until when a further attempt may begin, as engines drop repeats to then; infinity without an end."""
+    return query.window_end() - gateway.settings.tick
+
+
 def _allowance_spent(gateway: GatewayState) -> bool:
     """Whether one more further attempt would pass what the deployment allows in its window."""
     rules = gateway.settings.rules
--- a/cottonhold/decide/state.py
+++ b/cottonhold/decide/state.py
@@ -86,6 +86,12 @@
         self.done = 0.0
         self.cancelled = self.waits = False
 
+    def window_end(self) -> float:
+        """Until when engines drop its repeats; infinity as long as it can't have run, or where none does."""
+        if self.risk_at is None or self.cls.effect is not io.Effect.KEYED:
+            return math.inf
+        return self.risk_at + self.cls.window
+
     def leave_plan(self) -> None:
         """Remove the query from the plan it is held in, if any."""
         e = self.engine
--- a/cottonhold/node/engines.py
+++ b/cottonhold/node/engines.py
@@ -60,6 +60,7 @@
     began: float
     until: float
     token: str | None = None  # the client's idempotency key, the same on each attempt
+    begin_by: float = math.inf  # not begun by then, it must not begin any more
     connection: Connection | None = None
     timer: Timer | None = None
     written: bool = False
@@ -403,9 +404,11 @@
         """The one check before an attempt's first byte. What fails it has ended, and never ran."""
         # Danger: decided on a quarter of a second before, as a connect was under way, attempts were written
         # for clients that had left, since loads are never cancelled and some sites allow no cancelling.
+        now = self.clock.now()
+        late = now > attempt.until - LEAST_MS or now >= attempt.begin_by
         if self._open_place(attempt.engine) is None:
             self._end(attempt, Outcome.CONNECT_FAILED)
-        elif attempt.until - self.clock.now() < LEAST_MS or not self.listener.wants(attempt):
+        elif late or not self.listener.wants(attempt):
             self._end(attempt, Outcome.MOOT)
         return attempt.connection is not None
 
--- a/cottonhold/node/gateway.py
+++ b/cottonhold/node/gateway.py
@@ -379,8 +379,9 @@
             taken.service,
             taken.body,
             request.priority,
-            now,
-            until,
+            began=now,
+            until=until,
+            begin_by=action.begin_by,
             token=taken.token,
         )
         request.attempt = attempt
--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -2,8 +2,12 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import pytest
 
+from cottonhold.decide import interface as io
+from tests.scenario import READ, SETTINGS, World
 from tests.test_client_gone import NAMES, SITES, Turns, nothing_left
 
 
@@ -24,3 +28,30 @@
     number = world.lines.index(second) + 1
     world.run(f"e1.{number} send r1 served count=1 a|b|c/\nc1 expect rows a|b|c")
     nothing_left(world)
+
+
+WINDOW_MS = 1000.0
+
+
+def keyed(group: str) -> World:
+    """Two engines, of one cell, and a class whose repeats they drop for a time."""
+    cls = replace(READ, effect=io.Effect.KEYED, group=io.Group(group), window=WINDOW_MS)
+    return World(replace(SETTINGS, classes=(cls,)))
+
+
+@pytest.mark.parametrize(("group", "answer"), [("all", "1226"), ("zone", "1105"), ("cell", "1105")])
+@pytest.mark.parametrize(("comes_up", "goes_out"), [(980, True), (1000, False), (1040, False)])
+def test_a_repeat_begins_within_the_window_however_long_its_connect_takes(
+    comes_up: int, goes_out: bool, group: str, answer: str
+) -> None:
+    """Counted from the first attempt that may have run, up to the first byte of the next one."""
+    world = keyed(group).run(
+        "c1 query lookup r1\ne1 expect GET r1 *\ntime wait 900\ne2 will vanish\ne1 close"
+    )
+    assert len(world.lines) == 2
+    world.run(f"time wait {comes_up - 900}\ne2 will up\ntime wait 1")
+    if goes_out:
+        world.run("e2 expect GET r1 *\nc1 expect nothing")
+    else:
+        world.run(f"any nothing there\nc1 expect error {answer} *\ntime wait 2000\nany nothing there")
+        nothing_left(world)
