Split the state's records by what they are for, and unpack them

decide/levels.py (attempts out by density), averages.py (rates, traffic, windows), queues.py (deadlines, order by key), class_history.py (what answers taught of a class) were parts of state.py, which keeps the query and the engine. Each field of both stands under what it is for, with its unit; one statement a line. Smooth, which nothing used, is gone.

--- a/cottonhold/decide/gateway_state.py
+++ b/cottonhold/decide/gateway_state.py
@@ -13,9 +13,12 @@
 from dataclasses import dataclass, field
 
 from cottonhold.decide import interface as io
-from cottonhold.decide import state
+from cottonhold.decide.averages import Rate, Traffic, Window
+from cottonhold.decide.class_history import Learned
+from cottonhold.decide.levels import Pool
 from cottonhold.decide.parameters import PEER_GAP_MOST_MS, TRAFFIC_MEMORY_MS, TRAFFIC_YOUNG_MS
-from cottonhold.decide.state import EngineView, Query
+from cottonhold.decide.queues import Deadlines, Turns
+from cottonhold.decide.state import EngineView, Peers, Query
 
 
 @dataclass(slots=True, eq=False)
@@ -34,14 +37,14 @@
     # queries, by id (admission)
     queries: dict[str, Query] = field(default_factory=dict)
     homeless: dict[str, Query] = field(default_factory=dict)  # those that no engine may take now
-    deadlines: state.Deadlines = field(default_factory=state.Deadlines)
-    turns: state.Turns = field(default_factory=state.Turns)
+    deadlines: Deadlines = field(default_factory=Deadlines)
+    turns: Turns = field(default_factory=Turns)
     serial: Iterator[int] = field(default_factory=itertools.count)
     threshold: io.Price = field(default_factory=lambda: io.Price(told=False))
 
     # attempts and the allowance of further ones (retry)
-    extra: state.Window = field(default_factory=state.Window)
-    taken: state.Window = field(default_factory=state.Window)
+    extra: Window = field(default_factory=Window)
+    taken: Window = field(default_factory=Window)
 
     # engines, by id (engine list and health)
     engines: dict[str, EngineView] = field(default_factory=dict)
@@ -63,20 +66,20 @@
     full_room: float = 1.0  # threads, of all live engines
     full_memory: float = 1.0  # MB, of all live engines
     own_room: float = 1.0  # threads, this gateway's share
-    pool: state.Pool = field(default_factory=state.Pool)
+    pool: Pool = field(default_factory=Pool)
     pool_rest: float = 0.0  # until when no query wider than the own share follows another
     unseen: list[tuple[float, Query]] = field(default_factory=list)  # timed out; may run on until then
 
     # what answers and reports taught (learning)
-    classes: list[state.Learned] = field(default_factory=list)
-    tenants: list[state.Traffic] = field(default_factory=list)
-    fleet: state.Rate = field(default_factory=state.Rate)
+    classes: list[Learned] = field(default_factory=list)
+    tenants: list[Traffic] = field(default_factory=list)
+    fleet: Rate = field(default_factory=Rate)
     util: float = 1.0  # reported share of cores busy, smoothed over the fleet
 
     # other gateways (peers)
-    traffic: state.Traffic = field(default_factory=lambda: state.Traffic(TRAFFIC_MEMORY_MS, TRAFFIC_YOUNG_MS))
+    traffic: Traffic = field(default_factory=lambda: Traffic(TRAFFIC_MEMORY_MS, TRAFFIC_YOUNG_MS))
     share: float = 1.0  # this gateway's share of all traffic
-    peers: state.Peers = field(default_factory=state.Peers)
+    peers: Peers = field(default_factory=Peers)
     gap: float = PEER_GAP_MOST_MS  # ms between messages on loads
     heard_at: float = -math.inf
     heard: bool = False  # peers tell of their loads
--- a/cottonhold/decide/learning.py
+++ b/cottonhold/decide/learning.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
+from cottonhold.decide import class_history
 from cottonhold.decide import interface as io
-from cottonhold.decide import state
 from cottonhold.decide.gateway_state import GatewayState
 from cottonhold.decide.parameters import HEARTBEAT_MS
 from cottonhold.decide.state import EngineView, Query
@@ -60,7 +60,8 @@
     implied = event.cost or _implied_cost(query, engine_rate, event.elapsed, cost)
     learned.answer(max(CLASS_GAIN, 1 / (learned.seen + 2)), query, cost, implied, event.memory)
     if query.told > 0 and not event.cost:
-        state.centre_bias(gateway.classes)  # only biases between classes can be told from an engine's rate
+        # only biases between classes can be told from an engine's rate
+        class_history.centre_bias(gateway.classes)
     miss = min(max(event.elapsed / query.p - 1, 0.0), 1.0) if query.p else 0.0
     learned.delta += CLASS_GAIN * ERROR_OF_RUN_GAIN * (miss - learned.delta)
     if not query.cls.loads and (now - query.sent_at <= TEACH_LIMIT * query.p or event.cost):
--- a/cottonhold/decide/scheduler.py
+++ b/cottonhold/decide/scheduler.py
@@ -26,10 +26,11 @@
     peers,
     placement,
     release,
-    state,
     timeouts,
 )
 from cottonhold.decide import interface as io
+from cottonhold.decide.averages import Traffic
+from cottonhold.decide.class_history import Learned
 from cottonhold.decide.gateway_state import GatewayState
 from cottonhold.decide.parameters import (
     HEARTBEAT_MS,
@@ -76,8 +77,8 @@
         """The settings in force from now on; a query keeps its class and its attempts to its end."""
         # Danger: known by place, a class that moved or came back with another effect got what another taught.
         known = dict(zip(self.settings.classes, self.classes, strict=False))
-        self.classes = [known.get(cls) or state.Learned.blank(SUSPICION_MS) for cls in settings.classes]
-        self.tenants = [state.Traffic(TRAFFIC_MEMORY_MS) for _ in settings.tenants]
+        self.classes = [known.get(cls) or Learned.blank(SUSPICION_MS) for cls in settings.classes]
+        self.tenants = [Traffic(TRAFFIC_MEMORY_MS) for _ in settings.tenants]
         self.settings = settings
         self.slack = HEARTBEAT_MS + 2 * settings.tick
         self.probe_part = min(PROBES_PER_QUERY, PROBE_PRICE / max(settings.prices.probe, 1e-9))
--- a/cottonhold/decide/state.py
+++ b/cottonhold/decide/state.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
-import heapq
 import math
 import zlib
-from collections import deque
 from dataclasses import InitVar, dataclass, field
 
 from cottonhold.decide import interface as io
+from cottonhold.decide.averages import Rate
+from cottonhold.decide.class_history import Learned
+from cottonhold.decide.levels import Levels
 
 FRESH_MS = 5.0  # so long what is left of the work out or held counts as it was: runs take far longer
 
@@ -21,57 +22,69 @@
     settings: InitVar[io.Settings]  # in force as it came; later ones do not concern it
     learned: Learned
     arrived: float
-    order: int
+    order: int  # its place among all queries taken
+
+    # as it came
     cls: io.QueryClass = field(init=False)
     most: int = 1  # attempts that it may have
     id: str = ""
-    due: float = 0.0
-    told: float = 0.0
-    told_memory: float = 0.0
+    due: float = 0.0  # when its client gives up
+    told: float = 0.0  # cost that the client told, in ms of work on one thread; 0 where it told none
+    told_memory: float = 0.0  # MB that the client told; 0 where it told none
     tables: int = -1
     tenant: int = 0
-    key: str | None = None
-    began: float = 0.0
-    attempts: int = 0
-    risk_at: float | None = None
-    risk_engine: EngineView | None = None
-    failures: int = 0
-    blamed: EngineView | None = None
+    key: str | None = None  # queries of one key keep their order
+    began: float = 0.0  # when its client tried first
+
+    # what it is taken to need and to be worth
+    cost: float = 0.0  # ms of work on one thread
+    memory: float = 0.0  # MB
+    aim: float = 0.0  # ms in which it earns its full worth
+    aim_at: float = 0.0  # when that time is over
+    top: float = 0.0  # its full worth
+
+    # its place in the plan of an engine
     engine: EngineView | None = None
+    finish: float = 0.0  # tentative
+    p: float = 0.0  # planned run time in ms
+    area: float = 0.0  # planned thread time in ms
+    density: float = 0.0  # worth over cost, a power of two
+    lane: int = 1  # priority
+    lane_told: int = 1  # priority that the engines were told
+    grant: int = 0  # MB that the engines were told to grant
+    trickle: bool = False  # it tests a suspect engine
+
+    # the attempt that is out, and what came of those before
     out: bool = False
-    over: bool = False
-    tried: set[str] = field(default_factory=set)
+    attempts: int = 0
     sent_at: float = 0.0
-    seen_at: float = 0.0
-    run_at: float = 0.0
-    done: float = 0.0
-    cost: float = 0.0
-    aim: float = 0.0
-    top: float = 0.0
-    p: float = 0.0
-    area: float = 0.0
-    memory: float = 0.0
-    density: float = 0.0
-    finish: float = 0.0
-    aim_at: float = 0.0
-    lane: int = 1
-    lane_told: int = 1
-    grant: int = 0
-    cancelled: bool = False
-    waits: bool = False
+    seen_at: float = 0.0  # when a note last told its progress, else when it was sent
+    run_at: float = 0.0  # when it was last known to begin to run
+    done: float = 0.0  # part of its run that notes told to be done
+    waits: bool = False  # the engine said that it waits for memory
     streaming: bool = False
-    trickle: bool = False
+    cancelled: bool = False
+    tried: set[str] = field(default_factory=set)
+    risk_at: float | None = None  # when the first attempt was sent that may have run
+    risk_engine: EngineView | None = None  # and where
+    failures: int = 0  # engines that answered with an error
+    blamed: EngineView | None = None  # the first of them
+    over: bool = False  # it has its final answer
 
     def __post_init__(self, arrival: io.Arrival, settings: io.Settings) -> None:
         """What the client told, and the rules that hold for it to its end."""
-        self.cls, self.most = settings.classes[arrival.query_class], settings.permits.max_attempts
-        self.id, self.due = arrival.query, arrival.due
-        self.tables, self.tenant = arrival.tables, arrival.tenant
-        self.told, self.told_memory = arrival.cost, arrival.memory
+        self.cls = settings.classes[arrival.query_class]
+        self.most = settings.permits.max_attempts
+        self.id = arrival.query
+        self.due = arrival.due
+        self.tables = arrival.tables
+        self.tenant = arrival.tenant
+        self.told = arrival.cost
+        self.told_memory = arrival.memory
         self.key = arrival.order_key if self.cls.in_order else None
 
     def work(self) -> float:
-        """Its work in thread ms as a price sees it: by what it tells, which is alike at all gateways."""
+        """Its work in thread ms for the admission threshold: by what it tells, which is alike everywhere."""
         return (self.told or self.cost) * self.cls.threads
 
     def left(self, now: float, least: float) -> float:
@@ -94,12 +107,13 @@
 
     def leave_plan(self) -> None:
         """Remove the query from the plan it is held in, if any."""
-        e = self.engine
-        if e is not None and self in e.plan:
-            e.plan.remove(self)
-            e.held_area, e.held_space = e.held_area - self.area, e.held_space - self.p * self.memory
+        engine = self.engine
+        if engine is not None and self in engine.plan:
+            engine.plan.remove(self)
+            engine.held_area -= self.area
+            engine.held_space -= self.p * self.memory
             if self.cls.loads:
-                e.line[self.tables] = max(e.line[self.tables] - self.p, 0.0)
+                engine.line[self.tables] = max(engine.line[self.tables] - self.p, 0.0)
 
 
 @dataclass(slots=True, eq=False)
@@ -109,50 +123,60 @@
     id: str
     info: io.Engine
     cores: float
-    memory: float
+    memory: float  # MB; 0 where it is not known
+    code: int = 0  # short, for messages; the same at every gateway
+    rank: int = 0  # place among the live engines, the same at every gateway
+
+    # what is held for it, and what is out there
     plan: list[Query] = field(default_factory=list)
+    held_area: float = 0.0  # thread ms, planned
+    held_space: float = 0.0  # MB ms, planned
+    line: dict[int, float] = field(default_factory=dict)  # ms of loads held, by tables
     out: dict[str, Query] = field(default_factory=dict)
     threads_out: int = 0
-    memory_out: float = 0.0
-    held_area: float = 0.0
-    held_space: float = 0.0
-    levels: Levels = field(default_factory=lambda: Levels())
-    ahead_at: float = -math.inf
-    left: dict[float, tuple[float, float]] = field(default_factory=dict)
-    speed: Rate = field(default_factory=lambda: Rate())
-    rate: float = 1.0
-    rate_at: float = -1.0
-    room: float = 1.0
-    memory_room: float = math.inf
+    memory_out: float = 0.0  # MB
+    levels: Levels = field(default_factory=Levels)
+    loading: dict[int, int] = field(default_factory=dict)  # loads out, by tables
+    locks: dict[int, float] = field(default_factory=dict)  # until when tables are taken to be locked
+    left: dict[float, tuple[float, float]] = field(default_factory=dict)  # thread ms and MB ms, by density
+    ahead_at: float = -math.inf  # when that was counted
+
+    # its room, and this gateway's part of it
+    room: float = 1.0  # threads
+    memory_room: float = math.inf  # MB
     own_room: float = 1.0
     own_memory: float = math.inf
-    errors: float = 0.0
-    broke_at: float = -math.inf
-    suspect: str = ""
+
+    # what peers told of it
+    told: dict[int, Told] = field(default_factory=dict)  # what each peer has there
+    others: Told = field(default_factory=lambda: Told(-math.inf, 0, 0.0, 0.0))  # their sum, for FRESH_MS
+    fresh: Told = field(default_factory=lambda: Told(-math.inf, 0, 0.0, 0.0))  # sent since they were told
+
+    # what it showed: rate in ms of work a thread ms, load, failure evidence
+    speed: Rate = field(default_factory=Rate)
+    rate: float = 1.0
+    rate_at: float = -1.0
+    report: dict[str, float] = field(default_factory=dict)
+    report_at: float = -math.inf
+    pressed_until: float = 0.0
+    rest_until: float = 0.0  # passed over until then
+    jams: int = 0  # times in a row that it was full
+    last_word: float = 0.0
+    probed_at: float = -math.inf
+    errors: float = 0.0  # share of outcomes that were errors, smoothed
+    broke_at: float = -math.inf  # when connections last broke
+    good: int = 0  # queries served in a row
+    suspect: str = ""  # why, or nothing
     suspect_at: float = 0.0
     suspect_until: float = 0.0
-    trickle_at: float = 0.0
-    probed_at: float = -math.inf
-    good: int = 0
+    trickle_at: float = 0.0  # when a safe query may test it
+
+    # slow start and the fleet's bound
     cold_until: float = 0.0
-    allowance: float = 0.0
+    allowance: float = 0.0  # ms of work that may be sent now
     allowance_at: float = 0.0
     bound: float = math.inf  # work in ms a ms that the fleet lets this gateway send here
     bound_until: float = math.inf
-    last_word: float = 0.0
-    pressed_until: float = 0.0
-    rest_until: float = 0.0
-    jams: int = 0
-    report: dict[str, float] = field(default_factory=dict)
-    report_at: float = -math.inf
-    locks: dict[int, float] = field(default_factory=dict)
-    loading: dict[int, int] = field(default_factory=dict)
-    line: dict[int, float] = field(default_factory=dict)
-    code: int = 0
-    rank: int = 0
-    told: dict[int, Told] = field(default_factory=dict)  # what each peer has there
-    others: Told = field(default_factory=lambda: Told(-math.inf, 0, 0.0, 0.0))  # their sum, for FRESH_MS
-    fresh: Told = field(default_factory=lambda: Told(-math.inf, 0, 0.0, 0.0))  # sent since they were told
 
     def __post_init__(self) -> None:
         """A short code for the id, the same at every gateway."""
@@ -189,22 +213,27 @@
         # Danger: bounds come ten times a second. One that has none, and is cold, lost what it had saved
         # each time and got next to nothing.
         if self.bound == math.inf and bound < math.inf:
-            self.allowance, self.allowance_at = 0.0, now
+            self.allowance = 0.0
+            self.allowance_at = now
         elif self.bound < math.inf and bound == math.inf:
             # Danger: back in full by what it showed, it was held to the cold budget by the clock for seconds.
             self.cold_until = min(self.cold_until, now)
-        self.bound, self.bound_until = bound, until
+        self.bound = bound
+        self.bound_until = until
         return returns
 
     def hear_report(self, now: float, report: dict[str, float]) -> bool:
         """Take in a load report without the values that make no sense; false if none is left."""
         if sound := {name: v for name, v in report.items() if math.isfinite(v) and v >= 0}:
-            self.report, self.report_at = sound, now
+            self.report = sound
+            self.report_at = now
         return bool(sound)
 
     def restart(self) -> None:
         """Forget what was learned of the process that ran before."""
-        self.speed, self.errors, self.locks = Rate(), 0.0, {}
+        self.speed = Rate()
+        self.errors = 0.0
+        self.locks = {}
 
     def loads_on(self, tables: int, now: float) -> bool:
         """Whether a load on these tables is out here, of this gateway or as a peer told, or held for here."""
@@ -217,14 +246,19 @@
         if now - self.ahead_at >= FRESH_MS:
             self.ahead_at = now
             self.left.clear()
-            for q in self.out.values():
-                left = 1 - (now - q.sent_at) / q.p if q.p > 1 and not q.done else q.left(now, least)
-                self._add_left(q, left if left > least else least)
+            for query in self.out.values():
+                left = (
+                    1 - (now - query.sent_at) / query.p
+                    if query.p > 1 and not query.done
+                    else query.left(now, least)
+                )
+                self._add_left(query, left if left > least else least)
         # Danger: counted whole, reports made the lookups that pass them on the engine look late for good.
         area = space = 0.0
         for at, (more, memory) in self.left.items():
             part = 1.0 if density <= alpha * at else passed
-            area, space = area + more * part, space + memory * part
+            area += more * part
+            space += memory * part
         return max(area / self.own_room, space / self.own_memory)
 
     def hear(self, peer: int, told: Told | None, until: float) -> None:
@@ -242,221 +276,64 @@
             told = self.told.values()
             left = sum(max(t.area - t.threads * (now - t.at), 0.0) for t in told)
             self.others = Told(now, sum(t.threads for t in told), sum(t.memory for t in told), left)
-        o, f = self.others, self.fresh
-        return Told(now, o.threads + f.threads * alike, o.memory + f.memory * alike, o.area + f.area * alike)
-
-    def _add_left(self, q: Query, part: float) -> None:
+        others, fresh = self.others, self.fresh
+        return Told(
+            now,
+            others.threads + fresh.threads * alike,
+            others.memory + fresh.memory * alike,
+            others.area + fresh.area * alike,
+        )
+
+    def _add_left(self, query: Query, part: float) -> None:
         """Count a part of a query's run as left, by density; a negative part takes it back."""
-        area, space = self.left.get(q.density, (0.0, 0.0))
-        self.left[q.density] = max(area + q.area * part, 0.0), max(space + q.p * q.memory * part, 0.0)
+        area, space = self.left.get(query.density, (0.0, 0.0))
+        area = max(area + query.area * part, 0.0)
+        space = max(space + query.p * query.memory * part, 0.0)
+        self.left[query.density] = (area, space)
 
-    def hold(self, place: int, q: Query) -> None:
+    def hold(self, place: int, query: Query) -> None:
         """Hold a query at a place of the plan."""
-        self.plan.insert(place, q)
-        self.held_area, self.held_space = self.held_area + q.area, self.held_space + q.p * q.memory
-        if q.cls.loads:
-            self.line[q.tables] = self.line.get(q.tables, 0.0) + q.p
+        self.plan.insert(place, query)
+        self.held_area += query.area
+        self.held_space += query.p * query.memory
+        if query.cls.loads:
+            self.line[query.tables] = self.line.get(query.tables, 0.0) + query.p
 
     def empty(self) -> list[Query]:
         """Take all that is held."""
-        held, self.plan, self.held_area, self.held_space, self.line = self.plan, [], 0.0, 0.0, {}
+        held = self.plan
+        self.plan = []
+        self.held_area = 0.0
+        self.held_space = 0.0
+        self.line = {}
         return held
 
-    def add_out(self, q: Query) -> None:
+    def add_out(self, query: Query) -> None:
         """An attempt of the query is out here now."""
-        self.out[q.id] = q
-        if q.cls.loads:
-            self.loading[q.tables] = self.loading.get(q.tables, 0) + 1
-        self.levels.add(q)
-        self._add_left(q, 1.0)
-        self.threads_out, self.memory_out = self.threads_out + q.cls.threads, self.memory_out + q.memory
-        self.fresh.count(q, 1)
-
-    def drop_out(self, q: Query, least: float) -> bool:
+        self.out[query.id] = query
+        if query.cls.loads:
+            self.loading[query.tables] = self.loading.get(query.tables, 0) + 1
+        self.levels.add(query)
+        self._add_left(query, 1.0)
+        self.threads_out += query.cls.threads
+        self.memory_out += query.memory
+        self.fresh.count(query, 1)
+
+    def drop_out(self, query: Query, least: float) -> bool:
         """The attempt that was out here has ended; false if none was."""
-        if self.out.pop(q.id, None) is None:
+        if self.out.pop(query.id, None) is None:
             return False
-        self.levels.drop(q)
-        if q.cls.loads:
-            self.loading[q.tables] -= 1
-        self._add_left(q, -q.left(max(self.ahead_at, q.sent_at), least))
-        self.threads_out, self.memory_out = self.threads_out - q.cls.threads, self.memory_out - q.memory
-        if q.sent_at >= self.fresh.at:
-            self.fresh.count(q, -1)
+        self.levels.drop(query)
+        if query.cls.loads:
+            self.loading[query.tables] -= 1
+        self._add_left(query, -query.left(max(self.ahead_at, query.sent_at), least))
+        self.threads_out -= query.cls.threads
+        self.memory_out -= query.memory
+        if query.sent_at >= self.fresh.at:
+            self.fresh.count(query, -1)
         return True
 
 
-@dataclass(slots=True)
-class Level:
-    """Attempts out of one density: threads, memory, and how many hold each priority."""
-
-    threads: int = 0
-    memory: float = 0.0
-    lanes: list[int] = field(default_factory=lambda: [0, 0, 0, 0])
-
-
-@dataclass(slots=True)
-class Levels:
-    """Attempts out by density. Densities are powers of two, so there are few, however many are out."""
-
-    by_density: dict[float, Level] = field(default_factory=dict)
-
-    def add(self, q: Query) -> None:
-        """An attempt of the query is out."""
-        level = self.by_density.setdefault(q.density, Level())
-        level.threads, level.memory = level.threads + q.cls.threads, level.memory + q.memory
-        level.lanes[q.lane] += 1
-
-    def drop(self, q: Query) -> None:
-        """The attempt has ended; an empty level goes, and with it what rounding left over."""
-        level = self.by_density[q.density]
-        level.threads, level.memory = level.threads - q.cls.threads, level.memory - q.memory
-        level.lanes[q.lane] -= 1
-        if not any(level.lanes):
-            del self.by_density[q.density]
-
-    def lanes_below(self, density: float, alpha: float) -> list[int]:
-        """The priorities held by those that a density passes."""
-        passed = [level for at, level in self.by_density.items() if density > alpha * at]
-        return [lane for level in passed for lane in range(4) if level.lanes[lane]]
-
-    def held_by(self, density: float, alpha: float) -> tuple[int, float, bool]:
-        """Threads and memory of those that a density does not pass, and whether there are any."""
-        threads, memory, some = 0, 0.0, False
-        for at, level in self.by_density.items():
-            if density <= alpha * at:
-                threads, memory, some = threads + level.threads, memory + level.memory, True
-        return threads, memory, some
-
-
-@dataclass(slots=True)
-class Pool:
-    """All attempts out: threads, memory, and those on engines that are not suspect by density."""
-
-    sound: Levels = field(default_factory=Levels)
-    threads: int = 0
-    memory: float = 0.0
-
-    def add_out(self, q: Query, e: EngineView) -> None:
-        """An attempt of the query is out on an engine now."""
-        e.add_out(q)
-        self.threads, self.memory = self.threads + q.cls.threads, self.memory + q.memory
-        if not e.suspect:
-            self.sound.add(q)
-
-    def drop_out(self, q: Query, e: EngineView, least: float) -> None:
-        """The attempt that was out there has ended."""
-        if e.drop_out(q, least):
-            self.threads -= q.cls.threads
-            self.memory = self.memory - q.memory if self.threads else 0.0  # rounding must not add up
-            if not e.suspect:
-                self.sound.drop(q)
-
-    def hide(self, e: EngineView) -> None:
-        """The engine is suspect now."""
-        for q in e.out.values():
-            self.sound.drop(q)
-
-    def show(self, e: EngineView) -> None:
-        """The engine is trusted again."""
-        for q in e.out.values():
-            self.sound.add(q)
-
-
-@dataclass(slots=True)
-class Rate:
-    """Work seen done and the thread time it took, both forgotten by half lives."""
-
-    work: float = 0.0
-    busy: float = 0.0
-    at: float = 0.0
-
-    def learn(self, now: float, half_ms: float, work: float, thread_ms: float) -> None:
-        """Add work seen done in some thread time."""
-        fade = math.exp2((self.at - now) / half_ms)
-        self.work, self.busy, self.at = self.work * fade + work, self.busy * fade + thread_ms, now
-
-    def value(self, now: float, half_ms: float, prior_ms: float, prior: float) -> float:
-        """Work over thread time, with a prior that weighs as some thread time."""
-        fade = math.exp2((self.at - now) / half_ms)
-        return (self.work * fade + prior_ms * prior) / (self.busy * fade + prior_ms)
-
-
-@dataclass(slots=True)
-class Smooth:
-    """A value smoothed over time."""
-
-    value: float = 0.0
-    at: float = 0.0
-
-    def follow(self, now: float, memory_ms: float, value: float) -> None:
-        """Move towards what is seen now."""
-        keep = math.exp((self.at - now) / memory_ms)
-        self.value, self.at = value + keep * (self.value - value), now
-
-
-@dataclass(slots=True)
-class Learned:
-    """What answers taught of one class: log bias of told cost, of memory, mean cost and error; how often
-    queries came with a time left unlike that of most, and how often one was turned away or given up."""
-
-    unlike: Traffic
-    turned: Traffic
-    bias: float = 0.0
-    memory_bias: float = 0.0
-    cost: float = 0.0
-    memory: float = 0.0
-    delta: float = 0.0
-    patience: float = 0.0
-    votes: int = 0
-    seen: int = 0
-
-    @classmethod
-    def blank(cls, memory_ms: float) -> Learned:
-        """Of a class that nothing is known of."""
-        return cls(Traffic(memory_ms), Traffic(memory_ms))
-
-    def answer(self, gain: float, q: Query, cost: float, implied: float, memory: float) -> None:
-        """Move towards the cost and memory that one answer told or implied."""
-        self.seen += 1
-        if q.told > 0:
-            self.bias += gain * (math.log(implied / q.told) - self.bias)
-        # Danger: begun at nothing, the mean was half of the first answer, and gateways that had just started
-        # sent cold engines twice the work of their bounds.
-        self.cost += max(gain, 1 / self.seen) * (cost - self.cost)
-        if memory > 0:
-            self.memory += gain * (memory - self.memory)
-            if q.told_memory > 0:
-                self.needed(gain, q, memory)
-
-    def needed(self, gain: float, q: Query, memory: float) -> None:
-        """Move the bias towards the memory that a query with a told need took."""
-        self.memory_bias += gain * (math.log(memory / q.told_memory) - self.memory_bias)
-
-    def left_alike(self, now: float, left: float, within: float, votes: int | None) -> bool:
-        """Whether a query comes with a time left like that of most; its vote on that, where it has one."""
-        alike = abs(left - self.patience) <= within * self.patience
-        if votes is not None:
-            self.votes = min(self.votes + (1 if alike else -1), votes)
-            if self.votes < 0:
-                self.patience, self.votes = left, 0
-        if not alike:
-            self.unlike.add(now)
-        return alike
-
-
-def centre_bias(classes: list[Learned]) -> None:
-    """Take the mean bias of the classes seen from each of them."""
-    seen = [c for c in classes if c.seen]
-    # Danger: an answer for a class that a reload had taken away came before any for a class in force; the
-    # division failed the whole step, and with it other requests that ended in the same one.
-    if not seen:
-        return
-    mean = sum(c.bias for c in seen) / len(seen)
-    for c in seen:
-        c.bias -= mean
-
-
 @dataclass(slots=True)
 class Peers:
     """The traffic that other gateways told of, with the time it was heard."""
@@ -479,114 +356,8 @@
     area: float
     until: float = math.inf
 
-    def count(self, q: Query, times: int) -> None:
+    def count(self, query: Query, times: int) -> None:
         """Add a query, or take it back."""
-        self.threads, self.memory = self.threads + times * q.cls.threads, self.memory + times * q.memory
-        self.area += times * q.area
-
-
-@dataclass(slots=True)
-class Traffic:
-    """An exponentially forgotten count of arrivals. young_ms: one that began this long ago tells in full what
-    came since, with less time it tells a part; without it what is told grows with the memory."""
-
-    memory_ms: float
-    young_ms: float = 0.0
-    count: float = 0.0
-    at: float = 0.0
-    began: float = math.inf
-
-    def add(self, now: float) -> None:
-        """Count one arrival."""
-        if self.young_ms and now < self.began:  # time is counted from the first one on, so it is not
-            self.began = self.at = now
-            return
-        self.count = self.count * math.exp((self.at - now) / self.memory_ms) + 1
-        self.at = now
-
-    def per_s(self, now: float) -> float:
-        """Arrivals a second."""
-        rate = self.count * math.exp((self.at - now) / self.memory_ms) * 1000 / self.memory_ms
-        if now <= self.began:
-            return rate
-        # Danger: a gateway that had just started told of half of its traffic, took half of its share of the
-        # engines, and its clients waited out their time beside others' that were served at once. By its first
-        # two arrivals alone it told of many times its traffic.
-        return rate / -math.expm1(-max(now - self.began, self.young_ms) / self.memory_ms)
-
-
-@dataclass(slots=True)
-class Window:
-    """Amounts with their times, for sums over a sliding window."""
-
-    items: deque[tuple[float, float]] = field(default_factory=deque)
-    total: float = 0.0
-
-    def add(self, now: float, amount: float) -> None:
-        """Note an amount."""
-        self.items.append((now, amount))
-        self.total += amount
-
-    def since(self, start: float) -> float:
-        """The sum since start; what is older is forgotten."""
-        while self.items and self.items[0][0] <= start:
-            self.total -= self.items.popleft()[1]
-        return self.total if self.items else 0.0
-
-
-@dataclass(slots=True)
-class Deadlines:
-    """Queries by the time their client gives up; those over are dropped when they come up."""
-
-    heap: list[tuple[float, int, Query]] = field(default_factory=list)
-
-    def add(self, q: Query) -> None:
-        """Remember a query's deadline."""
-        heapq.heappush(self.heap, (q.due, q.order, q))
-
-    def cut(self, until: float) -> None:
-        """No query has longer than that."""
-        late = [q for due, _, q in self.heap if due > until and not q.over]
-        self.heap = [entry for entry in self.heap if entry[0] <= until]
-        heapq.heapify(self.heap)
-        for q in late:
-            q.due = until
-            self.add(q)
-
-    def first(self) -> float:
-        """The earliest deadline of a query not over."""
-        while self.heap and self.heap[0][2].over:
-            heapq.heappop(self.heap)
-        return self.heap[0][0] if self.heap else math.inf
-
-    def take(self, until: float) -> list[Query]:
-        """Remove and return the queries due by then."""
-        taken = []
-        while self.first() <= until:
-            taken.append(heapq.heappop(self.heap)[2])
-        return taken
-
-
-@dataclass(slots=True)
-class Turns:
-    """Queries of each key in the order taken, and until when a key rests."""
-
-    lines: dict[str, deque[Query]] = field(default_factory=dict)
-    rests: dict[str, float] = field(default_factory=dict)
-
-    def join(self, key: str, q: Query) -> None:
-        """Take the last place of the key's line."""
-        self.lines.setdefault(key, deque()).append(q)
-
-    def rest(self, key: str, now: float, until: float) -> None:
-        """Let a key rest; rests that are past are forgotten, so that memory does not grow with keys."""
-        self.rests = {k: t for k, t in self.rests.items() if t > now}
-        self.rests[key] = until
-
-    def tidy(self, key: str) -> None:
-        """Let those go that are over and have no attempt out."""
-        line = self.lines[key]
-        while line and line[0].over and not line[0].out:
-            line.popleft()
-        if not line:
-            del self.lines[key]
+        self.threads += times * query.cls.threads
+        self.memory += times * query.memory
+        self.area += times * query.area
