--- a/cottonhold/adapter.py
+++ b/cottonhold/adapter.py
@@ -1,6 +1,6 @@
 """The simulator's wire on standard input and output, for many gateways in one process.
 
-Translates only; every decision is in cottonhold/decide/scheduler.py. Runs as `python -m cottonhold.adapter`.
+Translates only; every decision is in cottonhold/decide. Runs as `python -m cottonhold.adapter`.
 """
 
 from __future__ import annotations
--- a/cottonhold/decide/failover.py
+++ b/cottonhold/decide/failover.py
@@ -11,7 +11,7 @@
 from cottonhold.decide.interface import Effect
 from cottonhold.decide.state import EngineView, Query
 
-RESCUE_FACTOR = 2.0  # plans run before a retry, times run that are guessed to be left, times sooner than it
+FAILOVER_FACTOR = 2.0  # plans run before a retry, times run that are guessed to be left, times sooner than it
 DONE_LEAST = 0.05  # part of a run taken to be done where notes told of less
 
 
@@ -21,7 +21,7 @@
     # attempt ends much sooner. On a full fleet most runs pass two plans, and those given up there were a
     # fifth of all work: where engines are rarely heard of, up to twice as many are waited for then.
     full = pressure.fleet_fill(gateway, 0.0) > pressure.IDLE_FILL  # own work only: reports lag
-    plans = RESCUE_FACTOR * (1 + gateway.blind * full)
+    plans = FAILOVER_FACTOR * (1 + gateway.blind * full)
     for query in list(engine.out.values()):
         if _may_move(gateway, query, engine, plans) and _overtaken(gateway, query, engine):
             cancel(gateway, query)
@@ -44,7 +44,7 @@
     others = [e for e in placement.candidates(gateway, query) if e is not engine and not e.suspect]
     finishes = [placement.tentative(gateway, query, e).finish for e in others]
     fresh = min(finishes, default=math.inf) - gateway.now
-    return left > RESCUE_FACTOR * fresh and gateway.now + fresh < query.due
+    return left > FAILOVER_FACTOR * fresh and gateway.now + fresh < query.due
 
 
 def _given_up(engine: EngineView) -> bool:
@@ -58,7 +58,7 @@
         return math.inf
     if gateway.settings.note_period:
         return (gateway.now - query.run_at) / max(query.done, DONE_LEAST) * (1 - query.done)
-    return RESCUE_FACTOR * (gateway.now - query.sent_at)
+    return FAILOVER_FACTOR * (gateway.now - query.sent_at)
 
 
 def cancel(gateway: GatewayState, query: Query) -> None:
