--- a/cottonhold/node/driver.py
+++ b/cottonhold/node/driver.py
@@ -64,10 +64,11 @@
         self,
         loop: asyncio.AbstractEventLoop,
         monotonic: Callable[[], float] = time.monotonic,
-        wall: Callable[[], float] = time.time,
+        wall: Callable[[], float] | None = None,
     ) -> None:
         self.loop, self.monotonic = loop, monotonic
-        self.unix_offset = wall() * 1000 - self.now()  # right or not; only `discovery/starts.py` weighs it
+        # Right or not: only `discovery/starts.py` weighs it, and a start without a folder is numbered by it.
+        self.unix_offset = (wall or time.time)() * 1000 - self.now()
 
     def now(self) -> float:
         """Milliseconds of the monotonic clock, from an origin long before the machine's start."""
