Remember where the start of an engine that is gone was placed

Seen: an engine that the event bus ends and tells of again under the same stamp was placed anew: begun before the list was last whole, so now. Before starts were placed its stamp was simply believed.

At fault: View, which kept placed starts with claims only. Now up to 1,024 engines that are gone keep stamp and place. Sources that are not trusted go on counting one that comes back as new unless its process is proven.

--- a/cottonhold/discovery/view.py
+++ b/cottonhold/discovery/view.py
@@ -30,6 +30,7 @@
     Verdict.ENDED: EngineState.GONE,
 }
 BAD = (Verdict.TROUBLED, Verdict.ENDED)  # what the floor weighs
+MOST_ENDED = 1024  # engines that are gone, whose starts are remembered
 
 
 @dataclass(slots=True)
@@ -65,6 +66,9 @@
         self.claims: dict[str, Claim] = {}
         self.waiting: dict[str, float] = {}  # engines that are due back, and when
         self.held: dict[str, Claim] = {}
+        self.ended: dict[
+            str, tuple[float, float]
+        ] = {}  # engines that are gone: stamp, and where it was placed
         self.well, self.out = 0, 0  # engines in service by their last word; out of service by symptoms
         self.index, self.answers, self.heard_at = 0, 0, 0.0
         self.lost_since, self.lost_why = math.inf, ""
@@ -156,6 +160,10 @@
         if o.verdict is Verdict.ENDED:
             return False
         started = 0.0 if first and o.started_at <= 0 else self._start(now, o)
+        stamp, placed = self.ended.pop(o.id, (0.0, 0.0))
+        if self.guard.trusted and o.started_at == stamp > 0:
+            # Danger: an engine that was off the list for a while, and never off, passed for one just begun.
+            started = placed
         state = STATES[o.verdict]
         claim = Claim(o, state, now, now, index, started, o.started_at, o.process, o.registered, o.address)
         self.claims[o.id] = claim
@@ -249,6 +257,10 @@
         self._release(id, claim)
         self._count(claim.seen.verdict, -1)
         self.waiting.pop(id, None)
+        if claim.stamp > 0:
+            self.ended[id] = claim.stamp, claim.started_at
+            if len(self.ended) > MOST_ENDED:
+                del self.ended[next(iter(self.ended))]
         if claim.state is EngineState.LIVE:
             self._fell(id, now)
         self.touched.add(id)
--- a/tests/discovery/test_starts.py
+++ b/tests/discovery/test_starts.py
@@ -13,6 +13,7 @@
 from cottonhold.discovery.bus import SOURCE, Bus, read_batch
 from cottonhold.discovery.model import Guard, Names, Publish, Report
 from cottonhold.discovery.starts import Starts
+from cottonhold.discovery.view import MOST_ENDED
 from cottonhold.node.driver import ORIGIN_MS, LoopClock
 from cottonhold.observe.counters import Counters
 from tests.test_scheduler import RULES, settings
@@ -53,9 +54,9 @@
         self.believe(*reports)
         self.bus.current()
 
-    def batch(self, *engines: tuple[str, float]) -> dict[str, object]:
+    def batch(self, *engines: tuple[str, float], state: str = "Ready") -> dict[str, object]:
         entries = [
-            {"instanceId": name, "hostPort": "127.0.0.9:1", "lifecycle": "Ready", "startedAtMs": started}
+            {"instanceId": name, "hostPort": "127.0.0.9:1", "lifecycle": state, "startedAtMs": started}
             for name, started in engines
         ]
         events = []
@@ -64,9 +65,9 @@
             events.append({"offset": self.offset, "topology": {"instances": [entry]}})
         return {"offset": self.offset, "batch": events}
 
-    def answer(self, *engines: tuple[str, float]) -> None:
+    def answer(self, *engines: tuple[str, float], state: str = "Ready") -> None:
         """An answer of the event bus; without engines one that tells nothing new."""
-        body = orjson.dumps(self.batch(*engines))
+        body = orjson.dumps(self.batch(*engines, state=state))
         assert self.bus.receive(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
 
     def believe(self, *reports: Report) -> None:
@@ -167,6 +168,33 @@
     assert node.cold_for("e") == WARM
 
 
+@pytest.mark.parametrize("state", ["Terminating", "Gone"])
+@pytest.mark.parametrize("wrong", STEPS)
+def test_an_engine_that_was_off_the_list_for_a_while_and_never_off_is_no_colder(
+    wrong: float, state: str
+) -> None:
+    node = Node(Machine(wrong), ("old", 0.0))
+    started = node.machine.true()
+    node.answer(("e", started))
+    node.wait(WARM / 2000)
+    node.answer(("e", started), state=state)
+    node.wait(1.0)
+    node.answer(("e", started))
+    assert node.cold_for("e") == pytest.approx(WARM / 2 - 1000.0, abs=1.0)
+    node.answer(("e", started), state=state)
+    node.wait(1.0)
+    node.answer(("e", node.machine.true()))
+    assert node.cold_for("e") == WARM
+
+
+def test_only_so_many_engines_that_are_gone_are_remembered() -> None:
+    node = Node(Machine(), ("old", 0.0))
+    for i in range(MOST_ENDED + 10):
+        node.answer((f"e{i}", node.machine.true()))
+        node.answer((f"e{i}", 0.0), state="Gone")
+    assert len(node.belief.views[SOURCE].ended) == MOST_ENDED
+
+
 @pytest.mark.parametrize("wrong", STEPS)
 def test_a_machine_that_has_just_booted_takes_no_cold_engine_for_long_past(wrong: float) -> None:
     machine = Machine(wrong, up_s=0.5)
