Look for a request at the socket before closing it, and close in the same step

Seen on loopback sockets: a request that had come when its idle connection was closed (idle time-out, drain, leaving, room for others), or when it was closed behind an answer, was read and dropped without an answer. The same with half a request behind an answer, and with queries behind a COM_QUIT. Half a packet kept a connection open beyond the kill.

At fault: Session.check, _after_answer and cut, which judged by what the machine had been given; Wire._read, which got bytes by loop.sock_recv_into in one turn and gave them to the machine in the next, and dropped them if the machine was closing by then; Wire.flush, which shut the socket a turn after the decision. Ruled out: a look with MSG_PEEK; the bytes may have left the system already.

Change: Wire.hear reads and feeds in one step, from a reader callback or when asked; Wire.finish writes what is left and shuts in one step. Sessions ask before they close, and stay for half a packet. At the very end (Life.ends_all) every connection without a request is closed, half a packet with a refusal, as are queries behind COM_QUIT. One buffer serves all reads (4 KB a client and 32 KB an engine's connection before).

--- a/cottonhold/node/driver.py
+++ b/cottonhold/node/driver.py
@@ -25,7 +25,8 @@
 from cottonhold.wire import WireError
 
 CLIENT_BYTES, ENGINE_BYTES = 4096, 32768  # what one read takes
-DRAIN_BYTES = 256 * 1024  # what one read drops of a client that was told to go and still sends
+# What one read drops of a client that was told to go and still sends; all reads share the buffer.
+DRAIN_BYTES = 256 * 1024
 SWEEP_S = 5.0
 STUCK_S = 30.0  # a peer that takes nothing for so long is cut off
 LINGER_S, MOST_LINGER_S = 1.0, 5.0  # a peer has so long to read the last byte, more if it still sends
@@ -124,6 +125,8 @@
         self.task: asyncio.Task[None] | None = None
         self.writing_since = math.inf
         self.rest = b""  # of what was begun at once and did not fit
+        self.ended: asyncio.Future[None] | None = None  # by the other end, or by a fault
+        self.shut = False  # nothing more is written
         self.dropped = 0
 
     def start(self, sock: socket.socket) -> None:
@@ -159,13 +162,29 @@
         if self.rest:
             self.flush()
 
+    def finish(self) -> None:
+        """Write what is left, then tell the other end that no more follows: at once, if all of it fits.
+
+        Danger: done a turn of the loop later, requests that came in between were read and dropped.
+        """
+        self.hurry()
+        if not self.rest and self.writing_since == math.inf:
+            self._shut()
+        self.flush()  # waits for the other end
+
+    def _shut(self) -> None:
+        if self.sock is not None and not self.shut:
+            self.shut = True
+            with contextlib.suppress(OSError):  # the other end has gone: reading will tell
+                self.sock.shutdown(socket.SHUT_WR)
+
     def _output(self) -> bytes:
         rest, self.rest = self.rest, b""
         return rest + self.machine.take_output()
 
     def busy(self) -> bool:
         """Whether something is being written."""
-        return self.writer is not None
+        return self.writer is not None and not self.shut
 
     def abort(self) -> None:
         """Close at once."""
@@ -174,6 +193,7 @@
         if self.sock is not None:
             with contextlib.suppress(OSError):
                 self.sock.shutdown(socket.SHUT_RDWR)
+            self.sock = None
         if self.task is not None:
             self.task.cancel()
 
@@ -200,16 +220,56 @@
         self.machine.closed()
 
     async def _read(self, sock: socket.socket) -> None:
-        buffer = bytearray(self.size)
-        while (count := await self.driver.receive(sock, buffer)) > 0:
-            if self.machine.closing:
-                break
-            self.machine.receive(bytes(memoryview(buffer)[:count]))
-        # Danger: closed with bytes unread, a connection is reset, and the client never sees why. So what
-        # still comes, be it 60 MB, is read and dropped, all into one buffer.
-        while count > 0:
-            self.dropped += count
-            count = await self.driver.receive(sock, self.driver.scrap)
+        self.ended = self.driver.loop.create_future()
+        self.driver.loop.add_reader(sock, self.hear)
+        try:
+            await self.ended
+        finally:
+            self.driver.loop.remove_reader(sock)
+
+    def hear(self) -> bool:
+        """Read what has come already; whether there was something for the machine.
+
+        Danger: bytes were read in one turn of the loop and given to the machine in the next. A connection
+        that was closed between the two dropped a request that it had read. So they lie with the system until
+        the machine takes them, and who is about to close can look there.
+        """
+        sock, ended, scrap = self.sock, self.ended, self.driver.scrap
+        if sock is None or ended is None or ended.done():
+            return False
+        try:
+            # Danger: closed with bytes unread, a connection is reset, and the client never sees why. So what
+            # still comes, be it 60 MB, is read and dropped.
+            count = sock.recv_into(scrap, 0 if self.shut else self.size)
+            if count == 0:
+                ended.set_result(None)
+            elif self.shut:
+                self.dropped += count
+            else:
+                self.machine.receive(bytes(memoryview(scrap)[:count]))
+        except (BlockingIOError, InterruptedError):
+            return False
+        except OSError as error:
+            if error.errno in LACKING:
+                self._pause(sock)
+                return False
+            self._fail(error)
+        except Exception as error:
+            self._fail(error)
+        return not self.shut
+
+    def _fail(self, error: Exception) -> None:
+        if self.ended is not None and not self.ended.done():
+            self.ended.set_exception(error)
+
+    def _pause(self, sock: socket.socket) -> None:
+        """Read no more for a moment. Danger: asked again at once, a read that lacks memory spins."""
+        self.driver.loop.remove_reader(sock)
+        self.driver.loop.call_later(LACKING_PAUSE_S, self._go_on, sock)
+
+    def _go_on(self, sock: socket.socket) -> None:
+        if self.sock is sock and self.ended is not None and not self.ended.done():
+            self.driver.loop.add_reader(sock, self.hear)
 
     async def _write(self, sock: socket.socket) -> None:
         try:
@@ -218,7 +278,7 @@
                 await self.driver.send_all(sock, data)
                 self.writing_since = math.inf
             if self.machine.closing:
-                sock.shutdown(socket.SHUT_WR)
+                self._shut()
                 until = self.driver.loop.time() + MOST_LINGER_S
                 dropped = -1
                 while dropped != self.dropped and self.driver.loop.time() < until:
@@ -271,16 +331,6 @@
 
     # --- bytes ---
 
-    async def receive(self, sock: socket.socket, buffer: bytearray) -> int:
-        """Read some bytes, 0 at the end. Raises OSError once nothing more can be read."""
-        while True:
-            try:
-                return await self.loop.sock_recv_into(sock, buffer)
-            except OSError as error:
-                if error.errno not in LACKING:
-                    raise
-                await asyncio.sleep(LACKING_PAUSE_S)
-
     async def send_all(self, sock: socket.socket, data: bytes) -> None:
         """Write all. Raises OSError once nothing more can be written.
 
--- a/cottonhold/node/mysql.py
+++ b/cottonhold/node/mysql.py
@@ -75,6 +75,12 @@
     def flush(self) -> None:
         """There is something to write."""
 
+    def hear(self) -> bool:
+        """Read what has come already; whether there was something."""
+
+    def finish(self) -> None:
+        """Write what is left, then end the connection."""
+
     def busy(self) -> bool:
         """Whether something is being written."""
 
@@ -120,11 +126,19 @@
         clock.call_in(CHECK_MS, self._check)
 
     def _check(self) -> None:
-        """Close what goes nowhere; a timer for each connection would cost more than this."""
+        """A timer for each connection would cost more than this."""
+        self.close_spare()
+        self.clock.call_in(CHECK_MS, self._check)
+
+    def close_spare(self) -> None:
+        """Close what goes nowhere."""
         now = self.clock.now()
         for session in list(self.sessions.values()):
             session.check(now)
-        self.clock.call_in(CHECK_MS, self._check)
+
+    def owes(self) -> bool:
+        """Whether the program may not end yet: someone has no answer, or may still ask."""
+        return any(session.owes() for session in self.sessions.values())
 
     def has_room(self) -> bool:
         """Whether a further client may be taken in; near the limit, makes room for the next ones."""
@@ -144,9 +158,10 @@
             if not session.closing and at < now - (HALTED_MS if standing == "halted" else SPARE_MS):
                 spare.append((PUSHED_OUT.index(standing), at, session.number, session))
         for *_, session in heapq.nsmallest(count, spare):
-            self.counters.add(f"clients_pushed_out_{session.standing()}")
-            self.cutting += 1
-            session.cut()
+            standing = session.standing()
+            if session.cut():
+                self.counters.add(f"clients_pushed_out_{standing}")
+                self.cutting += 1
 
     def open(self) -> Session:
         """A session for a new connection."""
@@ -300,11 +315,20 @@
         elif command == INIT_DB:
             self._database(argument)
         elif command == QUIT:
-            self._leave()
+            self._quit()
         else:
             self.front.counters.add("client_malformed")
             self._error(UNKNOWN_COMMAND, "unknown command")
 
+    def _quit(self) -> None:
+        """The client ends its session; a query that it sent behind that is told that it did not run."""
+        for sequence, payload, _ in self.commands:
+            if payload[:1] == bytes((QUERY,)):
+                self.sequence = (sequence + 1) & 0xFF
+                self._error(REFUSED, "query refused, it did not run: the session has ended")
+        self.commands.clear()
+        self._leave()
+
     def _query(self, text: bytes, at: float) -> None:
         if kill := KILL.match(text):
             self._kill(int(kill[2]), (kill[1] or b"").strip().upper() == b"QUERY")
@@ -389,14 +413,16 @@
         """Close a connection that only costs a descriptor; the client hears why where it can."""
         if self.closing:
             return
-        if now - self.partial_at > PARTIAL_MS or not self.used and now - self.opened_at > LOGIN_MS:
+        if self.front.life.ends_all(now):
+            self._end()
+        elif now - self.partial_at > PARTIAL_MS or not self.used and now - self.opened_at > LOGIN_MS:
             # Danger: such a client was kept for as long as it liked, in mid-packet for good.
             self.front.counters.add(f"clients_late_{self.standing()}")
             self._broken(ProtocolError(TIMED_OUT, "the client's packet did not come in time"))
         elif self.partial_at == math.inf and now - self.idle_at(now) > (
             SETTLE_MS if self.front.life.ends_idle(now) else IDLE_MS
         ):
-            self._leave()
+            self._leave_unheard()
 
     def standing(self) -> str:
         """How far the client has come, in a word for the counters."""
@@ -404,11 +430,26 @@
             return "idle" if self.partial_at == math.inf else "halted"
         return "halted" if self.heard else "silent"
 
-    def cut(self) -> None:
-        """Close at once, to make room."""
+    def cut(self) -> bool:
+        """Close at once, to make room; false where something has come from the client just now."""
+        if self.line is not None and self.line.hear():
+            return False
         self.closing = self.pushed_out = True
         if self.line is not None:
             self.line.abort()
+        return True
+
+    def _end(self) -> None:
+        """This process ends: close, unless a request is open, which has its answer soon."""
+        if self.line is not None:
+            self.line.hear()
+        if self.request is not None or self.commands or self.closing:
+            return
+        if self.buffer:
+            self.front.counters.add("queries_turned_away")
+            self.sequence = (self.buffer[3] + 1) & 0xFF if len(self.buffer) > 3 else 1
+            self._error(REFUSED, "query refused, it did not run: this dispatcher is leaving")
+        self._leave()
 
     # --- answers (gateway.Client) ---
 
@@ -445,15 +486,26 @@
         if self.commands:
             self.front.clock.call_soon(self._resume)
         elif self.front.life.ends_answered(self.front.clock.now()):
-            self._leave()
+            self._leave_unheard()
 
     def owes(self) -> bool:
         """Whether the program may not end yet: something is still to be answered, or to be written."""
-        return not self.closing or bool(self.output)
+        writing = self.line is not None and self.line.busy()
+        return not self.closing or bool(self.output) or writing
+
+    def _leave_unheard(self) -> None:
+        """Close, unless something has come meanwhile.
+
+        Danger: a request that lay unread, or half of one, was dropped, and its client got no answer.
+        """
+        heard = self.line is not None and self.line.hear()
+        if not (heard or self.buffer or self.closing):
+            self._leave()
 
     def _leave(self) -> None:
         self.closing = True
-        self._flush()
+        if self.line is not None:
+            self.line.finish()
 
     def _broken(self, error: ProtocolError) -> None:
         """The client broke the protocol: tell it where that can be done, and close this connection only."""
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -102,6 +102,12 @@
     def flush(self) -> None:
         """The driver's side: what is to be written is asked for when the scenario settles."""
 
+    def hear(self) -> bool:
+        return False
+
+    def finish(self) -> None:
+        pass
+
     def busy(self) -> bool:
         return False
 
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -12,7 +12,8 @@
 import uvloop
 
 from cottonhold.node.driver import Driver
-from cottonhold.node.mysql import Session
+from cottonhold.node.life import SETTLED_MS
+from cottonhold.node.mysql import IDLE_MS, MOST_BACKLOG, SETTLE_MS, Session
 from cottonhold.observe.counters import Counters
 from tests.scenario import LOGIN, World, packet
 
@@ -134,6 +135,203 @@
         runner.run(scenario())
 
 
+def kept_too_long(here: Here) -> None:
+    here.world.clock.at += IDLE_MS + 1
+
+
+def drained(here: Here) -> None:
+    here.world.run("ops drain")
+    kept_too_long(here)
+
+
+def leaving(here: Here) -> None:
+    here.world.run("ops terminate")
+    here.world.clock.at += SETTLED_MS + SETTLE_MS + 1
+
+
+def ended(here: Here) -> None:
+    here.world.run("ops terminate")
+    here.world.clock.at = here.world.life.closes_at()
+
+
+def crowded(here: Here) -> None:
+    here.world.clock.at += IDLE_MS - 1
+    here.world.front.most = 1
+
+
+# When a connection without an open request is to be closed.
+MOMENTS = [kept_too_long, drained, leaving, ended, crowded]
+
+
+def close_spare(here: Here) -> None:
+    here.world.front.close_spare()
+    here.world.front.has_room()
+
+
+@pytest.mark.parametrize("turns", range(4))
+@pytest.mark.parametrize("comes", MOMENTS)
+def test_a_request_that_has_come_when_its_idle_connection_is_closed_is_answered(
+    comes: Callable[[Here], None], turns: int
+) -> None:
+    """It lies with the system, or is in the loop's hands: `turns` of the loop have passed since it came."""
+
+    async def story(here: Here) -> None:
+        client = await here.client()
+        comes(here)
+        client.write(query(1))
+        for _ in range(turns):
+            await asyncio.sleep(0)
+        close_spare(here)
+        while client.got.count(ROWS) < 2 and REFUSED not in client.got:
+            assert not client.read() or client.got.count(ROWS) == 2 or REFUSED in client.got
+            await here.turn()
+            if here.world.gateway.open and any(line.heard for line in here.world.lines):
+                here.answer(1)
+
+    played(story)
+
+
+@pytest.mark.parametrize("comes", MOMENTS)
+def test_a_request_that_comes_after_the_close_is_not_forwarded(comes: Callable[[Here], None]) -> None:
+    """Its client sends it once more elsewhere: taken here as well, it would run and be answered to nobody."""
+
+    async def story(here: Here) -> None:
+        client = await here.client()
+        comes(here)
+        close_spare(here)  # not one turn of the loop lies between the close and the request
+        client.write(query(1))
+        await here.turns()
+        assert client.read() and here.taken() == 0 and client.session.closing
+
+    played(story)
+
+
+@pytest.mark.parametrize("turns", range(4))
+def test_a_request_behind_an_answer_is_answered_before_the_connection_is_closed(turns: int) -> None:
+    async def story(here: Here) -> None:
+        client = await here.client()
+        client.write(query(1))
+        await here.sent(1)
+        here.world.run("ops terminate")
+        client.write(query(2))
+        for _ in range(turns):
+            await asyncio.sleep(0)
+        here.answer(1)
+        await here.sent(2)
+        here.answer(2)
+        assert (await client.end()).count(ROWS) == 4
+
+    played(story)
+
+
+@pytest.mark.parametrize("cut", [1, 4, 5, 30])
+def test_half_a_request_behind_an_answer_is_waited_for(cut: int) -> None:
+    async def story(here: Here) -> None:
+        client = await here.client()
+        client.write(query(1) + query(2)[:cut])
+        await here.sent(1)
+        here.world.run("ops terminate")
+        here.answer(1)
+        await client.until(ROWS, 2)
+        assert not client.session.closing
+        client.write(query(2)[cut:])
+        await here.sent(2)
+        here.answer(2)
+        assert (await client.end()).count(ROWS) == 4
+
+    played(story)
+
+
+@pytest.mark.parametrize("cut", [1, 4, 30])
+@pytest.mark.parametrize("logged_in", [True, False])
+def test_half_a_packet_at_the_very_end_is_told_that_nothing_ran(logged_in: bool, cut: int) -> None:
+    async def story(here: Here) -> None:
+        client = await here.client(logged_in)
+        here.world.run("ops terminate")
+        client.write((query(1) if logged_in else packet(1, LOGIN))[:cut])
+        await here.turns()
+        ended(here)
+        close_spare(here)
+        got = await client.end()
+        assert REFUSED in got and here.taken() == 0
+        if cut >= 4:
+            assert got[got.index(REFUSED) - 1] == (1 if logged_in else 2)
+
+    played(story)
+
+
+@pytest.mark.parametrize("turns", range(6))
+def test_one_that_logs_in_as_the_process_ends_is_answered(turns: int) -> None:
+    """All in one packet, as clients may write it; the order to end comes in each of the turns it takes."""
+
+    async def story(here: Here) -> None:
+        client = await here.client(logged_in=False)
+        client.write(packet(1, LOGIN) + query(1))
+        for _ in range(turns):
+            await asyncio.sleep(0)
+        here.world.run("ops terminate")
+        here.world.front.close_spare()
+        await here.sent(1)
+        here.answer(1)
+        assert (await client.end()).count(ROWS) == 2
+
+    played(story)
+
+
+def test_pipelined_requests_are_all_answered_and_those_behind_the_end_of_the_session_are_refused() -> None:
+    async def story(here: Here) -> None:
+        client, other = await here.client(), await here.client()
+        client.write(query(1) + query(2) + PING + query(3))
+        other.write(query(4) + QUIT + query(5) + query(6))
+        await here.sent(1)
+        here.world.run("ops terminate")
+        for ref in (1, 2, 3, 4):
+            await here.sent(ref)
+            here.answer(ref)
+        got = await client.end()
+        assert got.count(ROWS) == 6 and got.count(OK) == 3
+        got = await other.end()
+        assert got.count(ROWS) == 2 and got.count(REFUSED) == 2 and here.taken() == 4
+
+    played(story)
+
+
+@pytest.mark.parametrize("size", [1, 100_000, 3_000_000])
+def test_an_answer_is_not_lost_to_what_its_client_still_sends(size: int) -> None:
+    """Danger: closed over unread bytes, a connection is reset, and what was written is lost with it."""
+
+    async def story(here: Here) -> None:
+        client = await here.client()
+        client.write(query(1))
+        await here.sent(1)
+        here.world.run("ops terminate")
+        here.answer(1)
+        left = memoryview(bytes(size))
+        while left:
+            try:
+                left = left[client.sock.send(left) :]
+            except BlockingIOError:
+                await here.turn()
+        await here.turns()
+        assert (await client.end()).count(ROWS) == 2
+
+    played(story)
+
+
+def test_an_answer_that_its_client_reads_late_is_written_to_its_end_and_owed_until_then() -> None:
+    async def story(here: Here) -> None:
+        client = await here.client()
+        here.world.run("ops terminate")
+        client.session.output += bytes(32 * MOST_BACKLOG)
+        client.session._leave()
+        await here.turns()
+        assert here.world.front.owes()
+        await client.end()
+        assert len(client.got) > 32 * MOST_BACKLOG and not here.world.front.owes()
+
+    played(story)
+
+
 @pytest.mark.parametrize("turns", range(6))
 def test_a_client_that_is_just_accepted_as_the_door_closes_is_answered(turns: int) -> None:
     """Danger: taken from the queue in one turn of the loop, it was dropped if accepting ended in the next."""
