End the ledger's last writes in its own thread, so that a hanging disk can't hold up the end

Seen: after SIGTERM on a disk that hangs, the last checkpoint or the life file's replacement hung on the event loop's thread, and the process never ended by itself. Ruled out: the queue, which the writer has.

Now the writer does these last writes, and close waits for it as long as a write may wait. A life that ended so is taken for cut off, which is the safe side. Measured: tests/store/test_ledger.py, hanging in the checkpoint and in the life file's sync; both fail on the code before (20 s each, not closed); tests/store passed.

--- a/cottonhold/store/ledger.py
+++ b/cottonhold/store/ledger.py
@@ -113,7 +113,7 @@
         self._lock, self._queue, self._waiting = threading.Condition(), deque[_Write](), 0
         self._state, self._why, self._pause = State.WELL, "", settings.retry
         self._busy: float | None = None
-        self._ending = False
+        self._ending = self._clean_end = False
         self._handle = -1
         self._thread = threading.Thread(target=self._run, name=f"ledger-{name}", daemon=True)
 
@@ -288,19 +288,21 @@
         """Writes what is queued and ends; `clean`: told so to the next life, if all of it got there. On a
         disk that stalls it leaves the folder to this process's end."""
         with self._lock:
-            self._ending = True
+            self._ending, self._clean_end = True, clean
             self._lock.notify()
         self._thread.join(self.settings.stall / 1000.0)
-        if self._thread.is_alive():
-            return
+        if not self._thread.is_alive():
+            self._let_go()
+
+    def _end(self) -> None:
+        """In the writer's thread. Danger: in the caller's, a disk that hung in the last sync kept the process
+        from ending."""
         try:
-            if clean and self._book is not None and self._state is State.WELL:
+            if self._clean_end and self._book is not None and self._state is State.WELL:
                 self._book.checkpoint()
                 self.files.replace(self._life_path, Life(self.boot, self.generation, self._book.turn).pack())
         except (OSError, apsw.Error):
             pass  # The next life takes this one for cut off, which is the safe side.
-        finally:
-            self._let_go()
 
     def _let_go(self) -> None:
         if self._book is not None:
@@ -318,9 +320,10 @@
                     well = self._state is State.WELL
                     self._lock.wait(None if well else self._pause / 1000.0)
                 group = self._take()
-                if not group and self._ending:
-                    return
-                state = self._state
+                ending, state = self._ending, self._state
+            if not group and ending:
+                self._end()
+                return
             if group:
                 self._answer(group, state is State.WELL and self._commit(group))
             elif state is not State.WELL:
--- a/tests/store/test_ledger.py
+++ b/tests/store/test_ledger.py
@@ -16,7 +16,7 @@
 import pytest
 
 from cottonhold.emulator.disk import Orders, install
-from cottonhold.store.ledger import Ledger, Memory, State, StoreError
+from cottonhold.store.ledger import WHOLE, Ledger, Memory, State, StoreError
 from cottonhold.store.records import Kind, LoadRecord, Record
 from tests.store.history import SMALL, VFS, Play, load
 
@@ -117,6 +117,37 @@
     assert told == [False]
 
 
+@pytest.mark.parametrize("last", ["checkpoint", "life file"])
+def test_a_disk_that_hangs_at_the_end_does_not_hold_it_up(tmp_path: Path, last: str) -> None:
+    """The next life takes this one for cut off, with all that was promised."""
+    disk = install(VFS)
+    ledger = Ledger.open(tmp_path, "a", VFS, replace(SMALL, stall=50.0))
+    told = threading.Event()
+    ledger.put([WHOLE, load(1).record()], lambda well: told.set() if well else None)
+    assert told.wait(20.0)
+    syncs = [0]
+
+    def hang(_count: int, what: str) -> None:
+        syncs[0] += what == "sync"
+        if syncs[0] == (1 if last == "checkpoint" else 3):
+            disk.orders = Orders(stall=True)
+
+    disk.before = hang
+    closing = threading.Thread(target=ledger.close, args=(True,), daemon=True)
+    closing.start()
+    closing.join(20.0)
+    assert not closing.is_alive() and disk.orders.stall
+    disk.cut()
+    ledger._thread.join(20.0)
+    ledger._let_go()
+    play = Play(tmp_path)
+    play.may_be_settled = True
+    assert play.open() and play.ledger is not None
+    assert not play.ledger.clean and load(1).load in play.ledger.records(Kind.LOAD)
+    assert play.ledger.memory is Memory.KEPT
+    play.end(True)
+
+
 @pytest.mark.parametrize("orders", [Orders(full=True), Orders(fail_sync=1), Orders(fail_write=1)])
 def test_a_boot_that_can_t_be_counted_is_told(play: Play, orders: Orders) -> None:
     play.cut()
