Don't leave a file with each try to have the life file name a new one

Seen: where the life file could not be replaced (its folder's sync failing, say) while other files could be written, each try to open, or to write all anew after a failure, left a whole file of 4 MiB: four a second at the start, until the disk was full. At fault: Ledger._begin and _write_anew, which took the next generation without asking what was there. Ruled out: Book.create, which takes away what it could not finish.

Now, where there are other files than the one that counts here, the life file is first replaced as it is; once that is durable the others go. Measured: tests/store/test_faults.py, never more than two files over ten tries, with power losses in between; without the step, or with the clearing up before it, the tests see it.

--- a/cottonhold/store/ledger.py
+++ b/cottonhold/store/ledger.py
@@ -167,6 +167,7 @@
             rows = book.rows if book is not None else {}
             if book is not None:
                 book.close()
+                self._settle_generation(life.boot if life is not None else 0)
             self.generation = max(newest, self.generation) + 1
             book = Book.create(self._path, self.vfs, self.files, self.settings.sizes, rows, self.boot)
         self._book = book
@@ -228,6 +229,16 @@
     def _newest(self) -> int:
         return max(self._generations(), default=0)
 
+    def _settle_generation(self, boot: int) -> None:
+        """Where a life file's replacement has failed there are several books, and any may count on the disk.
+        That it is the one that counts here is made durable first, and then the others go.
+
+        Danger: with each try leaving one book, a disk that failed in the life file only was filled up. And
+        without the first step, the only book that counts on the disk could go."""
+        if self._generations() not in ([], [self.generation]):
+            self.files.replace(self._life_path, Life(boot, self.generation, -1).pack())
+            self._tidy()
+
     def _tidy(self) -> None:
         """Books of earlier generations go; of broken ones the newest stays for whoever asks."""
         names = self.files.names(self.folder)
@@ -399,6 +410,7 @@
         book = self._book
         if book is None:
             return
+        self._settle_generation(self.boot)
         generation = self._newest() + 1
         path = self._book_path(generation)
         fresh = Book.create(path, self.vfs, self.files, self.settings.sizes, book.rows, self.boot)
