Hold each kind of record to each kind of fault of its disk, and loads to drawn histories

A reading that found no further fault: errors ENOSPC, EDQUOT, EIO, EROFS, EINTR and ENOMEM in writes, syncs and names, once and for a while, on loads, promises, pins, drains, the base and hints; kills in the middle of each write; hanging disks; starts on disks that fail. Loads' rim is played with by drawn histories of failing and hanging writes, ends, kills and retries: no load runs twice, none is told as well that didn't end so.

Caught when planted: a failed sync told as kept, a record told before its sync, a load sent before its record, a reset taken for never, loads forgotten at the start.

--- /dev/null
+++ b/tests/fleet/test_loads_faults.py
@@ -0,0 +1,276 @@
+"""Loads on a disk that fails, hangs and loses power: none runs twice, none is told as well that isn't."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, replace
+from typing import Any, cast
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from cottonhold.decide.interface import Outcome
+from cottonhold.fleet.recovery.memory import Memory, MemorySettings
+from cottonhold.node.engines import Attempt
+from cottonhold.node.fleet import loads as loads_module
+from cottonhold.node.fleet.loads import Loads, kept_loads
+from cottonhold.node.gateway import Past, Taken
+from cottonhold.observe.counters import Counters
+from cottonhold.store.ledger import Health, Ledger, State
+from cottonhold.store.records import Record, loads
+from tests.scenario import FakeClock
+
+Done = Callable[[bool], None]
+HOLD = 1e9
+
+
+class FaultyLedger:
+    """Its writes end when the test says so; a kill leaves some of them there."""
+
+    def __init__(self, disk: dict[bytes, bytes], boot: int) -> None:
+        self.disk, self.boot, self.state = disk, boot, State.WELL
+        self.flying: list[tuple[Sequence[Record], Done | None]] = []
+
+    def health(self, now: float) -> Health:
+        return Health(self.state, "as told")
+
+    def put(self, records: Sequence[Record], done: Done | None = None) -> None:
+        if self.state is State.WELL:
+            self.flying.append((records, done))
+        elif done is not None:
+            done(False)
+
+    def write(self, records: Sequence[Record]) -> None:
+        for record in records:
+            self.disk.pop(record.key, None)
+            if record.value is not None:
+                self.disk[record.key] = record.value
+
+    def answer(self, well: bool | None) -> None:
+        """The oldest write ends. None: it failed, and is there all the same."""
+        if not self.flying:
+            return
+        records, done = self.flying.pop(0)
+        if well is not False:
+            self.write(records)
+        if not well:
+            self.state = State.FAILED
+        if done is not None:
+            done(bool(well))
+
+    def kill(self, kept: int) -> None:
+        """Of what is under way the first writes got there."""
+        for records, _ in self.flying[:kept]:
+            self.write(records)
+
+
+@dataclass(eq=False)
+class Request:
+    """One asking of a load by its client."""
+
+    load: int
+    attempt: Attempt
+    out: bool = False  # at the engine
+    over: bool = False
+
+
+class World:
+    """One dispatcher and its clients, which ask again until they have a good answer."""
+
+    def __init__(self) -> None:
+        self.clock, self.disk, self.boot = FakeClock(), dict[bytes, bytes](), 0
+        self.ran, self.ended_well = Counter[int](), set[int]()
+        self.asked, self.serial = set[int](), 0
+        self.start()
+
+    def start(self) -> None:
+        self.boot += 1
+        self.ledger = FaultyLedger(self.disk, self.boot)
+        self.requests = list[Request]()
+        kept, records = kept_loads(self.disk)
+        settings = MemorySettings(HOLD)
+        memory = Memory(0, 1, self.boot, self.clock.now(), kept, settings, 1)
+        self.loads = Loads(
+            memory,
+            cast(Ledger, self.ledger),
+            records,
+            {1: True},
+            HOLD,
+            self.clock.now,
+            self.clock.now,
+            self.clock.call_in,
+            lambda then: then(),
+            lambda: True,
+            lambda actions: None,
+            Counters(),
+            lambda event, **fields: None,
+        )
+
+    def ask(self, load: int) -> None:
+        """A client's asking; from the second on it is marked as a retry."""
+        self.serial += 1
+        now, body = self.clock.now(), b"INSERT %d" % load
+        ref, retry = f"r{self.serial}", load in self.asked
+        self.asked.add(load)
+        taken = Taken(ref, 1, "load", now, 8000.0, 0.0, 0.0, -1, f"k{load}", retry, body)
+        request = Request(load, Attempt(ref, 0, "e", "load", body, 1, now, now + 5000))
+        self.loads.came(taken, now + 5000.0, lambda past, ms: self.settled(request, taken, past))
+
+    def settled(self, request: Request, taken: Taken, past: Past) -> None:
+        if past is Past.NEVER:
+            self.requests.append(request)
+            self.loads.sending(request.attempt, taken, lambda kept: self.kept(request, kept))
+            return
+        if past is Past.WELL:
+            assert request.load in self.ended_well, "told as well"
+        self.loads.closed(taken.ref)
+
+    def kept(self, request: Request, kept: bool) -> None:
+        if request.over or request.out:
+            return
+        if kept:
+            self.ran[request.load] += 1
+            assert self.ran[request.load] == 1, f"load {request.load} ran twice"
+            request.out = True
+        else:
+            self.close(request, None)
+
+    def close(self, request: Request, outcome: Outcome | None) -> None:
+        """The attempt has ended, and the request with it."""
+        request.over = True
+        if outcome is Outcome.OK:
+            self.ended_well.add(request.load)
+        if outcome is Outcome.FULL:
+            self.ran[request.load] -= 1
+        self.loads.ended(request.attempt, outcome)
+        self.loads.closed(request.attempt.query)
+        self.requests.remove(request)
+
+    def end(self, outcome: Outcome) -> None:
+        for request in [r for r in self.requests if r.out][:1]:
+            self.close(request, outcome)
+
+    def leave(self) -> None:
+        """A client goes away, or its time is over, while its record is written."""
+        for request in [r for r in self.requests if not r.out][:1]:
+            self.close(request, None)
+
+    def kill(self, kept: int) -> None:
+        self.ledger.kill(kept)
+        self.start()
+
+    def play(self, steps: Sequence[tuple[str, Any]]) -> None:
+        for what, argument in steps:
+            if what == "health":
+                self.ledger.state = argument
+            elif what == "answer":
+                self.ledger.answer(argument)
+            elif what == "wait":
+                self.clock.run_until(self.clock.now() + argument, lambda: None)
+                self.loads.forget()
+            elif what == "ask":
+                self.ask(argument)
+            elif what == "end":
+                self.end(argument)
+            elif what == "kill":
+                self.kill(argument)
+            else:
+                self.leave()
+        self.after()
+
+    def after(self) -> None:
+        """The fault has passed, no restart: what is new is taken, and kept once it is told so."""
+        self.ledger.state = State.WELL
+        self.ask(99)
+        while self.ledger.flying:
+            self.ledger.answer(True)
+        assert self.ran[99] == 1
+        self.kill(0)
+        self.ask(99)
+        while self.ledger.flying:
+            self.ledger.answer(True)
+        assert self.ran[99] == 1
+
+
+ENDS = [Outcome.OK, Outcome.ERROR, Outcome.RESET, Outcome.TIMEOUT, Outcome.FULL]
+STEP = st.one_of(
+    st.tuples(st.just("ask"), st.integers(1, 3)),
+    st.tuples(st.just("ask"), st.integers(1, 3)),
+    st.tuples(st.just("answer"), st.sampled_from([True, False, None])),
+    st.tuples(st.just("answer"), st.just(True)),
+    st.tuples(st.just("health"), st.sampled_from(list(State))),
+    st.tuples(st.just("health"), st.just(State.WELL)),
+    st.tuples(st.just("end"), st.sampled_from(ENDS)),
+    st.tuples(st.just("leave"), st.none()),
+    st.tuples(st.just("wait"), st.integers(1, 10_000)),
+    st.tuples(st.just("kill"), st.integers(0, 4)),
+)
+
+
+@settings(max_examples=400, deadline=None)
+@given(st.lists(STEP, max_size=40))
+def test_any_history_runs_no_load_twice(steps: list[tuple[str, Any]]) -> None:
+    World().play(steps)
+
+
+WELL, FAIL = ("answer", True), ("answer", False)
+RAN_AND_KILLED = [("ask", 1), WELL, ("kill", 0), ("ask", 1), WELL]
+RESET_AND_KILLED = [("ask", 1), WELL, ("end", Outcome.RESET), WELL, ("kill", 0), ("ask", 1), WELL]
+FAILED = [("ask", 1), FAIL, ("wait", 10_000), ("health", State.WELL), ("ask", 1), WELL, ("kill", 0)]
+END_NOT_KEPT = [("ask", 1), WELL, ("health", State.FULL), ("end", Outcome.OK), ("kill", 0), ("ask", 1), WELL]
+
+
+THERE_ALL_THE_SAME = [("ask", 1), ("answer", None), ("kill", 0), ("ask", 1), WELL]
+
+
+@pytest.mark.parametrize(
+    "steps", [RAN_AND_KILLED, RESET_AND_KILLED, FAILED, END_NOT_KEPT, THERE_ALL_THE_SAME]
+)
+def test_a_load_that_may_have_run_is_not_sent_again(steps: list[tuple[str, Any]]) -> None:
+    World().play(steps)
+
+
+def test_a_load_that_the_disk_did_not_take_is_sent_once_it_does() -> None:
+    world = World()
+    world.play(FAILED[:-1])
+    assert world.ran[1] == 1
+
+
+def sent_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    put = FaultyLedger.put
+
+    def hasty(ledger: FaultyLedger, records: Sequence[Record], done: Done | None = None) -> None:
+        if done is not None:
+            done(True)
+        put(ledger, records, None)
+
+    monkeypatch.setattr(FaultyLedger, "put", hasty)
+
+
+def reset_is_never(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(loads_module, "NEVER_RAN", (*loads_module.NEVER_RAN, Outcome.RESET))
+
+
+def forgotten_at_the_start(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(loads_module, "loads", lambda kept: replace(loads(kept), known={}))
+
+
+@pytest.mark.parametrize(
+    "plant, steps",
+    [
+        (sent_at_once, [("ask", 1), ("kill", 0), ("ask", 1)]),
+        (reset_is_never, RESET_AND_KILLED),
+        (forgotten_at_the_start, RAN_AND_KILLED),
+    ],
+)
+def test_a_planted_defect_is_caught(
+    monkeypatch: pytest.MonkeyPatch,
+    plant: Callable[[pytest.MonkeyPatch], None],
+    steps: list[tuple[str, Any]],
+) -> None:
+    World().play(steps)
+    plant(monkeypatch)
+    with pytest.raises(AssertionError, match="ran twice"):
+        World().play(steps)
--- a/tests/store/test_faults.py
+++ b/tests/store/test_faults.py
@@ -5,17 +5,22 @@
 
 import errno
 import random
+import threading
+from collections.abc import Callable
+from dataclasses import replace
 from pathlib import Path
+from typing import Any
 
 import apsw
 import pytest
 
-from cottonhold.emulator.disk import Disk, DiskFiles, install
+from cottonhold.emulator.disk import Disk, DiskFiles, Orders, install
 from cottonhold.store import book as book_module
 from cottonhold.store import files as store_files
 from cottonhold.store.ledger import Ledger, Memory, State, StoreError
-from cottonhold.store.records import Kind
+from cottonhold.store.records import Hint, Kind, LoadState, Record
 from tests.store.history import SMALL, VFS, Play, load
+from tests.store.test_cuts import done_before_sync, failed_sync_is_done
 
 LOADS = 5
 PROMISE = b"promise"
@@ -204,3 +209,154 @@
     play.cut()
     assert play.open() and books(play.folder, play.disk) == 1
     play.end(True)
+
+
+# --- every kind of record, every kind of fault ---
+
+KINDS = {
+    "load": (Kind.LOAD, load(50).load, load(50).pack(), load(50, LoadState.WELL).pack()),
+    "promise": (Kind.PROMISE, b"reg/a", b"one", b"two"),
+    "pin": (Kind.PIN, b"pin", b"one", b"two"),
+    "drain": (Kind.DRAIN, b"e1", Hint(b"", 0.0).pack(), Hint(b"", 5.0).pack()),
+    "base": (Kind.LIFE, b"base", b"\x01", b"\x02"),
+    "engine": (Kind.ENGINE, b"e1", Hint(b"a", 0.0).pack(), Hint(b"b", 0.0).pack()),
+    "member": (Kind.MEMBER, b"\x00\x01", Hint(b"a", 0.0).pack(), Hint(b"b", 0.0).pack()),
+}
+ERRORS = [errno.ENOSPC, errno.EDQUOT, errno.EIO, errno.EROFS, errno.EINTR, errno.ENOMEM]
+
+
+class Faults:
+    """Fails operations of one kind ("write", "sync" or "names") until it is told to stop, or once."""
+
+    def __init__(self, disk: Disk, code: int, what: str, once: bool) -> None:
+        self.code, self.what, self.once, self.on, self.met = code, what, once, True, 0
+        disk.before = self.before
+
+    def before(self, _count: int, what: str) -> None:
+        if self.on and what == self.what:
+            self.met += 1
+            self.on = not self.once
+            raise OSError(self.code, errno.errorcode[self.code])
+
+
+def well_again(play: Play) -> None:
+    """It works without a restart, and keeps what it then says."""
+    play.wait_well()
+    assert play.send(60)
+
+
+@pytest.mark.parametrize("once", [True, False], ids=["once", "a-while"])
+@pytest.mark.parametrize("what", ["write", "sync"])
+@pytest.mark.parametrize("code", ERRORS, ids=[errno.errorcode[code] for code in ERRORS])
+@pytest.mark.parametrize("kind", KINDS)
+def test_a_record_on_a_disk_that_fails(tmp_path: Path, kind: str, code: int, what: str, once: bool) -> None:
+    """Told as not kept; what was before stands, it works again by itself, and a kill then loses nothing."""
+    which, key, old, new = KINDS[kind]
+    play = Play(tmp_path)
+    assert play.open() and play.settle() and play.put([Record(which, key, old)])
+    faults = Faults(play.disk, code, what, once)
+    assert not play.put([Record(which, key, new)]) and faults.met
+    if not once:
+        assert not play.send(61), "refused while it lasts"
+        assert play.ledger is not None and play.ledger.health(0.0).state in (State.FULL, State.FAILED)
+    faults.on = False
+    well_again(play)
+    play.cut()
+    assert play.open() and play.ledger is not None
+    assert play.ledger.records(which)[key] in (old, new)
+    play.end(True)
+
+
+def killed_while_written(folder: Path, kind: str, seed: int, plant: Callable[[], None]) -> None:
+    """At each operation of its write; the old value or the new one, whole, and all others."""
+    which, key, old, new = KINDS[kind]
+    for count in range(1, 9):
+        play = Play(folder / str(count))
+        assert play.open() and play.settle() and play.send(1) and play.put([Record(which, key, old)])
+        plant()
+        play.cut_at(count, random.Random(seed))
+        kept = play.put([Record(which, key, new)])
+        play.cut()
+        assert play.open() and play.ledger is not None
+        assert play.ledger.records(which).get(key) in ((new,) if kept else (old, new))
+        play.end(True)
+
+
+@pytest.mark.parametrize("seed", range(4))
+@pytest.mark.parametrize("kind", KINDS)
+def test_a_record_that_a_kill_leaves_half_written(tmp_path: Path, kind: str, seed: int) -> None:
+    killed_while_written(tmp_path, kind, seed, lambda: None)
+
+
+@pytest.mark.parametrize("kind", KINDS)
+def test_a_record_on_a_disk_that_hangs(tmp_path: Path, kind: str) -> None:
+    """Others are refused at once meanwhile; it is told as kept once it is."""
+    which, key, old, new = KINDS[kind]
+    now, told = [0.0], list[bool]()
+    disk = install(VFS)
+    ledger = Ledger.open(tmp_path, "a", VFS, replace(SMALL, stall=100.0), lambda: now[0])
+    disk.orders = Orders(stall=True)
+    through = threading.Event()
+    ledger.put([Record(which, key, new)], lambda well: through.set() if well else None)
+    now[0] = 101.0
+    ledger.put([load(9).record()], told.append)
+    assert told == [False] and not through.is_set()
+    disk.orders = Orders()
+    assert through.wait(20.0)
+    disk.cut()
+    ledger.close(False)
+    install(VFS)
+    again = Ledger.open(tmp_path, "a", VFS, SMALL)
+    assert again.records(which)[key] == new
+    again.close(False)
+
+
+@pytest.mark.parametrize("code", ERRORS, ids=[errno.errorcode[code] for code in ERRORS])
+@pytest.mark.parametrize("what", ["write", "sync", "names"])
+@pytest.mark.parametrize("after", range(4))
+def test_a_start_on_a_disk_that_fails(tmp_path: Path, code: int, what: str, after: int) -> None:
+    """One clear error, or it can do without; then it opens with all that was promised, and a higher boot."""
+    play = kept_folder(tmp_path)
+    disk = install(VFS)
+    faults = Faults(disk, code, what, False)
+    passed = [0]
+
+    def before(count: int, kind: str) -> None:
+        passed[0] += kind == what
+        if passed[0] > after:
+            faults.before(count, kind)
+
+    disk.before = before
+    try:
+        Ledger.open(play.folder, "a", VFS, SMALL).close(False)
+    except StoreError as error:
+        assert str(play.folder) in str(error) and "\n" not in str(error)
+        assert error.kept[Kind.LOAD].keys() == {load(number).load for number in range(LOADS)}
+    faults.on = False
+    play.disk, play.settled = disk, True
+    assert play.reopen() and not list(play.folder.glob("*.broken"))
+    play.cut()
+    assert play.open()
+    play.end(True)
+
+
+def test_a_failure_told_as_kept_is_caught(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    commit = Ledger._commit
+    monkeypatch.setattr(Ledger, "_commit", lambda ledger, group: failed_sync_is_done(ledger, group, commit))
+    with pytest.raises(AssertionError):
+        test_a_record_on_a_disk_that_fails(tmp_path, "pin", errno.EIO, "sync", True)
+
+
+def test_a_record_told_as_kept_before_it_is_is_caught(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    commit = Ledger._commit
+
+    def told_early(ledger: Ledger, group: list[Any]) -> bool:
+        return done_before_sync(ledger, group, commit)
+
+    def plant() -> None:
+        monkeypatch.setattr(Ledger, "_commit", told_early)
+
+    with pytest.raises(AssertionError):
+        killed_while_written(tmp_path, "pin", 1, plant)
