Put the base of a folder's loads again that the disk did not take

That was put once; where the disk failed just then it kept its base, and after another power loss it would have passed for whole and said never of what had been sent since. At fault: RecoveryRim._base.

--- a/cottonhold/node/fleet/recovery.py
+++ b/cottonhold/node/fleet/recovery.py
@@ -19,6 +19,7 @@
 from cottonhold.fleet.zones.words import WordError
 from cottonhold.membership.swim import Swim
 from cottonhold.node.clock import Clock, Timer
+from cottonhold.node.fleet.inorder import AGAIN_MS
 from cottonhold.node.fleet.loads import Loads, Unkept, guarded, kept_loads
 from cottonhold.observe.counters import Counters
 from cottonhold.store import ledger as ledger_of
@@ -283,14 +284,26 @@
         """Up to this boot and mark the folder's loads are whole; told once the disk has it."""
 
         def done(durable: bool) -> None:
-            if durable:
-                self.hop(lambda: self.census.based(self.clock.now(), base))
+            self.hop(lambda: self._based(base, durable))
 
         if base:
             self.ledger.settle()
         parts = zip((BASE, MARK), divmod(base, BASE_STEP), strict=True)
         self.ledger.put([Record(Kind.LIFE, key, part.to_bytes(8, "big")) for key, part in parts], done)
 
+    def _based(self, base: int, durable: bool) -> None:
+        if durable:
+            self.census.based(self.clock.now(), base)
+            return
+
+        def again() -> None:
+            if self.census.stored == base:
+                self._base(base)
+
+        # Danger: put once, a folder found to be an old one stayed whole on a disk that failed just then, and
+        # after the next power loss said 'never' of what had been sent since.
+        self.clock.call_in(AGAIN_MS, again)
+
     def _live_on(self) -> None:
         """Words go on above those of the lives that the folder forgot."""
         if self.fleet is not None:
--- a/tests/fleet/test_remembered.py
+++ b/tests/fleet/test_remembered.py
@@ -248,3 +248,88 @@
     for story in (drained, back):
         disk = disk_of.install("drains")
         asyncio.run(life(story))
+
+
+class Scripted:
+    """A node's disk and timers: a write ends as told, a timer fires when told."""
+
+    def __init__(self, node: ServedInstallation, monkeypatch: pytest.MonkeyPatch) -> None:
+        assert node.recovery is not None
+        self.well, self.timers, self.put_of = False, list[Callable[[], None]](), list[list[Record]]()
+        monkeypatch.setattr(node.recovery.ledger, "put", self.put)
+        monkeypatch.setattr(node.recovery, "hop", lambda then: then())
+        monkeypatch.setattr(node.driver.clock, "call_in", lambda ms, then: self.timers.append(then))
+
+    def put(self, records: list[Record], done: Callable[[bool], None] | None = None) -> None:
+        if self.well:
+            self.put_of.append(list(records))
+        if done is not None:
+            done(self.well)
+
+    def fire(self) -> None:
+        timers, self.timers = self.timers, []
+        for then in timers:
+            then()
+
+
+def with_node(path: Path, more: dict[str, object], story: Callable[[ServedInstallation], None]) -> None:
+    path.write_text(json.dumps(FILE | FLEET | {"metrics": False} | more))
+
+    async def life() -> None:
+        log = StructuredLog("logfmt", 100, 100, (), StringIO())
+        node = ServedInstallation(path, read(path), log, asyncio.get_running_loop())
+        story(node)
+        for part in (node.pins, node.swap, node.recovery):
+            if part is not None:
+                part.close()
+
+    asyncio.run(life())
+
+
+@pytest.mark.parametrize("later", [False, True], ids=["the last", "another came"])
+def test_a_base_that_the_disk_did_not_take_is_put_again(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, later: bool
+) -> None:
+    def story(node: ServedInstallation) -> None:
+        rim = node.recovery
+        assert rim is not None
+        with monkeypatch.context() as patched:
+            disk, told = Scripted(node, patched), list[int]()
+            patched.setattr(rim.census, "based", lambda now, base: told.append(base))
+            rim.census.stored = 0
+            rim._base(0)
+            assert told == [] and len(disk.timers) == 1, "not told before it is kept"
+            disk.fire()
+            assert told == [] and len(disk.timers) == 1, "and tried until it is"
+            disk.well = True
+            if later:
+                rim.census.stored = 7
+            disk.fire()
+            assert told == ([] if later else [0]) and len(disk.put_of) == len(told) and not disk.timers
+
+    with_node(tmp_path / "n1.json", {}, story)
+
+
+def test_a_pin_that_the_disk_did_not_take_is_put_again(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    def story(node: ServedInstallation) -> None:
+        rim = node.pins
+        assert rim is not None
+        with monkeypatch.context() as patched:
+            disk, told = Scripted(node, patched), list[int]()
+            patched.setattr(rim, "hop", lambda then: then())
+
+            def kept_as(_now: float, token: int) -> list[object]:
+                told.append(token)
+                return []
+
+            patched.setattr(rim.service, "kept", kept_as)
+            rim._keep("pin", b"one", 5)
+            rim._put_again(1e12)
+            rim._keep("pin", b"two", 6)
+            disk.well = True
+            rim._put_again(3e12)
+            assert told == [6] and [[r.value for r in put] for put in disk.put_of] == [[b"two"]]
+
+    with_node(tmp_path / "n1.json", {"fleet": {"pins": True}}, story)
