Forget a load again that the disk did not forget

Seen by reading, forced by a test: loads whose hold was over were taken out of memory and their deletion put once. Where the disk failed just then they stayed in the book, and in its memory, for the rest of the life: with a disk that fails now and then beyond the bound of 20,000. At fault: Loads.forget. Ruled out: an answer to a client that would change by it, since what is known of loads is fleet/recovery's memory's.

--- a/cottonhold/node/fleet/loads.py
+++ b/cottonhold/node/fleet/loads.py
@@ -305,9 +305,18 @@
         # What the memory still holds may yet be asked about, also after a power loss.
         keys = [key for key in found.keys if found.early or key not in self.memory.own.entries]
         if keys and self.state is State.WELL:
-            for key in keys:
-                del self.records[key]
-            self.ledger.put([Record(Kind.LOAD, key, None) for key in keys])
+            gone = {key: self.records.pop(key) for key in keys}
+
+            def done(durable: bool) -> None:
+                if not durable:
+                    self.hop(lambda: self._still_there(gone))
+
+            self.ledger.put([Record(Kind.LOAD, key, None) for key in keys], done)
+
+    def _still_there(self, gone: Mapping[bytes, LoadRecord]) -> None:
+        """The disk did not forget them."""
+        # Danger: forgotten here only, records stayed on the disk for the whole life, beyond their bound.
+        self.records = {**gone, **self.records}
 
 
 def _past(known: Known, said: bool) -> Past:
--- a/tests/fleet/test_loads_rim.py
+++ b/tests/fleet/test_loads_rim.py
@@ -181,6 +181,38 @@
         assert len(world.loads.records) == left, ms
 
 
+def test_what_the_disk_did_not_forget_is_forgotten_later() -> None:
+    world = World()
+    attempt, _ = world.send("a1")
+    world.ledger.durable()
+    world.loads.ended(attempt, Outcome.RESET)
+    world.loads.closed("a1")
+    left = []
+    for ms, durable in ((30_000.0, False), (35_000.0, True), (40_000.0, True)):
+        world.clock.run_until(world.start + ms, lambda: None)
+        world.memory.step(world.clock.now(), world.memory.around)
+        world.loads.forget()
+        left.append(len(world.loads.records))
+        world.ledger.durable(durable)
+    deletions = [r for records, _ in world.ledger.put_of for r in records if r.value is None]
+    assert left == [0, 0, 0] and len(deletions) == 2 and not world.loads.records
+
+
+def test_a_load_sent_again_meanwhile_is_not_taken_back_to_its_old_record() -> None:
+    world = World()
+    attempt, _ = world.send("a1")
+    world.ledger.durable()
+    world.loads.ended(attempt, Outcome.RESET)
+    world.loads.closed("a1")
+    world.clock.run_until(world.start + 30_000.0, lambda: None)
+    world.memory.step(world.clock.now(), world.memory.around)
+    world.loads.forget()
+    world.send("a2")
+    world.ledger.durable(False)
+    (record,) = world.loads.records.values()
+    assert record.ref == "a2"
+
+
 def test_a_write_that_failed_is_said() -> None:
     world = World()
     _, told = world.send("a1")
