Wait for the hang that a ledger's end is tested with

Seen by reading: the test of a disk that hangs at the end looked whether it hung as soon as close had returned, 50 ms on; on a busy machine the writer may not be there by then. It waits for it now.

--- a/tests/store/test_ledger.py
+++ b/tests/store/test_ledger.py
@@ -125,18 +125,19 @@
     told = threading.Event()
     ledger.put([WHOLE, load(1).record()], lambda well: told.set() if well else None)
     assert told.wait(20.0)
-    syncs = [0]
+    syncs, hangs = [0], threading.Event()
 
     def hang(_count: int, what: str) -> None:
         syncs[0] += what == "sync"
         if syncs[0] == (1 if last == "checkpoint" else 3):
             disk.orders = Orders(stall=True)
+            hangs.set()
 
     disk.before = hang
     closing = threading.Thread(target=ledger.close, args=(True,), daemon=True)
     closing.start()
     closing.join(20.0)
-    assert not closing.is_alive() and disk.orders.stall
+    assert not closing.is_alive() and hangs.wait(20.0)
     disk.cut()
     ledger._thread.join(20.0)
     ledger._let_go()
