End the process only when every client has its answer and the end of its connection

Seen: the process ended 20 ms behind the last answer. One that its client reads slowly stopped short (the rest was still in the program), a connection with bytes unread at that moment was reset and its answer lost with it, and a client that reads nothing kept the process until SIGKILL.

At fault: the last loop of Dispatcher.run: Session.owes was false as soon as the driver had taken the output, and nobody waited for the clients' ends. Ruled out: what the system has taken; it is sent on after the process, unless a reset comes before it.

Change: Dispatcher.finish closes what is spare every 20 ms, waits for all answers to be written, then up to 0.25 s for clients to close, and ends at Life.ends_at at the latest, unless a request is still open.

--- a/cottonhold/node/dispatcher.py
+++ b/cottonhold/node/dispatcher.py
@@ -5,6 +5,7 @@
 import asyncio
 import dataclasses
 import gc
+import math
 import os
 import signal
 import socket
@@ -34,6 +35,7 @@
 
 CHECK_S = 0.02
 BESIDE_MS = 300.0  # so often other processes of this dispatcher are looked for
+SEEN_MS = 250.0  # so long clients have to close, once all is said
 STARTING_MS = 3000.0  # so long one that leaves stays for a newer one that does not serve yet
 BUS_ONLY = ((SOURCE, Guard(trusted=True)),)
 
@@ -189,9 +191,25 @@
         await driver.empty_queue(listener, self.front)
         listener.close()
         self.log.note("closed_door", open=self.gateway.open, clients=len(self.front.sessions))
-        while self.gateway.open or any(s.owes() for s in self.front.sessions.values()):
+        await self.finish()
+
+    async def finish(self) -> None:
+        """Go on until all is answered and every client has seen the end of its connection, within limits.
+
+        Danger: ended behind the last answer, with bytes of a client unread, its connection was reset, and the
+        answer went with it; one that was written in part stopped short.
+        """
+        clock, life, done_at = self.driver.clock, self.life, math.inf
+        while self.front.sessions or self.gateway.open:
+            self.front.close_spare()
+            now = clock.now()
+            if self.gateway.open or self.front.owes() and now < life.ends_at():
+                done_at = math.inf
+            else:
+                done_at = min(done_at, now)
+                if now >= min(done_at + SEEN_MS, life.ends_at()):
+                    break
             await asyncio.sleep(CHECK_S)
-        await asyncio.sleep(CHECK_S)  # the last answer's bytes are with the system now
 
     def reload(self) -> None:
         """Read the configuration again: its settings, and the event bus it names, on from the last event.
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -6,11 +6,13 @@
 import asyncio
 import socket
 from collections.abc import Callable, Coroutine
-from typing import Any
+from types import SimpleNamespace
+from typing import Any, cast
 
 import pytest
 import uvloop
 
+from cottonhold.node.dispatcher import Dispatcher
 from cottonhold.node.driver import Driver
 from cottonhold.node.life import SETTLED_MS
 from cottonhold.node.mysql import IDLE_MS, MOST_BACKLOG, SETTLE_MS, Session
@@ -358,3 +360,81 @@
         await client.until(ROWS, 2)
 
     played(story)
+
+
+def process(here: Here) -> asyncio.Task[None]:
+    """The end of a process that has just closed its door, from the order on; time stands still as told."""
+    here.world.run("ops terminate")
+    parts = SimpleNamespace(
+        driver=SimpleNamespace(clock=here.world.clock),
+        life=here.world.life,
+        front=here.world.front,
+        gateway=here.world.gateway,
+    )
+    return asyncio.create_task(Dispatcher.finish(cast(Dispatcher, parts)))
+
+
+@pytest.fixture
+def quick(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("cottonhold.node.dispatcher.CHECK_S", 0.0)
+
+
+def test_the_process_ends_when_every_client_has_its_answer_and_the_end_of_its_connection(quick: None) -> None:
+    async def story(here: Here) -> None:
+        busy, late = await here.client(), await here.client()
+        busy.write(query(1))
+        await here.sent(1)
+        end = process(here)
+        late.session.output += bytes(32 * MOST_BACKLOG)
+        late.session._leave()
+        await here.turns()
+        assert not end.done()
+        here.answer(1)
+        await busy.end()
+        busy.sock.close()
+        await here.turns()
+        assert not end.done()  # the other's answer is written in part
+        await late.end()
+        await here.turns()
+        assert not end.done()  # it has not closed
+        late.sock.close()
+        await here.turns()
+        assert end.done() and not here.world.front.sessions
+
+    played(story)
+
+
+def test_the_process_does_not_wait_for_good_for_clients_that_stay(quick: None) -> None:
+    async def story(here: Here) -> None:
+        idle, stuck = await here.client(), await here.client()
+        stuck.session.output += bytes(32 * MOST_BACKLOG)
+        end = process(here)
+        here.world.clock.at += SETTLED_MS + SETTLE_MS
+        await here.turns()
+        assert idle.session.closing and not end.done()
+        here.world.clock.at = here.world.life.closes_at()
+        await here.turns()
+        assert stuck.session.closing and not end.done()
+        here.world.clock.at = here.world.life.ends_at()
+        await here.turns()
+        assert end.done()
+
+    played(story)
+
+
+def test_the_process_stays_for_an_open_request_until_the_last_moment_and_answers_it(quick: None) -> None:
+    async def story(here: Here) -> None:
+        client = await here.client()
+        client.write(query(1, allow=60000))
+        await here.sent(1)
+        end = process(here)
+        here.world.wait(here.world.life.ends_at() - here.world.clock.now() - 100.0)
+        await here.turns()
+        assert not end.done() and not client.session.closing
+        here.world.wait(100.0)
+        assert b"\xff" in await client.end()
+        client.sock.close()
+        await here.turns()
+        assert end.done()
+
+    played(story)
