Look for the engine's end of a resting connection right before a request is written there

Seen on socket pairs and loopback TCP: a request that was sent while the engine's close, reset, or half a line and a close lay unread at a connection with nothing out counted as one that may have run. A class that may not be repeated failed for it.

At fault: Connection.take_output, which knew of the end only when the loop had come to it, some turns late on a busy one. Ruled out: the margin before the idle limit (engines may close earlier), answers late on a connection that was given up (never read, and Connection.receive takes none now), half a line by itself (the end is told all the same).

Change: where nothing is out on a connection, take_output reads what has come first; Wire.hear tells the machine of an end at once. What was not written ends as CONNECT_FAILED and may go elsewhere.

--- a/cottonhold/node/driver.py
+++ b/cottonhold/node/driver.py
@@ -228,7 +228,7 @@
             self.driver.loop.remove_reader(sock)
 
     def hear(self) -> bool:
-        """Read what has come already; whether there was something for the machine.
+        """Read what has come already; whether there were bytes. An end is told to the machine at once.
 
         Danger: bytes were read in one turn of the loop and given to the machine in the next. A connection
         that was closed between the two dropped a request that it had read. So they lie with the system until
@@ -247,6 +247,7 @@
                 self.dropped += count
             else:
                 self.machine.receive(bytes(memoryview(scrap)[:count]))
+                return True
         except (BlockingIOError, InterruptedError):
             return False
         except OSError as error:
@@ -256,7 +257,9 @@
             self._fail(error)
         except Exception as error:
             self._fail(error)
-        return not self.shut
+        if ended.done():
+            self.machine.closed()
+        return False
 
     def _fail(self, error: Exception) -> None:
         if self.ended is not None and not self.ended.done():
--- a/cottonhold/node/engines.py
+++ b/cottonhold/node/engines.py
@@ -19,6 +19,7 @@
 
 IDLE_MARGIN_MS = 2000.0  # so long before its idle limit a connection gets nothing new: it may just be closing
 SILENT_MS = 1000.0  # a connection silent for so long when its engine is told gone has lost what was out on it
+MOST_READS = 4  # of what came unasked on a connection, before something is written there
 MOST_PAGES = 64  # of at most 6,000 bytes; engines make at most 48,000
 CHECK_MS = 200.0
 QUIET_MS = 1200.0  # a connection with work out that says nothing for so long is asked for a sign of life
@@ -34,6 +35,9 @@
 class Line(Protocol):
     """The driver's side of a connection."""
 
+    def hear(self) -> bool:
+        """Read what has come already; whether there was something."""
+
     def flush(self) -> None:
         """There is something to write."""
 
@@ -132,6 +136,7 @@
         """What is to be written now. Whether an attempt may still begin is checked only here."""
         # Danger: a load was put on a connection that was given up in the same turn of the loop, before the
         # write had begun. It was told as never sent and went to another engine; then it was written here too.
+        self._look_for_end()
         if self.over:
             return b""
         parts = []
@@ -147,9 +152,21 @@
             self.used_at = self.owner.clock.now()
         return b"".join(parts)
 
+    def _look_for_end(self) -> None:
+        """Whether the engine has closed a connection on which nothing is out, before something is written.
+
+        Danger: the loop hears of an end some turns late. A request written meanwhile counted as one that may
+        have run, and where it may not be repeated it failed.
+        """
+        if self.line is None or not self.queue or any(a.written for a in self.attempts.values()):
+            return
+        for _ in range(MOST_READS):
+            if not self.line.hear() or self.over:
+                return
+
     def receive(self, data: bytes) -> None:
         """Bytes from the engine."""
-        if self.closing:
+        if self.closing or self.over:
             return
         now = self.heard_at = self.used_at = self.owner.clock.now()
         try:
--- a/cottonhold/node/mysql.py
+++ b/cottonhold/node/mysql.py
@@ -432,7 +432,7 @@
 
     def cut(self) -> bool:
         """Close at once, to make room; false where something has come from the client just now."""
-        if self.line is not None and self.line.hear():
+        if self.line is not None and self.line.hear() or self.over:
             return False
         self.closing = self.pushed_out = True
         if self.line is not None:
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -79,6 +79,9 @@
         self.connection, self.engine, self.reader = connection, engine, RespReader()
         self.heard: list[list[bytes]] = []
 
+    def hear(self) -> bool:
+        return False
+
     def flush(self) -> None:
         pass
 
--- a/tests/test_driver.py
+++ b/tests/test_driver.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+import struct
 from collections.abc import Callable, Coroutine
 from typing import Any
 
@@ -13,7 +14,7 @@
 from cottonhold.discovery.model import Address
 from cottonhold.node.driver import Driver, Wire
 from cottonhold.node.engines import Attempt, Connection
-from cottonhold.node.resp import RespReader
+from cottonhold.node.resp import RespReader, encode
 from cottonhold.observe.counters import Counters
 from tests.scenario import World
 
@@ -22,6 +23,13 @@
 BUFFER = 8192
 
 
+def tcp_pair() -> tuple[socket.socket, socket.socket]:
+    """Both ends of a connection over loopback."""
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        near = socket.create_connection(listener.getsockname())
+        return near, listener.accept()[0]
+
+
 class Rig:
     """Engines on the driver, each reached by a pair of sockets whose far end the test holds."""
 
@@ -29,6 +37,7 @@
         self.world = World(engines="a b")
         self.driver = Driver(asyncio.get_running_loop(), Counters(), print)
         self.far: dict[str, socket.socket] = {}
+        self.tcp = False
         self.world.engines.connect = self.connect
         self.world.gateway.wants = lambda attempt: True  # type: ignore[method-assign]
         self.ends: list[Outcome] = []
@@ -37,7 +46,7 @@
         )
 
     def connect(self, address: Address, connection: Connection) -> Wire:
-        near, far = socket.socketpair()
+        near, far = tcp_pair() if self.tcp else socket.socketpair()
         near.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, BUFFER)
         near.setblocking(False)
         far.setblocking(False)
@@ -138,6 +147,76 @@
     played(story)
 
 
+def closes(far: socket.socket) -> None:
+    far.close()
+
+
+def resets(far: socket.socket) -> None:
+    far.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    far.close()
+
+
+def leaves_half_a_line(far: socket.socket) -> None:
+    far.send(b"*4\r\n$2\r\nq9")
+    far.close()
+
+
+@pytest.mark.parametrize("tcp", [False, True])
+@pytest.mark.parametrize("ends", [closes, resets, leaves_half_a_line])
+def test_a_request_that_crosses_the_engines_end_of_an_idle_connection_never_ran(
+    ends: Callable[[socket.socket], None], tcp: bool
+) -> None:
+    """Danger: written there it may have run, so that a class that may not be repeated failed for nothing."""
+
+    async def story(rig: Rig) -> None:
+        rig.tcp = tcp
+        first = rig.send("a", "q1")
+        assert await rig.heard("a", 1) == [b"GET"]
+        dropped(rig, first)
+        assert await rig.heard("a", 1) == [b"DROP"]
+        connection = rig.world.engines.places["a"].connections[0]
+        ends(rig.far["a"])
+        rig.send("a", "q2")  # the loop has not looked at the connection since
+        while len(rig.ends) < 2:
+            await asyncio.sleep(0)
+        assert rig.ends == [Outcome.CANCELLED, Outcome.CONNECT_FAILED]
+        assert connection.over and rig.world.engines.open == 0
+
+    played(story)
+
+
+@pytest.mark.parametrize("ends", [closes, resets, leaves_half_a_line])
+def test_a_request_that_is_out_when_its_connection_ends_may_have_run(
+    ends: Callable[[socket.socket], None],
+) -> None:
+    async def story(rig: Rig) -> None:
+        rig.send("a", "q1")
+        assert await rig.heard("a", 1) == [b"GET"]
+        ends(rig.far["a"])
+        rig.send("a", "q2")
+        while len(rig.ends) < 2:
+            await asyncio.sleep(0)
+        assert rig.ends[0] is Outcome.RESET
+
+    played(story)
+
+
+def test_what_lies_unread_at_a_connection_that_is_given_up_is_never_read() -> None:
+    """The id may be out again by then, on another connection."""
+
+    async def story(rig: Rig) -> None:
+        first = rig.send("a", "q1")
+        assert await rig.heard("a", 1) == [b"GET"]
+        rig.far["a"].send(encode(b"q1", b"served", b"count=1", b"a\tb\tc\n"))
+        given_up(rig, first)
+        second = rig.send("a", "q1")
+        for _ in range(20):
+            await asyncio.sleep(0)
+        assert rig.ends == [Outcome.RESET] and second.connection is not None
+
+    played(story)
+
+
 def test_what_is_written_at_once_to_a_connection_that_broke_ends_it() -> None:
     async def story(rig: Rig) -> None:
         first, second = rig.send("a", "q1"), rig.send("a", "q2")
