Scale the margin before an engine's idle limit where that limit is short

Seen: with connections that engines close after 2 s or less, every request had a connection of its own.

At fault: Engines._stale, which takes a connection for one that may be closing in the last 2 s before the limit (IDLE_MARGIN_MS): with such a limit always. Ruled out: connections that are really over; those show by their end.

Change: the margin is 2 s or half of the limit, whichever is less. From 4 s on nothing changes.

Measured: tests/test_node.py, 3 of 4 new cases fail before (limits of 0.4, 1.5 and 2 s), none after.

--- a/cottonhold/node/engines.py
+++ b/cottonhold/node/engines.py
@@ -18,6 +18,7 @@
 from cottonhold.observe.counters import Counters
 
 IDLE_MARGIN_MS = 2000.0  # so long before its idle limit a connection gets nothing new: it may just be closing
+IDLE_MARGIN_PART = 0.5  # of a short idle limit, at most
 SILENT_MS = 1000.0  # a connection silent for so long when its engine is told gone has lost what was out on it
 MOST_READS = 4  # of what came unasked on a connection, before something is written there
 MOST_PAGES = 64  # of at most 6,000 bytes; engines make at most 48,000
@@ -406,7 +407,8 @@
 
     def _stale(self, connection: Connection) -> bool:
         # Danger: a request written as the engine closes an idle connection may or may not have run.
-        return connection.up and self.clock.now() - connection.used_at > self.links.idle_ms - IDLE_MARGIN_MS
+        margin = min(IDLE_MARGIN_MS, self.links.idle_ms * IDLE_MARGIN_PART)
+        return connection.up and self.clock.now() - connection.used_at > self.links.idle_ms - margin
 
     def _asked_at(self, connection: Connection) -> float:
         """Since when a sign of life is waited for; infinity where none is."""
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -7,7 +7,7 @@
 import pytest
 
 from cottonhold.decide.interface import Outcome
-from cottonhold.node.engines import MOST_GIVEN_UP
+from cottonhold.node.engines import IDLE_MARGIN_MS, MOST_GIVEN_UP
 from cottonhold.node.life import LEAVE_MS
 from cottonhold.node.mysql import CHECK_MS, MOST_PACKET
 from tests.scenario import LOGIN, Client, World, packet
@@ -503,3 +503,18 @@
     world.run("time wait 3000\nc1 expect nothing\ntime wait 500")
     world.run("c1 expect error 1226 *\nc2 expect error 1105 *\nc3 expect error 1226 *")
     assert world.gateway.open == 0
+
+
+@pytest.mark.parametrize("idle_ms", [400.0, 1500.0, 2000.0, 15000.0])
+def test_a_connection_is_used_again_unless_its_engine_may_be_closing_it(idle_ms: float) -> None:
+    """Danger: with a fixed margin of 2 s, and engines that close after less, each request had a new one."""
+    world = World(engines="a")
+    world.engines.links = dataclasses.replace(world.engines.links, idle_ms=idle_ms)
+    for ref in range(1, 4):
+        world.run(f"c1 query lookup r{ref}\ne1 expect GET r{ref} *\ne1 send r{ref} served count=1 a|b|c/")
+        world.run("c1 expect rows a|b|c")
+        world.wait(idle_ms / 4)
+    assert world.counters.counts["engine_connections"] == 1
+    world.wait(idle_ms - IDLE_MARGIN_MS if idle_ms > 2 * IDLE_MARGIN_MS else idle_ms / 2)
+    world.run("c2 query lookup r9\ne1.2 expect GET r9 *")
+    assert world.counters.counts["engine_connections"] == 2
