Serve on while a seat's file can't be written or read, and test signals in every order

Seen: with os.pwrite failing (ENOSPC, EIO) a start ended with an error, and in service the round that looks for other processes stopped for good, so that two processes no longer kept within one limit. The same where a seat could not be read.

At fault: Seats.tell and Seats.others, which let OSError through to Dispatcher.look_beside. Ruled out: taking a seat; its errors were caught.

Change: what can't be written is logged once and tried again with the next word; a seat that can't be read counts as one of which nothing is known, or is passed over until the next round.

Also tests that found no fault: SIGTERM twice, SIGHUP and bad files before, between and after, SIGTERM before the process serves, waiting for a newer process under short deadlines, TCP_NODELAY on accepted and dialled sockets.

--- a/cottonhold/node/seats.py
+++ b/cottonhold/node/seats.py
@@ -68,6 +68,8 @@
     def __init__(self, folder: str | None, name: str, say: Callable[[str], None]) -> None:
         self.folder, self.name, self.say = folder, name, say
         self.number, self.file, self.record = -1, -1, Record(0)
+        self.written = False  # the record stands in the file
+        self.fault = ""  # the last one that was told of
         if folder is not None:
             try:
                 self._take()
@@ -105,10 +107,21 @@
             return Ids.of_process(os.getpid(), 1 << 22)  # the most that the kernel gives
 
     def tell(self, record: Record) -> None:
-        """Write what this process holds now."""
-        if self.file >= 0 and record != self.record:
-            self.record = record
-            os.pwrite(self.file, record.pack(), 0)
+        """Write what this process holds now; what can't be written is tried again with the next word.
+
+        Danger: on a full disk the start failed, or the round that tells of it ended for good.
+        """
+        if self.file < 0 or self.written and record == self.record:
+            return
+        self.record = record
+        try:
+            self.written = os.pwrite(self.file, record.pack(), 0) == RECORD.size
+            self.fault = ""
+        except OSError as error:
+            self.written = False
+            if str(error) != self.fault:
+                self.fault = str(error)
+                self.say(f"a seat in $TMPDIR can't be written: {error}")
 
     def others(self) -> list[Record]:
         """What the other living processes tell of themselves."""
@@ -122,7 +135,9 @@
                 continue
             try:
                 if not locked(file, fcntl.LOCK_SH):
-                    found.append(Record.read(os.pread(file, RECORD.size + 1, 0)) or Record(0))
+                    found.append(read_record(file))
+            except OSError:  # what can't be asked now is asked in the next round
+                continue
             finally:
                 os.close(file)
         return found
@@ -132,6 +147,14 @@
         return any(other.start > self.record.start and not other.serving for other in self.others())
 
 
+def read_record(file: int) -> Record:
+    """What a living process tells of itself; an empty record where that can't be read."""
+    try:
+        return Record.read(os.pread(file, RECORD.size + 1, 0)) or Record(0)
+    except OSError:
+        return Record(0)
+
+
 def locked(file: int, how: int) -> bool:
     """Whether the lock on an open file could be had; it is held until the file is closed."""
     try:
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -2,13 +2,29 @@
 
 from __future__ import annotations
 
+import asyncio
+import errno
+import os
+import socket
+from collections.abc import Callable
 from dataclasses import replace
+from pathlib import Path
+from types import SimpleNamespace
+from typing import Any, cast
 
 import pytest
 
+from cottonhold.config.relay import load
 from cottonhold.decide import interface as io
+from cottonhold.discovery.model import Address
+from cottonhold.node.dispatcher import STARTING_MS, Dispatcher
+from cottonhold.node.driver import Driver
 from cottonhold.node.life import Life
+from cottonhold.node.seats import Record, Seats
+from cottonhold.observe.counters import Counters
 from tests.scenario import READ, SETTINGS, World
+from tests.test_parts import CONFIG, write
+from tests.test_retune import Lines
 
 DEADLINES = (100.0, 400.0, 1000.0, 3000.0, 25000.0)
 COMING_MS = 600.0  # after SIGTERM requests come for so long on open connections
@@ -78,3 +94,163 @@
     w = world(400.0).run("ops drain\ntime wait 1600\nops terminate\nc1 query lookup r1 allow=400")
     w.run("c1 expect error 1226 *did not run*\nc1 closing\nc2 send 010000000e\nc2 expect error 1053 *drained")
     assert not w.life.restore() and not w.life.ready()
+
+
+# --- signals ---
+
+
+def with_deadline(deadline: float) -> dict[str, Any]:
+    settings = CONFIG["settings"]
+    classes = [{**cls, "hard_limit": deadline} for cls in settings["classes"]]
+    return {"settings": {**settings, "classes": classes}}
+
+
+def dispatcher(folder: Path, monkeypatch: pytest.MonkeyPatch, **changes: Any) -> Dispatcher:
+    monkeypatch.setenv("RELAY_CONFIG", write(folder, **changes)["RELAY_CONFIG"])
+    monkeypatch.delenv("TMPDIR", raising=False)
+    counters = Counters()
+    return Dispatcher(load(os.environ, counters), counters, asyncio.get_running_loop(), Lines())
+
+
+def hup(node: Dispatcher, folder: Path, deadline: float) -> None:
+    """SIGHUP, with other settings in the file."""
+    write(folder, listen=str(node.config.listen), **with_deadline(deadline))
+    node.reload()
+
+
+def bad_hup(node: Dispatcher, folder: Path, deadline: float) -> None:
+    """SIGHUP, with a file that can't be used."""
+    (folder / "config.json").write_bytes(b"{")
+    node.reload()
+
+
+def term(node: Dispatcher, folder: Path, deadline: float) -> None:
+    """SIGTERM."""
+    node.end()
+
+
+@pytest.mark.parametrize(
+    ("signals", "deadline"),
+    [
+        ([term], 2000.0),
+        ([term, term], 2000.0),
+        ([hup, term], 400.0),
+        ([bad_hup, term], 2000.0),
+        ([term, hup], 2000.0),
+        ([term, hup, term], 2000.0),
+        ([hup, bad_hup, term, hup, term], 400.0),
+    ],
+)
+def test_the_first_order_to_end_counts_under_the_settings_then_in_force(
+    signals: list[Callable[[Dispatcher, Path, float], None]],
+    deadline: float,
+    tmp_path: Path,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def scenario() -> None:
+        node = dispatcher(tmp_path, monkeypatch, listen="127.0.0.1:1", **with_deadline(2000.0))
+        for signal in signals:
+            signal(node, tmp_path, 400.0)
+        assert node.life.killed_at - node.life.leaving_at == pytest.approx(deadline + 700.0)
+        assert node.stop.is_set()
+
+    asyncio.run(scenario())
+
+
+def test_an_order_to_end_before_it_serves_still_lets_clients_in_and_ends(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The new process of an upgrade may be told so, and connections may have come to it already."""
+
+    async def scenario() -> None:
+        with socket.create_server(("127.0.0.1", 0)) as spare:
+            listen = "{}:{}".format(*spare.getsockname())
+        node = dispatcher(tmp_path, monkeypatch, listen=listen, **with_deadline(100.0))
+        node.end()
+        run = asyncio.create_task(node.run())
+        while not node.serving:
+            await asyncio.sleep(0)
+        host, _, port = listen.partition(":")
+        reader, _ = await asyncio.open_connection(host, int(port))
+        assert b"cottonhold" in await reader.read(100)
+        await run
+        assert await reader.read() == b"" and not node.front.owes()
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(("deadline", "most"), [(100.0, 500.0), (400.0, 800.0), (25000.0, STARTING_MS)])
+def test_one_that_ends_waits_for_a_newer_process_only_while_it_can_still_end_in_time(
+    deadline: float, most: float, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Danger: it took clients up to 3.8 s after the order, whatever the time of SIGKILL."""
+    monkeypatch.setattr("cottonhold.node.dispatcher.CHECK_S", 0.0)
+    w = world(deadline).run("ops terminate")
+    began = w.clock.now()
+
+    def starts() -> bool:
+        w.clock.at += 10.0
+        return True
+
+    parts = SimpleNamespace(
+        driver=SimpleNamespace(clock=w.clock), life=w.life, seats=SimpleNamespace(newer_starts=starts)
+    )
+    asyncio.run(Dispatcher.stay_for_newer(cast(Dispatcher, parts)))
+    assert began + most <= w.clock.now() <= min(began + most + 10.0, w.life.ends_at())
+
+
+# --- two processes, and the folder between them ---
+
+
+@pytest.mark.parametrize("code", [errno.ENOSPC, errno.EIO])
+def test_a_seat_that_can_not_be_written_for_a_while_costs_no_service(
+    code: int, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Danger: the start failed, or the round that looks for other processes ended for good."""
+    log: list[str] = []
+    first = Seats(str(tmp_path), "here", log.append)
+    second = Seats(str(tmp_path), "here", log.append)
+
+    def fails(*_: Any) -> int:
+        raise OSError(code, os.strerror(code))
+
+    with monkeypatch.context() as faulty:
+        faulty.setattr(os, "pwrite", fails)
+        for clients in range(3):
+            second.tell(Record(second.record.start, clients=clients, serving=True))
+        assert first.newer_starts() and len(log) == 1 and os.strerror(code) in log[0]
+        third = Seats(str(tmp_path), "here", log.append)
+    second.tell(Record(second.record.start, clients=7, serving=True))
+    assert [other.clients for other in first.others()][:1] == [7] and third.ids() != second.ids()
+
+
+@pytest.mark.parametrize(("call", "seen"), [("open", []), ("pread", [Record(0)])])
+def test_a_seat_that_can_not_be_read_for_a_while_costs_no_service(
+    call: str, seen: list[Record], tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    first, second = (Seats(str(tmp_path), "here", print) for _ in range(2))
+
+    def fails(*_: Any) -> Any:
+        raise OSError(errno.EIO, "broken")
+
+    with monkeypatch.context() as faulty:
+        faulty.setattr(os, call, fails)
+        assert first.others() == seen
+    assert first.others() == [second.record]
+
+
+@pytest.mark.parametrize("shared", [False, True])
+def test_small_writes_are_held_back_on_no_socket(shared: bool) -> None:
+    """Danger: what the system still holds back is lost with a reset."""
+
+    async def scenario() -> None:
+        driver = Driver(asyncio.get_running_loop(), Counters(), print)
+        listener = driver.listen(Address("127.0.0.1", 0), shared)
+        host, port = listener.getsockname()
+        dialed = await driver.dial(Address(host, port), 1.0)
+        accepted, _ = listener.accept()
+        with listener, dialed, accepted:
+            for sock in (dialed, accepted):
+                assert sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+
+    asyncio.run(scenario())
