Read a connection that has just been accepted before it is closed at the very end

Seen in a test over loopback: with deadlines so short that the door closes together with the last connections, a client taken from the listener's queue in that moment was closed with its request unread.

At fault: Wire.hear, which read nothing until the connection's task had begun, a turn after the socket was taken over. Ruled out: the queue, which is emptied before the listener closes.

Change: a connection can be read from Wire.start on.

--- a/cottonhold/node/driver.py
+++ b/cottonhold/node/driver.py
@@ -131,7 +131,7 @@
 
     def start(self, sock: socket.socket) -> None:
         """Read and write from now on."""
-        self.sock = sock
+        self.sock, self.ended = sock, self.driver.loop.create_future()
         self.driver.wires.add(self)
         self.task = self.driver.spawn(self._serve(sock))
         # Danger: a task cancelled before its first step never runs, and its socket stayed open for good.
@@ -220,7 +220,7 @@
         self.machine.closed()
 
     async def _read(self, sock: socket.socket) -> None:
-        self.ended = self.driver.loop.create_future()
+        assert self.ended is not None
         self.driver.loop.add_reader(sock, self.hear)
         try:
             await self.ended
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -362,6 +362,31 @@
     played(story)
 
 
+@pytest.mark.parametrize("lacking", [0, 1])
+def test_what_a_client_wrote_before_it_was_accepted_at_the_very_end_is_answered(lacking: int) -> None:
+    """Danger: with short deadlines the door closes as late as the last connections. One taken from the queue
+    then was closed before anything was read there."""
+    text = packet(1, LOGIN) + query(1)
+    written = text[: len(text) - lacking]
+
+    async def story(here: Here) -> None:
+        listener = socket.create_server(("127.0.0.1", 0))
+        listener.setblocking(False)
+        client = Client.__new__(Client)
+        client.here, client.got, client.reset = here, b"", False
+        client.sock = socket.create_connection(listener.getsockname())
+        client.sock.setblocking(False)
+        here.clients.append(client)
+        client.write(written)
+        ended(here)
+        here.driver.empty_queue(listener, here.world.front)
+        listener.close()
+        close_spare(here)
+        assert (await client.end()).count(REFUSED) == 1
+
+    played(story)
+
+
 def process(here: Here) -> asyncio.Task[None]:
     """The end of a process that has just closed its door, from the order on; time stands still as told."""
     here.world.run("ops terminate")
