--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -22,7 +22,7 @@
 from cottonhold.node.life import Life
 from cottonhold.node.seats import Record, Seats
 from cottonhold.observe.counters import Counters
-from tests.scenario import READ, SETTINGS, World
+from tests.scenario import READ, SETTINGS, World, packet
 from tests.test_parts import CONFIG, write
 from tests.test_retune import Lines
 
@@ -70,6 +70,27 @@
     assert all(client.session.closing for client in w.clients.values()) and w.gateway.open == 0
 
 
+@pytest.mark.parametrize("effect", [io.Effect.SAFE, io.Effect.UNSAFE])
+@pytest.mark.parametrize("deadline", DEADLINES)
+def test_what_waits_behind_a_request_that_hangs_is_answered_too(deadline: float, effect: io.Effect) -> None:
+    w = world(deadline, effect)
+    w.client("c1")
+    for ref in range(1, 6):
+        text = f"/* service=lookup,ref={ref:016x},allow=20000 */ SELECT a FROM s_7.t"
+        w.bytes("c1", packet(0, b"\x03" + text.encode()))
+    w.run("ops terminate")
+    w.wait(killed_in(deadline) - 150.0)
+    heard = w.clients["c1"].heard
+    assert len(heard) == 5 and all(answer.startswith(("error 1226", "error 1105")) for answer in heard)
+    assert w.clients["c1"].session.closing
+
+
+def test_a_hang_is_refused_only_where_a_repeat_does_no_harm() -> None:
+    for effect, answer in ((io.Effect.SAFE, "error 1226 *"), (io.Effect.UNSAFE, "error 1105 *may have run")):
+        w = world(400.0, effect).run("c1 query lookup r1 allow=20000\nany expect GET r1 *\nops terminate")
+        w.run(f"time wait 900\nc1 expect {answer}\nc1 closing")
+
+
 @pytest.mark.parametrize("deadline", DEADLINES)
 def test_the_times_of_the_end_follow_from_the_settings(deadline: float) -> None:
     life = Life()
