Serve on where a seat's file can't be read, written or locked

Seen, with the calls failed in turn (ENOSPC, EIO, EDQUOT, EMFILE, ENOLCK, EROFS): pwrite that failed in the first look_beside raised out of Dispatcher.run and ended the program; later it ended the timer, and another process was never seen again. pread and flock the same, and at the start they left the file open. A record cut off stayed so for good.

Change: what can't be written is told once and tried again with the next call; what can't be read counts as empty, what can't be locked as held, which only makes this process take less. One seat whose file can't be opened no longer voids the others.

--- a/cottonhold/node/seats.py
+++ b/cottonhold/node/seats.py
@@ -68,8 +68,7 @@
     def __init__(self, folder: str | None, name: str, say: Callable[[str], None]) -> None:
         self.folder, self.name, self.say = folder, name, say
         self.number, self.file, self.record = -1, -1, Record(0)
-        self.written = False  # the record stands in the file
-        self.fault = ""  # the last one that was told of
+        self.written = True  # the record stands in the file
         if folder is not None:
             try:
                 self._take()
@@ -83,17 +82,21 @@
         return os.open(self._path(number), flags | os.O_CLOEXEC | os.O_NOFOLLOW, 0o600)
 
     def _take(self) -> None:
-        last = 0
+        last, why = 0, OSError(f"all {SEATS} seats are held")
         for number in range(SEATS):
-            file = self._open(number, os.O_RDWR | os.O_CREAT)
-            record = Record.read(os.pread(file, RECORD.size + 1, 0))
+            try:
+                file = self._open(number, os.O_RDWR | os.O_CREAT)
+            except OSError as error:
+                why = error
+                continue
+            record = read_record(file)
             last = max(last, record.start if record else 0)
             if self.file < 0 and locked(file, fcntl.LOCK_EX):
                 self.number, self.file = number, file
             else:
                 os.close(file)
         if self.file < 0:
-            raise OSError(f"all {SEATS} seats are held")
+            raise why
         self.tell(Record((last + 1) & 0xFFFFFFFF))
 
     def ids(self) -> Ids:
@@ -107,21 +110,20 @@
             return Ids.of_process(os.getpid(), 1 << 22)  # the most that the kernel gives
 
     def tell(self, record: Record) -> None:
-        """Write what this process holds now; what can't be written is tried again with the next word.
+        """Write what this process holds now; what could not be written is tried again with the next call.
 
-        Danger: on a full disk the start failed, or the round that tells of it ended for good.
+        Danger: a full or broken disk ended the program at its start, or later the timer that looks beside.
         """
-        if self.file < 0 or self.written and record == self.record:
+        if self.file < 0 or record == self.record and self.written:
             return
-        self.record = record
+        self.record, was_written = record, self.written
         try:
             self.written = os.pwrite(self.file, record.pack(), 0) == RECORD.size
-            self.fault = ""
+            why = "cut off"
         except OSError as error:
-            self.written = False
-            if str(error) != self.fault:
-                self.fault = str(error)
-                self.say(f"a seat in $TMPDIR can't be written: {error}")
+            self.written, why = False, str(error)
+        if was_written and not self.written:
+            self.say(f"seat in $TMPDIR: what this process holds can't be told to others: {why}")
 
     def others(self) -> list[Record]:
         """What the other living processes tell of themselves."""
@@ -135,9 +137,7 @@
                 continue
             try:
                 if not locked(file, fcntl.LOCK_SH):
-                    found.append(read_record(file))
-            except OSError:  # what can't be asked now is asked in the next round
-                continue
+                    found.append(read_record(file) or Record(0))
             finally:
                 os.close(file)
         return found
@@ -147,18 +147,21 @@
         return any(other.start > self.record.start and not other.serving for other in self.others())
 
 
-def read_record(file: int) -> Record:
-    """What a living process tells of itself; an empty record where that can't be read."""
+def read_record(file: int) -> Record | None:
+    """The record in an open file; None where there is none, or it can't be read."""
     try:
-        return Record.read(os.pread(file, RECORD.size + 1, 0)) or Record(0)
+        return Record.read(os.pread(file, RECORD.size + 1, 0))
     except OSError:
-        return Record(0)
+        return None
 
 
 def locked(file: int, how: int) -> bool:
-    """Whether the lock on an open file could be had; it is held until the file is closed."""
+    """Whether the lock on an open file could be had; it is held until the file is closed.
+
+    Where locks fail altogether, somebody else may well have it.
+    """
     try:
         fcntl.flock(file, how | fcntl.LOCK_NB)
-    except BlockingIOError:
+    except OSError:
         return False
     return True
--- /dev/null
+++ b/tests/test_seat_faults.py
@@ -0,0 +1,105 @@
+"""Files in $TMPDIR fail: the dispatcher starts, serves and looks beside itself all the same."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import os
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from cottonhold.config.relay import load
+from cottonhold.node.dispatcher import Dispatcher
+from cottonhold.node.seats import Record, Seats
+from cottonhold.observe.counters import Counters
+from tests.test_parts import write
+
+CALLS = ["os.open", "os.pread", "os.pwrite", "fcntl.flock"]
+ERRORS = [errno.ENOSPC, errno.EIO, errno.EDQUOT, errno.EMFILE, errno.ENOLCK, errno.EROFS]
+
+
+class Notes:
+    """A log that is kept."""
+
+    def __init__(self) -> None:
+        self.lines = list[str]()
+
+    def say(self, text: str) -> None:
+        self.lines.append(text)
+
+    def note(self, event: str, **fields: object) -> None:
+        self.lines.append(event)
+
+
+def failing(error: int) -> Callable[..., Any]:
+    def call(*args: Any) -> Any:
+        raise OSError(error, os.strerror(error))
+
+    return call
+
+
+def descriptors() -> int:
+    return len(os.listdir("/proc/self/fd"))
+
+
+@pytest.mark.parametrize("error", ERRORS)
+@pytest.mark.parametrize("call", CALLS)
+def test_a_dispatcher_starts_and_looks_beside(
+    call: str, error: int, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setenv("TMPDIR", str(tmp_path))
+    config = load(write(tmp_path, listen="127.0.0.1:80"), Counters())
+    log, before = Notes(), descriptors()
+
+    async def scenario() -> None:
+        inside = descriptors()
+        with monkeypatch.context() as patched:
+            patched.setattr(f"cottonhold.node.seats.{call}", failing(error))
+            dispatcher = Dispatcher(config, Counters(), asyncio.get_running_loop(), log)
+            for _ in range(3):
+                dispatcher.look_beside()
+            assert dispatcher.beside == 0 and len([x for x in log.lines if "seat" in x]) <= 1
+        dispatcher.look_beside()
+        if dispatcher.seats.file >= 0:
+            assert Record.read(Path(dispatcher.seats._path(0)).read_bytes()) == dispatcher.seats.record
+            os.close(dispatcher.seats.file)
+        assert descriptors() == inside
+
+    asyncio.run(scenario())
+    assert descriptors() == before
+
+
+@pytest.mark.parametrize("error", ERRORS)
+@pytest.mark.parametrize("call", CALLS)
+def test_what_fails_later_passes(
+    call: str, error: int, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    log = list[str]()
+    first, second = (Seats(str(tmp_path), "here", log.append) for _ in range(2))
+    with monkeypatch.context() as patched:
+        patched.setattr(f"cottonhold.node.seats.{call}", failing(error))
+        for clients in range(3):
+            first.tell(Record(first.record.start, clients + 1))
+            second.others()
+            first.newer_starts()
+        assert len(log) == (call == "os.pwrite")
+    first.tell(Record(first.record.start, 3))
+    assert second.others() == [first.record]
+    os.close(first.file)
+    os.close(second.file)
+
+
+def test_a_record_written_in_part_is_written_again(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    log = list[str]()
+    first, second = (Seats(str(tmp_path), "here", log.append) for _ in range(2))
+    whole = os.pwrite
+    with monkeypatch.context() as patched:
+        patched.setattr("cottonhold.node.seats.os.pwrite", lambda file, data, at: whole(file, data[:9], at))
+        first.tell(Record(first.record.start, 3))
+    first.tell(Record(first.record.start, 3))
+    assert second.others() == [first.record] and len(log) == 1
+    os.close(first.file)
+    os.close(second.file)
