--- a/cottonhold/node/driver.py
+++ b/cottonhold/node/driver.py
@@ -405,9 +405,9 @@
                     self._admit(client, front.open())
             except OSError as error:
                 failed += 1
-                await self._accept_failed(error, failed, "accept", "accept")
+                await self.accept_failed(error, failed, "accept", "accept")
 
-    async def _accept_failed(self, error: OSError, in_a_row: int, counted: str, what: str) -> None:
+    async def accept_failed(self, error: OSError, in_a_row: int, counted: str, what: str) -> None:
         """Count a failure of accept and wait as long as it asks for.
 
         Danger: without a free descriptor accept fails at once: it must not spin or end. One connection that
@@ -465,7 +465,7 @@
             except OSError as error:
                 failed += 1
                 pauses += error.errno not in OF_ONE_CONNECTION or failed % MOST_BROKEN == 0
-                await self._accept_failed(error, failed, "accept", "accept")
+                await self.accept_failed(error, failed, "accept", "accept")
 
     # --- operators ---
 
@@ -477,7 +477,7 @@
                 caller, _ = await self.loop.sock_accept(sock)
             except OSError as error:
                 failed += 1
-                await self._accept_failed(error, failed, "ops_accept", "operators' calls")
+                await self.accept_failed(error, failed, "ops_accept", "operators' calls")
                 continue
             failed = 0
             call = calls.open()
@@ -602,18 +602,34 @@
         """Take in datagrams from now on; `others` is offered each first, and says whether it was its own."""
 
         def ready() -> None:
+            failed = 0
             for _ in range(DATAGRAMS):
                 try:
                     data, sender = sock.recvfrom(2048)
-                except OSError:  # nothing more, or news of a datagram that reached nobody
+                except (BlockingIOError, InterruptedError):
                     return
+                except OSError as error:  # news of a datagram that reached nobody, or something lacks
+                    self.counters.add("peer_broken")
+                    failed += 1
+                    if error.errno in LACKING or failed == DATAGRAMS:
+                        break
+                    continue
                 if others(data, Address(sender[0], sender[1])):
                     continue
                 if message := peers.receive(data, (sender[0], sender[1])):
                     push(message)
+            else:
+                return
+            # Danger: what fails in each call was called again in each turn of the loop, without a pause.
+            self.loop.remove_reader(sock)
+            self.loop.call_later(LACKING_PAUSE_S, listen)
+
+        def listen() -> None:
+            if sock.fileno() >= 0:
+                self.loop.add_reader(sock, ready)
 
         # Danger: uvloop's sock_recvfrom only raises NotImplementedError, and peers went unheard.
-        self.loop.add_reader(sock, ready)
+        listen()
 
     def udp_socket(self, address: Address) -> socket.socket:
         """The socket for datagrams."""
--- a/tests/faulty_sockets.py
+++ b/tests/faulty_sockets.py
@@ -64,6 +64,12 @@
         sock.join(self, MADE)
         return sock
 
+    def adopt(self, plain: socket.socket, role: str = MADE) -> socket.socket:
+        """A socket that was made elsewhere, under this script."""
+        sock = FaultySocket(plain.family, plain.type, plain.proto, plain.detach())
+        sock.join(self, role)
+        return sock
+
     def step(self, call: str, role: str) -> int:
         """How many bytes this call may move. Raises the OSError that is its turn."""
         step = self.next(call, role)
@@ -96,9 +102,7 @@
     def accept(self) -> tuple[socket.socket, Any]:
         self.faults.step("accept", self.role)
         plain, sender = super().accept()
-        sock = FaultySocket(plain.family, plain.type, plain.proto, plain.detach())
-        sock.join(self.faults, ACCEPTED)
-        return sock, sender
+        return self.faults.adopt(plain, ACCEPTED), sender
 
     def connect(self, address: Any) -> None:
         step = self.faults.next("connect", self.role)
--- /dev/null
+++ b/tests/test_datagram_faults.py
@@ -0,0 +1,130 @@
+"""recvfrom and sendto fail, and the local socket's accept: neither a spin nor an end."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import socket
+from pathlib import Path
+
+import pytest
+import uvloop
+
+from cottonhold.decide import interface as io
+from cottonhold.discovery.model import Address
+from cottonhold.node import status
+from cottonhold.node.driver import DATAGRAMS, Driver
+from cottonhold.node.peers import Peers
+from cottonhold.observe.counters import Counters
+from tests.faulty_sockets import Faults
+from tests.loopback import HANG_S
+
+BRIEF = [errno.EAGAIN, errno.EINTR]
+ERRORS = [errno.ECONNREFUSED, errno.EHOSTUNREACH, errno.ENETUNREACH, errno.ENOBUFS, errno.ENOMEM, errno.EPERM]
+
+
+class Peer:
+    """A dispatcher's socket for datagrams, with one peer that the test holds."""
+
+    def __init__(self) -> None:
+        self.faults, self.counters, self.heard = Faults(), Counters(), list[io.PeerMessage]()
+        self.driver = Driver(asyncio.get_running_loop(), self.counters, print, self.faults.make)
+        self.far = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.far.bind(("127.0.0.1", 0))
+        self.far_address = Address(*self.far.getsockname())
+        self.near = self.driver.udp_socket(Address("127.0.0.1", 0))
+        peers = Peers((self.far_address,), None, self.counters)
+        self.driver.hear_peers(self.near, peers, self.heard.append)
+        self.at = self.near.getsockname()
+
+    async def hears(self, data: bytes) -> None:
+        self.far.sendto(data, self.at)
+        async with asyncio.timeout(HANG_S):
+            while not self.heard or self.heard[-1].data != data:
+                await asyncio.sleep(0)
+
+    def close(self) -> None:
+        self.driver.loop.remove_reader(self.near)
+        self.near.close()
+        self.far.close()
+        assert not self.faults.open
+
+
+@pytest.mark.parametrize("error", [*BRIEF, *ERRORS])
+def test_datagrams_are_heard_again(error: int) -> None:
+    async def scenario() -> None:
+        peer = Peer()
+        peer.faults.plan("recvfrom", *[error] * 3)
+        await peer.hears(b"one")
+        await peer.hears(b"two")
+        assert len(peer.heard) == 2
+        peer.close()
+
+    uvloop.run(scenario())
+
+
+@pytest.mark.parametrize("error", ERRORS)
+def test_a_read_that_goes_on_failing_does_not_spin(error: int) -> None:
+    """Counted by pauses: each ends with the reader set anew."""
+
+    async def scenario() -> None:
+        peer, anew = Peer(), 0
+        add_reader = peer.driver.loop.add_reader
+
+        def counted(*args: object) -> None:
+            nonlocal anew
+            anew += 1
+            add_reader(*args)  # type: ignore[arg-type]
+
+        peer.driver.loop.add_reader = counted  # type: ignore[assignment, method-assign]
+        peer.faults.always("recvfrom", error)
+        peer.far.sendto(b"x", peer.at)
+        async with asyncio.timeout(HANG_S):
+            while anew < 5:
+                await asyncio.sleep(0)
+        assert peer.faults.calls["recvfrom"] <= 6 * DATAGRAMS
+        peer.faults.heal("recvfrom")
+        await peer.hears(b"later")
+        peer.close()
+
+    uvloop.run(scenario())
+
+
+@pytest.mark.parametrize("error", [*BRIEF, *ERRORS, errno.EMSGSIZE])
+def test_a_datagram_that_can_not_be_sent_is_lost(error: int) -> None:
+    async def scenario() -> None:
+        peer = Peer()
+        peer.faults.plan("sendto", error)
+        peer.driver.tell(b"lost", peer.far_address)
+        peer.driver.tell(b"kept", peer.far_address)
+        assert peer.far.recv(10) == b"kept"
+        assert (peer.counters.counts["peer_broken"], peer.counters.counts["peer_sent"]) == (1, 1)
+        peer.close()
+
+    uvloop.run(scenario())
+
+
+@pytest.mark.parametrize(
+    "error", [errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ECONNABORTED, errno.EINTR]
+)
+def test_local_calls_are_answered_again(error: int, tmp_path: Path) -> None:
+    """Danger: one moment without a descriptor closed the socket for the program's life."""
+
+    async def scenario() -> bytes:
+        loop, faults = asyncio.get_running_loop(), Faults()
+        driver = Driver(loop, Counters(), print)
+        listener = faults.adopt(status.listen(tmp_path / "s"))
+        serving = driver.spawn(status.serve(driver, listener, lambda call: {"served": True}))
+        faults.plan("accept", error, error)
+        with socket.socket(socket.AF_UNIX) as client:
+            client.setblocking(False)
+            await loop.sock_connect(client, str(tmp_path / "s"))
+            await loop.sock_sendall(client, b"{}\n")
+            async with asyncio.timeout(HANG_S):
+                data = await loop.sock_recv(client, 100)
+        serving.cancel()
+        await asyncio.gather(*driver.tasks, return_exceptions=True)
+        assert not faults.open
+        return data
+
+    assert uvloop.run(scenario()) == b'{"served":true}'
