Serve a client that does not read only while 32 KB of answers wait for it

Seen: a client that sends 16 commands at a time and reads nothing held 262 KB of answers, with as much again in the driver's hands; 120 such clients (the descriptors of a limit of 256 allow 122) come to more than a limit of 32 MB.

Ruled out: commands in one write (17 at most wait, or 128 KB of them), half a packet (its 64 KB go with it after 1.2 s), packets too large, queries that can't be used.

At fault: mysql.MOST_BACKLOG, 256 KB, five times the longest result.

Change: 32 KB. Who reads is not held up: the next command is taken when the answers before it go out, and a longest result (48 KB) still goes out whole.

--- a/cottonhold/node/mysql.py
+++ b/cottonhold/node/mysql.py
@@ -28,7 +28,7 @@
 UTF8 = 33
 QUIT, INIT_DB, QUERY, PING, RESET = 0x01, 0x02, 0x03, 0x0E, 0x1F
 MOST_PACKET = 64 * 1024  # of a client's packet: statements are short, and many clients share the memory
-MOST_BACKLOG = 256 * 1024  # bytes written but not read by the client, from which on it is served no further
+MOST_BACKLOG = 32 * 1024  # bytes written but not read by the client, from which on it is served no further
 # A client is owed an end within 3 s of connecting, so what goes nowhere is closed well before that.
 LOGIN_MS = 2000.0  # a connection without a login and a first command is closed after this
 PARTIAL_MS = 1200.0  # and so is one whose packet began but does not end
