Wait at the start for a descriptor or memory that lacks for a moment

Seen, with the calls failed by script: one EMFILE, ENFILE, ENOBUFS or ENOMEM in socket, bind or listen of any of the three sockets of the start ended the program with code 1, as if its address were taken. What failed in bind left its descriptor open.

Ruled out: addresses that are taken, not allowed or not there (one line, code 1: that held and holds), steering to the newer process (counted, it serves).

At fault: Dispatcher.run and Driver.listen, udp_socket (each OSError final, no close).

Change: Driver.opened tries again each 20 ms for 3 s; sockets_lacking counts.

--- a/cottonhold/node/dispatcher.py
+++ b/cottonhold/node/dispatcher.py
@@ -158,11 +158,13 @@
         driver, config = self.driver, self.config
         self.believe(config.known)
         self.bus.current()
-        if config.peer_listen is not None:
-            udp = driver.udp_socket(config.peer_listen)
+        if (peer_listen := config.peer_listen) is not None:
+            udp = await driver.opened(lambda: driver.udp_socket(peer_listen))
             driver.hear_peers(udp, self.peers, self.gateway.push, self.hear_others)
-        operators = driver.listen(config.ops) if config.ops is not None else None
-        listener = driver.listen(config.listen, shared=True)
+        operators = None
+        if (ops := config.ops) is not None:
+            operators = await driver.opened(lambda: driver.listen(ops))
+        listener = await driver.opened(lambda: driver.listen(config.listen, shared=True))
         accepting = driver.spawn(driver.accept(listener, self.front))
         self.follow()
         if operators is not None:
--- a/cottonhold/node/driver.py
+++ b/cottonhold/node/driver.py
@@ -33,6 +33,7 @@
 BACKLOG = 512
 DATAGRAMS = 64  # taken in one turn of the loop, so that a flood of them does not stop the rest
 ACCEPT_PAUSE_S, ROOM_PAUSE_S = 0.02, 0.001
+OPEN_S = 3.0  # that a start waits at most for what it lacks: it has to be ready within 6 s
 LACKING_PAUSE_S = 0.02  # before a call is made again for which the system lacked something
 MOST_BROKEN = 64  # connections that broke in the queue, in a row, between two pauses
 QUEUE_PAUSES = 25  # that a listener's close waits at most for what accept lacks
@@ -363,12 +364,31 @@
 
     # --- clients ---
 
+    async def opened(self, make: Callable[[], socket.socket]) -> socket.socket:
+        """A socket that this process can't do without. Raises OSError.
+
+        Danger: a start in a moment without a free descriptor ended as if its address were taken.
+        """
+        until = self.loop.time() + OPEN_S
+        while True:
+            try:
+                return make()
+            except OSError as error:
+                if error.errno not in LACKING or self.loop.time() > until:
+                    raise
+                self.counters.add("sockets_lacking")
+            await asyncio.sleep(LACKING_PAUSE_S)
+
     def listen(self, address: Address, shared: bool = False) -> socket.socket:
         """Listen at an address, and only there; a shared one also beside another process."""
         sock = tcp_socket(self.make_socket, family(address))
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        bind(sock, address, shared)
-        sock.listen(BACKLOG)
+        try:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            bind(sock, address, shared)
+            sock.listen(BACKLOG)
+        except OSError:
+            sock.close()
+            raise
         if shared:
             self._steer(sock)
         return sock
@@ -635,7 +655,11 @@
         """The socket for datagrams."""
         sock = self.make_socket(socket.AF_INET, socket.SOCK_DGRAM)
         sock.setblocking(False)
-        bind(sock, address, shared=True)
+        try:
+            bind(sock, address, shared=True)
+        except OSError:
+            sock.close()
+            raise
         self._steer(sock)
         self.udp = sock
         return sock
