Add rows on failing system calls to the conformance table

Five rows for PROTOCOL's rules on sockets and for connects, played on real loopback sockets by script (tests/loopback.py), and a planted defect (LACKING empty) that the row of whole answers has to catch.

--- a/tests/conformance/test_tables.py
+++ b/tests/conformance/test_tables.py
@@ -7,12 +7,12 @@
 import pytest
 
 from cottonhold.decide import retry, slow_start
-from cottonhold.node import peers
+from cottonhold.node import driver, peers
 from cottonhold.node.engines import Engines
-from tests.conformance import protocol, wire
+from tests.conformance import protocol, sockets, wire
 from tests.conformance.rows import Row
 
-TABLES: dict[str, tuple[Row, ...]] = {"PROTOCOL": protocol.ROWS, "WIRE": wire.ROWS}
+TABLES: dict[str, tuple[Row, ...]] = {"PROTOCOL": protocol.ROWS + sockets.ROWS, "WIRE": wire.ROWS}
 ROWS = {row.id: row for table in TABLES.values() for row in table}
 
 
@@ -43,6 +43,7 @@
     ),
     (slow_start, "barred", lambda gateway, query, engine: False, "wire-cold-budget"),
     (peers, "MOST_BYTES", 300, "pro-peer-most"),
+    (driver, "LACKING", frozenset(), "pro-sock-whole"),
 ]
 
 
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -62,6 +62,11 @@
                 told.append("ok" if payload[0] == 0 else "greeting")
         return [*told, how] if how else told
 
+    def finished(self) -> bool:
+        """Whether a first result has come, or the connection has ended."""
+        told = self.answers()
+        return len(told) >= len(ROWS) or told[-1:] in (["end"], ["reset"])
+
 
 class Engine:
     """An engine's listener: counts what is asked, and answers when told to."""
