Draw odd values for Consul's answers too

A reading that found no fault: 500 drawn changes of an entry (wrong types, odd numbers, digits of other scripts, keys taken out) cost that entry only, and the catalogue's reader raises only WireError. What the drawn tests share moves to tests/drawn.py.

--- a/tests/config/test_bad_relay.py
+++ b/tests/config/test_bad_relay.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import copy
 import os
 from pathlib import Path
 from typing import Any
@@ -20,30 +19,10 @@
 from cottonhold.observe.counters import Counters
 from cottonhold.observe.log import Log
 from cottonhold.wire import WireError
-from tests.drawn import ODD, untroubled
+from tests.drawn import ODD, changed, places, untroubled
 from tests.scenario import World
 from tests.test_parts import CONFIG
 
-
-def places(value: Any, path: tuple[Any, ...] = ()) -> list[tuple[Any, ...]]:
-    """The ways to all values in a JSON object."""
-    inner = value.items() if isinstance(value, dict) else enumerate(value) if isinstance(value, list) else ()
-    return [path] * bool(path) + [way for key, part in inner for way in places(part, (*path, key))]
-
-
-def changed(source: Any, path: tuple[Any, ...], value: Any) -> Any:
-    """A copy with another value at a place; ... takes it out."""
-    copied = copy.deepcopy(source)
-    part = copied
-    for key in path[:-1]:
-        part = part[key]
-    if value is ...:
-        del part[path[-1]]
-    else:
-        part[path[-1]] = value
-    return copied
-
-
 USABLE = {**CONFIG, "listen": "127.0.0.1:80"}
 VALUES = st.one_of(ODD, st.just(...), st.sampled_from([0, -1, 1e308, 1e-308, 2**63, -0.0, ""]))
 
--- a/tests/discovery/test_consul_parts.py
+++ b/tests/discovery/test_consul_parts.py
@@ -17,6 +17,7 @@
 from cottonhold.discovery.consul.watch import Watch, WatchSettings
 from cottonhold.discovery.model import Address, Lost, Names, Report, Verdict
 from cottonhold.wire import WireError
+from tests.drawn import ODD, changed, places
 
 NAMES = Names(("z0", "z1"), ("std", "big"))
 SERF = {"CheckID": "serfHealth", "Status": "passing", "Output": "Agent alive"}
@@ -218,6 +219,24 @@
         pass
 
 
+ENTRY = entry("e1", zone="z1", model="big", started_at="5", cell="3", size="2")
+
+
+@settings(max_examples=500)
+@given(
+    st.sampled_from(places(ENTRY)), st.one_of(ODD, st.just(...), st.sampled_from(["²", "9" * 5000, "nan"]))
+)
+def test_an_entry_of_odd_values_costs_only_itself(path: tuple[Any, ...], value: Any) -> None:
+    odd, malformed = answers()
+    told = odd.read(body(changed(ENTRY, path, value), entry("e2"))).observations
+    assert "e2" in [o.id for o in told] and len(malformed) <= 1
+    catalogue = {"Node": "n", "ServiceID": "e1"}
+    try:
+        odd.listed(body(changed(catalogue, (("Node", "ServiceID")[len(path) % 2],), value)))
+    except WireError:
+        pass
+
+
 def test_no_header_can_smuggle_a_line() -> None:
     with pytest.raises(WireError):
         Call("GET", "/", {"X-Consul-Token": "a\r\nX: b"}).encode("h")
--- a/tests/drawn.py
+++ b/tests/drawn.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import copy
+from typing import Any
+
 from hypothesis import settings
 from hypothesis import strategies as st
 
@@ -23,3 +26,22 @@
 def untroubled(world: World) -> bool:
     """Nothing was caught that should not have come."""
     return not any(world.counters.counts[name] for name in FAULTS)
+
+
+def places(value: Any, path: tuple[Any, ...] = ()) -> list[tuple[Any, ...]]:
+    """The ways to all values in a JSON object."""
+    inner = value.items() if isinstance(value, dict) else enumerate(value) if isinstance(value, list) else ()
+    return [path] * bool(path) + [way for key, part in inner for way in places(part, (*path, key))]
+
+
+def changed(source: Any, path: tuple[Any, ...], value: Any) -> Any:
+    """A copy with another value at a place; ... takes it out."""
+    copied = copy.deepcopy(source)
+    part = copied
+    for key in path[:-1]:
+        part = part[key]
+    if value is ...:
+        del part[path[-1]]
+    else:
+        part[path[-1]] = value
+    return copied
