Keep a fault in a decision to the request that it struck, and answer what it lost

Seen, with faults planted in the scheduler: all requests that came in the same turn failed; a change of the engine list in it was lost, so that a drained engine was sent more; the scheduler kept room and key of what had failed; and since a step that broke off had not asked to be woken, a request that the fault had lost was never answered. A Send that could not be carried out left its request without attempt or answer.

At fault: Gateway._step and _fail_all, which failed what the events named, dropped the rest, told the scheduler nothing, and relied on its wake.

Change: the step is given its events one by one, so that it is known which one it broke off at. That one's request fails and is over for the scheduler, the events behind it go into the next step. Where it is not known (a fault behind the last event) all named ones fail as before. From then on the gateway sees every 100 ms that there is a next step, and ends what is past its time. An action that fails ends its request.

Ruled out: endless repeats of a fault; what a fault was about is pushed once, as moot and gone.

--- a/cottonhold/node/gateway.py
+++ b/cottonhold/node/gateway.py
@@ -27,6 +27,7 @@
 # given this much less, or a part of a short limit; what would be served in that time is late by far.
 LAG_MS, LAG_PART = 400.0, 0.2
 MOST_PRIORITY = 3  # that the protocol has
+LOOK_MS = 100.0  # once a step has failed, so often requests are looked after beside the scheduler
 ANSWER_MS = 15.0  # an attempt ends so long before the client gives up, so that the answer is there in time
 
 
@@ -155,6 +156,7 @@
         self.requests: dict[str, Request] = {}
         self.events: list[io.Event] = []
         self.stepping = False
+        self.distrusted = False  # a step has failed
         self.until = math.inf  # what has no answer by then never gets one
         self.open = 0
         self.tell: Callable[[io.Tell], None] = lambda tell: None
@@ -309,25 +311,75 @@
     def _step(self) -> None:
         self.stepping, events = False, self.events
         self.events = []
+        left = iter(events)
         try:
-            actions = self.scheduler.step(self.clock.now(), events)
+            actions = self.scheduler.step(self.clock.now(), left)
         except Exception as error:
-            # Danger: a fault in one request's decision must not take the others down. What this step was
-            # about fails; what was decided before the fault still holds.
+            # Danger: a fault in one request's decision must not take the others down. What was decided before
+            # the fault still holds.
             self.counters.add("step_faults")
             self.say(f"scheduler: {type(error).__name__}: {error}")
             actions = self.scheduler.actions
-            self._fail_all(events)
+            self._contain(events, list(left))
         for action in actions:
             try:
                 self._carry_out(action)
             except Exception as error:
                 self.counters.add("action_faults")
                 self.say(f"{type(action).__name__}: {type(error).__name__}: {error}")
+                self._undo(action)
+
+    def _contain(self, events: list[io.Event], left: list[io.Event]) -> None:
+        """A step broke off with some events left: they are its own no more than those before the last one."""
+        # Danger: all that the step was about failed, a change of the list in it was lost, what the scheduler
+        # still held of it kept its room, and without its wake what was held elsewhere got no answer at all.
+        taken_in = len(events) - len(left)
+        if not left or not taken_in:  # it may have been any of them
+            at_fault, left = events, []
+        else:
+            at_fault = events[taken_in - 1 : taken_in]
+        for event in at_fault:
+            if not isinstance(event, io.ClientGone):
+                self._abandon(getattr(event, "query", ""))
+            if isinstance(event, io.AttemptEnded) and event.outcome is not Outcome.MOOT:
+                self._forget_attempt(event.query, event.engine)
+        for event in left:
+            self.push(event)
+        if not self.distrusted:
+            self.distrusted = True
+            self.clock.call_in(LOOK_MS, self._look_after)
+
+    def _abandon(self, query: str) -> None:
+        """A fault has struck a request: it fails, and is over for the scheduler too."""
+        if query in self.requests:
+            self._fail(io.Fail(query))
+        if query:
+            self.push(io.ClientGone(query))
+
+    def _look_after(self) -> None:
+        """Once a step has failed: see that there is a next one, and end what the scheduler may have lost."""
+        now = self.clock.now()
+        for request in [r for r in self.requests.values() if r.client is not None and now >= r.due]:
+            self.counters.add("requests_lost_by_step")
+            self._abandon(request.taken.ref)
+        self.push(io.Timer(0))
+        self.clock.call_in(LOOK_MS, self._look_after)
+
+    def _undo(self, action: io.Action) -> None:
+        """An action could not be carried out: the request that it was about must not wait for it."""
+        query = getattr(action, "query", "")
+        request = self.requests.get(query)
+        self._abandon(query)
+        if not isinstance(action, io.Send):
+            return
+        if request is not None and request.attempt is not None and request.attempt.connection is None:
+            request.attempt = None
+            self.requests.pop(query, None)
+        self._forget_attempt(query, action.engine)
 
-    def _fail_all(self, events: list[io.Event]) -> None:
-        for event in events:
-            self._fail(io.Fail(getattr(event, "query", "")))
+    def _forget_attempt(self, query: str, engine: str) -> None:
+        """Tell the scheduler no more of an attempt than that it is over."""
+        self.push(io.AttemptEnded(query, 0, engine, Outcome.MOOT, 0.0, final=True))
 
     def _carry_out(self, action: io.Action) -> None:
         match action:
@@ -367,7 +419,7 @@
         if request is None or request.client is None:
             # Danger: where a client left in the turn in which its next attempt was decided on, that attempt
             # stayed out for good: it kept its room and its key's turn, and its engine was doubted as silent.
-            self.push(io.AttemptEnded(action.query, 0, action.engine, Outcome.MOOT, 0.0, final=True))
+            self._forget_attempt(action.query, action.engine)
             return
         number, request.attempts = request.attempts, request.attempts + 1
         until = min(request.due - ANSWER_MS, now + action.timeout if action.timeout > 0 else request.due)
--- /dev/null
+++ b/tests/test_step_faults.py
@@ -0,0 +1,144 @@
+"""Faults inside the decisions of one turn: they end one request, and all others keep their answers."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator
+
+import pytest
+
+from cottonhold.decide import interface as io
+from cottonhold.decide.interface import Outcome
+from tests.test_client_gone import SITES, Turns
+
+BAD = f"{9:016x}"
+
+
+class Faulty(Turns):
+    """A world whose scheduler fails where it is told to."""
+
+    def __init__(self, fails: str) -> None:
+        super().__init__(SITES["much allowed"])
+        self.fails, self.step = fails, self.gateway.scheduler.step
+        self.gateway.scheduler.step = self.broken  # type: ignore[method-assign]
+        self.faults = 0
+        for client in ("c1", "c2", "c9"):
+            self.client(client)
+
+    def broken(self, now: float, events: Iterable[io.Event]) -> list[io.Action]:
+        actions = self.step(now, self.spoilt(events))
+        if self.fails == "behind the events" and self.faults < 3:
+            self.fail()
+        return actions
+
+    def spoilt(self, events: Iterable[io.Event]) -> Iterator[io.Event]:
+        for event in events:
+            over = getattr(event, "outcome", None) is Outcome.MOOT  # which tells no more than that
+            if self.fails == type(event).__name__ and getattr(event, "query", "") == BAD and not over:
+                self.fail()
+            yield event
+
+    def fail(self) -> None:
+        self.faults += 1
+        raise LookupError("planted")
+
+    def settled(self) -> None:
+        """Nobody is owed anything, and nothing is kept for a request that is over."""
+        for client in self.clients:
+            self.run(f"{client} close")
+        self.run("time wait 300")
+        gateway, scheduler = self.gateway, self.gateway.scheduler
+        assert self.faults and gateway.open == 0 and not gateway.requests and not scheduler.queries
+        assert not [q for e in scheduler.engines.values() for q in (*e.out.values(), *e.plan)]
+
+
+def test_an_arrival_that_fails_ends_that_request_and_the_others_go_out() -> None:
+    world = Faulty("Arrival")
+    world.run("""
+        turn begins now
+        c1 query lookup r1
+        c9 query lookup r9
+        c2 query lookup r2
+        turn ends now
+        c9 expect error 1105 *
+        c1 expect nothing
+        c2 expect nothing
+        time wait 150
+    """)
+    heard = sorted(words[1] for line in world.lines for words in line.heard)
+    assert heard == [b"%016x" % 1, b"%016x" % 2]
+    world.settled()
+
+
+def test_a_change_of_the_list_behind_a_fault_still_holds() -> None:
+    world = Faulty("Arrival")
+    world.run("""
+        c1 query lookup r1
+        e1 expect GET r1 *
+        e1 send r1 served count=1 a|b|c/
+        c1 expect rows a|b|c
+        turn begins now
+        c9 query lookup r9
+        list tell e1 draining
+        list tell e2 draining
+        turn ends now
+        c9 expect error 1105 *
+        c2 query lookup r2
+        any nothing there
+        c2 expect nothing
+    """)
+    world.settled()
+
+
+def test_an_end_that_fails_ends_that_request_and_frees_what_it_held() -> None:
+    world = Faulty("AttemptEnded")
+    world.run("""
+        c9 query load r9 lookup=k1
+        e1 expect GET r9 *
+        turn begins now
+        e1 send r9 overload -
+        c2 query load r2 lookup=k1
+        turn ends now
+        c9 expect error 1105 *
+    """)
+    second = next(line.engine for line in world.lines if line.heard)
+    world.run(f"{second} expect GET r2 *\n{second} send r2 served count=1 a|b|c/\nc2 expect rows a|b|c")
+    world.settled()
+
+
+def test_a_request_that_was_lost_by_a_fault_fails_in_time() -> None:
+    world = Faulty("")
+    world.run("list tell e1 gone\nlist tell e2 gone\nc1 query lookup r1 allow=1000\nc1 expect nothing")
+    world.gateway.scheduler.queries.clear()
+    world.gateway.scheduler.homeless.clear()
+    world.gateway.scheduler.deadlines.heap.clear()
+    world.fails = "Arrival"
+    world.run("c9 query lookup r9\nc9 expect error 1105 *\ntime wait 950\nc1 expect error 1105 *")
+    world.settled()
+
+
+def test_what_is_held_is_answered_in_time_though_the_step_behind_it_failed() -> None:
+    """The scheduler had not asked to be woken: on a quiet process nothing came of the request any more."""
+    world = Faulty("")
+    world.run("list tell e1 gone\nlist tell e2 gone\nc1 query lookup r1 allow=1000\nc1 expect nothing")
+    world.fails = "behind the events"
+    world.run("time wait 950\nc1 expect error 1226 *")
+    world.settled()
+
+
+@pytest.mark.parametrize(("name", "allow"), [("_send", 5000), ("_refuse", 20)])
+def test_an_action_that_fails_ends_its_request_only(
+    name: str, allow: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    world = Faulty("")
+    carried_out = getattr(world.gateway, name)
+
+    def broken(action: io.Send | io.Refuse) -> None:
+        if action.query == BAD:
+            world.fail()
+        carried_out(action)
+
+    monkeypatch.setattr(world.gateway, name, broken)
+    world.run(f"turn begins now\nc9 query lookup r9 allow={allow}\nc1 query lookup r1\nturn ends now")
+    world.run("c9 expect error 1105 *\nc1 expect nothing")
+    assert [words[1] for line in world.lines for words in line.heard] == [b"%016x" % 1]
+    world.settled()
