Count the allowance of further attempts as they begin, not only as they are decided on

Seen: an allowance of one in a second. A further attempt waited 240 ms for its connect; 1020 and 1200 ms after it was decided on, but 780 and 960 ms after it had begun, the next further attempt began.

Ruled out: the count itself at its edge, where attempts begin at once (tests/conformance wire-budget).

At fault: Scheduler._repeat_barred sums both windows by the times of decisions.

Change: the settings of a dispatcher say how late an attempt may begin (its connect_timeout). Further attempts count for so much longer, and requests taken for so much shorter.

--- a/cottonhold/config/relay.py
+++ b/cottonhold/config/relay.py
@@ -6,7 +6,7 @@
 import os
 import stat
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 import orjson
@@ -164,9 +164,10 @@
         raise WireError("field 'bus' is missing")
     params, limits = read(source, "settings", dict), read(source, "limits", dict, {})
     check_whole(params)
-    settings = read_settings(params)
-    check_numbers(settings, "settings")
     caps = read(params, "caps", dict)
+    connect_ms = read(caps, "connect_timeout", NUMBER, 250.0)
+    settings = replace(read_settings(params), begin_late=connect_ms)
+    check_numbers(settings, "settings")
     names = Names(tuple(read_list(params, "zones", str)), tuple(read_list(params, "models", str)))
     offset, known = read_batch(read(source, "known", dict), names, counters)
     return Config(
@@ -185,7 +186,7 @@
         settings=settings,
         links=Links(
             idle_ms=read(caps, "conn_idle", NUMBER, 15000.0),
-            connect_ms=read(caps, "connect_timeout", NUMBER, 250.0),
+            connect_ms=connect_ms,
             streams=read(caps, "streams_per_conn", int, 32),
             probe_price=settings.prices.probe,
         ),
--- a/cottonhold/decide/interface.py
+++ b/cottonhold/decide/interface.py
@@ -163,6 +163,7 @@
     note_period: float = 0.0
     cost_told: bool = False
     tick: float = 1.0
+    begin_late: float = 0.0  # so long a connect may take between the decision on an attempt and its begin
     beside: int = 1  # processes that stand for this gateway: two while one takes over from the other
 
     def __post_init__(self) -> None:
@@ -172,6 +173,7 @@
             ("classes", bool(self.classes)),
             ("gateways", self.gateways >= 1),
             ("tick", self.tick > 0),
+            ("begin_late", self.begin_late >= 0),
             ("beside", self.beside >= 1),
             ("max_grant_share", 0 < self.max_grant_share <= 1),
             ("prices.probe", self.prices.probe >= 0),
--- a/cottonhold/decide/retry.py
+++ b/cottonhold/decide/retry.py
@@ -38,9 +38,12 @@
     rules = gateway.settings.rules
     if rules.budget_free is None:
         return False
+    # Danger: counted when they were decided on, two attempts that began within a window were further
+    # apart than it, as the first had waited for its connect.
+    late = gateway.settings.begin_late
     start = gateway.now - rules.budget_window
-    allowed = rules.budget_free + rules.budget_share * gateway.taken.since(start)
-    return gateway.extra.since(start) + 1 > allowed
+    allowed = rules.budget_free + rules.budget_share * gateway.taken.since(start + late)
+    return gateway.extra.since(start - late) + 1 > allowed
 
 
 def count_taken(gateway: GatewayState) -> None:
--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -3,12 +3,16 @@
 from __future__ import annotations
 
 from dataclasses import replace
+from pathlib import Path
 
 import pytest
 
+from cottonhold.config.relay import load
 from cottonhold.decide import interface as io
+from cottonhold.observe.counters import Counters
 from tests.scenario import READ, SETTINGS, World
 from tests.test_client_gone import NAMES, SITES, Turns, nothing_left
+from tests.test_parts import write
 
 
 @pytest.mark.parametrize("site", SITES)
@@ -55,3 +59,31 @@
     else:
         world.run(f"any nothing there\nc1 expect error {answer} *\ntime wait 2000\nany nothing there")
         nothing_left(world)
+
+
+SPAN_MS = 1000.0
+SEND_LATE_MS = 250.0  # a connect's longest time
+
+
+@pytest.mark.parametrize("connect", [0, 240])
+@pytest.mark.parametrize("gap", [300, 980, 1020, 1200, 1270, 1600])
+def test_no_two_further_attempts_begin_within_the_span_of_an_allowance_of_one(gap: int, connect: int) -> None:
+    """Counted when they begin, which a connect puts off."""
+    rules = io.Rules(budget_free=1, budget_share=0.0, budget_window=SPAN_MS)
+    few = replace(SETTINGS.permits, cancel=False)
+    world = World(replace(SETTINGS, rules=rules, permits=few, begin_late=SEND_LATE_MS))
+    world.run("c1 query lookup r1\ne1 expect GET r1 *\ne2 will vanish\ne1 send r1 overload -")
+    world.run(f"time wait {connect}\ne2 will up\ntime wait 0\ne2 expect GET r1 *")
+    world.run(f"time wait {gap - connect - 10}\nc2 query lookup r2")
+    second = next(line.engine for line in world.lines if line.heard)
+    world.run(f"{second} expect GET r2 *\ntime wait 10\n{second} send r2 overload -")
+    if [line for line in world.lines if line.heard]:
+        assert gap - connect >= SPAN_MS
+    else:
+        assert gap < SPAN_MS + SEND_LATE_MS
+        world.run("c2 expect error 1226 *")
+
+
+def test_the_settings_of_a_dispatcher_say_how_late_an_attempt_may_begin(tmp_path: Path) -> None:
+    config = load(write(tmp_path, listen="127.0.0.1:80"), Counters())
+    assert config.settings.begin_late == config.links.connect_ms > 0
