Play each end of an attempt under each effect and group, with what may follow

Read: repeats under each effect, group and window, a page lost after the first one came, proofs that nothing ran, refusals where they are honest, a deadline that ends between two attempts. No fault was found here.

--- /dev/null
+++ b/tests/test_repeat_matrix.py
@@ -0,0 +1,103 @@
+"""Each way in which an attempt can end, under each effect and group: what may follow, and nothing else."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+
+from cottonhold.decide import interface as io
+from cottonhold.discovery.model import Address, Change
+from tests.scenario import PERMITS, READ, SETTINGS, World
+from tests.test_client_gone import nothing_left
+
+ALLOW_MS, WINDOW_MS = 4000, 2000.0
+PROOF, MAY, OVER, LATE = "never ran", "may have run", "was over", "may have run, past the window"
+ENDS = {
+    "turned away": (PROOF, "e1 send r1 overload -"),
+    "over at the engine": (OVER, "e1 send r1 nobody -"),
+    "crashed": (MAY, "e1 send r1 crashed -"),
+    "reset": (MAY, "e1 close"),
+    "a page lost": (MAY, "e1 send r1 served count=2 a|b|c/\ne1 expect PAGE r1 1\ne1 close"),
+    "a page forgotten": (
+        MAY,
+        "e1 send r1 served count=2 a|b|c/\ne1 expect PAGE r1 1\ne1 send r1 crashed -",
+    ),
+    "spoilt": (MAY, "e1 send r1 served count=1 a|b/"),
+    "an answer that stops short": (MAY, "e1 raw *4\ntime wait 750"),
+    "reset late": (LATE, "time wait 2100\ne1 close"),
+    "a page lost late": (
+        LATE,
+        "time wait 1900\ne1 send r1 served count=2 a|b|c/\ne1 expect PAGE r1 1\ntime wait 200\ne1 close",
+    ),
+}
+ELSEWHERE = {"same cell": (0, 1), "other cell": (0, 2), "other zone": (1, 1)}  # zone and cell
+REACHES = {"all": set(ELSEWHERE), "zone": {"same cell", "other cell"}, "cell": {"same cell"}}
+CASES = [
+    (effect, group)
+    for effect in ("safe", "keyed", "unsafe")
+    for group in (REACHES if effect == "keyed" else ["all"])
+]
+
+
+def told(world: World, name: str, zone: int, cell: int, state: str = "live") -> None:
+    entry = io.Engine(name, zone=zone, cell=cell, state=io.EngineState(state))
+    world.gateway.change_list(Change((entry,), {name: Address(name, 1)}, False))
+    world.wait(0)
+
+
+def follows(effect: str, group: str, known: str, elsewhere: str) -> str:
+    """What has to follow: a further attempt, an answer, or a wait that ends in one."""
+    if known is PROOF:
+        return "attempt"
+    if known is OVER:
+        return "refusal"
+    if effect == "safe":
+        return "attempt"
+    if effect == "unsafe":
+        return "failure"
+    if known is LATE:
+        return "refusal" if group == "all" else "failure"
+    return "attempt" if elsewhere in REACHES[group] else "wait"
+
+
+@pytest.mark.parametrize("elsewhere", ELSEWHERE)
+@pytest.mark.parametrize("end", ENDS)
+@pytest.mark.parametrize(("effect", "group"), CASES)
+def test_what_follows_an_attempt(effect: str, group: str, end: str, elsewhere: str) -> None:
+    cls = replace(READ, effect=io.Effect(effect), group=io.Group(group), window=WINDOW_MS)
+    permits = replace(PERMITS, cancel=False)  # else a slow safe one is moved before its end
+    world = World(replace(SETTINGS, classes=(cls,), permits=permits), engines="a")
+    world.gateway.scheduler.util = 0.1  # else what is late already is not sent where the fleet may be full
+    told(world, "a", 0, 1)
+    world.run(f"c1 query lookup r1 allow={ALLOW_MS}\ne1 expect GET r1 *")
+    world.unmet.append("b")
+    told(world, "a", 0, 1, "draining")
+    told(world, "b", *ELSEWHERE[elsewhere])
+    known, script = ENDS[end]
+    world.run(script)
+    wanted = follows(effect, group, known, elsewhere)
+    if wanted == "attempt":
+        world.run(
+            "e2 expect GET r1 *\nc1 expect nothing\ne2 send r1 served count=1 x|y|z/\nc1 expect rows x|y|z"
+        )
+    elif wanted == "wait":
+        world.run(f"any nothing there\nc1 expect nothing\ntime wait {ALLOW_MS}\nc1 expect error 1105 *")
+    else:
+        world.run(f"c1 expect error {1226 if wanted == 'refusal' else 1105} *")
+    world.run("any nothing there\ntime wait 1000\nany nothing there\nc1 expect nothing")
+    nothing_left(world)
+
+
+@pytest.mark.parametrize("allow", [300, 1000, 4000])
+@pytest.mark.parametrize("late", [True, False])
+def test_a_deadline_between_two_attempts_is_kept(allow: int, late: bool) -> None:
+    """A request whose first attempt ends too late for another one is answered in the turn of that end."""
+    world = World(replace(SETTINGS, permits=replace(PERMITS, cancel=False)))
+    world.gateway.scheduler.util = 0.1
+    wait = allow - min(400, 0.2 * allow) - (105 if late else 125)
+    world.run(f"c1 query lookup r1 allow={allow},effort=20.0\ne1 expect GET r1 *\ntime wait {wait}")
+    world.run("e1 send r1 overload -")
+    world.run(
+        "any nothing there\nc1 expect error 1226 *" if late else "e2 expect GET r1 *\nc1 expect nothing"
+    )
