Take little to write at once, so that what waits behind a slow engine is looked at again

Seen: an engine that reads slowly, and 24 statements of 8 KB on its connection: all were taken for one write and began whenever the engine read on, up to 30 s later, though their clients had left by then.

Ruled out: usual statements; 32 attempts of 300 bytes fit into a socket at once. What lies in the system's buffers can't be taken back; a DROP follows it there where cancelling is allowed.

At fault: Connection.take_output gave the driver all that was queued, and Wire waits in sock_sendall with it.

Change: it gives MOST_TAKEN bytes at most, and one attempt's more; the driver asks again once they are written.

Measured: the new case in tests/test_driver.py fails without the bound (24 attempts begin, not 3).

--- a/cottonhold/node/engines.py
+++ b/cottonhold/node/engines.py
@@ -28,6 +28,7 @@
 MOST_SIGNS = 4.0  # that are saved up: as many connections as fall silent in one moment at a gateway's part
 SIGN_MS = 500.0  # and given up without one; also the longest that an answer may take from first byte to last
 MOST_GIVEN_UP = 256  # ids remembered on a connection: each could only come again within its request's life
+MOST_TAKEN = 16 * 1024  # bytes that a write takes at once, and one attempt's more: a socket holds that much
 LEAST_MS = 1.0  # an attempt with less than this left is not begun: no engine could answer it
 MOST_NUMBER = 1e8  # of milliseconds or megabytes that an answer may tell
 WORDS = {b"served", b"overload", b"crashed", b"nobody", b"rows"}
@@ -140,8 +141,10 @@
         self._look_for_end()
         if self.over:
             return b""
-        parts = []
-        while self.queue:
+        # Danger: all that was taken at once could wait behind an engine that reads slowly, for as long as it
+        # liked, and began then without a further look. So little is taken, and more once that is written.
+        parts, size = list[bytes](), 0
+        while self.queue and size < MOST_TAKEN:
             item = self.queue.popleft()
             if isinstance(item, Attempt):
                 if not self.owner.may_begin(item):
@@ -149,6 +152,7 @@
                 item.written = True
                 item = self.owner.frame(item)
             parts.append(item)
+            size += len(item)
         if parts:
             self.used_at = self.owner.clock.now()
         return b"".join(parts)
--- a/tests/test_driver.py
+++ b/tests/test_driver.py
@@ -13,7 +13,7 @@
 from cottonhold.decide.interface import Outcome
 from cottonhold.discovery.model import Address
 from cottonhold.node.driver import Driver, Wire
-from cottonhold.node.engines import Attempt, Connection
+from cottonhold.node.engines import MOST_TAKEN, Attempt, Connection
 from cottonhold.node.resp import RespReader, encode
 from cottonhold.observe.counters import Counters
 from tests.scenario import World
@@ -228,3 +228,21 @@
         assert rig.ends == [Outcome.CANCELLED, Outcome.RESET] and rig.world.engines.open == 0
 
     played(story)
+
+
+def test_what_waits_behind_an_engine_that_reads_slowly_is_looked_at_again_before_it_begins() -> None:
+    async def story(rig: Rig) -> None:
+        wanted = True
+        rig.world.gateway.wants = lambda attempt: wanted  # type: ignore[method-assign]
+        for number in range(MANY):
+            rig.send("a", f"q{number}", LARGE)
+        for _ in range(3):
+            await asyncio.sleep(0)
+        begun = MOST_TAKEN // len(LARGE) + 1
+        wanted = False
+        assert await rig.heard("a", begun) == [b"GET"] * begun
+        while len(rig.ends) < MANY - begun:
+            await asyncio.sleep(0)
+        assert rig.ends == [Outcome.MOOT] * (MANY - begun) and rig.there("a") == []
+
+    played(story)
