Have the tests of closing wait for the emptied queue, and write more than a system takes

Both follow from changes that met on main: Driver.empty_queue waits now, and MOST_BACKLOG, of which the tests wrote 32 times (8 MiB), is an eighth of what it was. They write 8 MiB as before.

--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -15,7 +15,7 @@
 from cottonhold.node.dispatcher import Dispatcher
 from cottonhold.node.driver import Driver
 from cottonhold.node.life import SETTLED_MS
-from cottonhold.node.mysql import IDLE_MS, MOST_BACKLOG, SETTLE_MS, Session
+from cottonhold.node.mysql import IDLE_MS, SETTLE_MS, Session
 from cottonhold.observe.counters import Counters
 from tests.scenario import LOGIN, World, packet
 
@@ -23,6 +23,7 @@
 OK, ROWS, REFUSED = b"\x00\x00\x00\x02\x00\x00\x00", b"\xfe\x00\x00\x02\x00", b"\xff\xca\x04"
 new_loop = asyncio.new_event_loop
 TURNS, MOST_TURNS = 20, 20_000  # of the loop: more than anything in one connection takes, or in a whole story
+UNREAD_BYTES = 8 * 1024 * 1024  # more than the system takes for a client that does not read
 
 
 def query(ref: int, allow: int = 5000) -> bytes:
@@ -324,12 +325,12 @@
     async def story(here: Here) -> None:
         client = await here.client()
         here.world.run("ops terminate")
-        client.session.output += bytes(32 * MOST_BACKLOG)
+        client.session.output += bytes(UNREAD_BYTES)
         client.session._leave()
         await here.turns()
         assert here.world.front.owes()
         await client.end()
-        assert len(client.got) > 32 * MOST_BACKLOG and not here.world.front.owes()
+        assert len(client.got) > UNREAD_BYTES and not here.world.front.owes()
 
     played(story)
 
@@ -379,7 +380,7 @@
         here.clients.append(client)
         client.write(written)
         ended(here)
-        here.driver.empty_queue(listener, here.world.front)
+        await here.driver.empty_queue(listener, here.world.front)
         listener.close()
         close_spare(here)
         assert (await client.end()).count(REFUSED) == 1
@@ -410,7 +411,7 @@
         busy.write(query(1))
         await here.sent(1)
         end = process(here)
-        late.session.output += bytes(32 * MOST_BACKLOG)
+        late.session.output += bytes(UNREAD_BYTES)
         late.session._leave()
         await here.turns()
         assert not end.done()
@@ -432,7 +433,7 @@
 def test_the_process_does_not_wait_for_good_for_clients_that_stay(quick: None) -> None:
     async def story(here: Here) -> None:
         idle, stuck = await here.client(), await here.client()
-        stuck.session.output += bytes(32 * MOST_BACKLOG)
+        stuck.session.output += bytes(UNREAD_BYTES)
         end = process(here)
         here.world.clock.at += SETTLED_MS + SETTLE_MS
         await here.turns()
