Count the room of the engines in use, not of thousands, and take in a list once a step

At fault: count_room sorted and sized all engines four times a second and for each change; on_message told each of a peer's lines to all engines; candidates asked for the homes of every reader's tables, a list of two fifths of the fleet, and looked each candidate up in it; on_list went over all engines. Change: order, codes and ring are made when the list changes, once a step; above 250 engines the room of all is counted once in a millisecond for each engine, that of the engines in use and of changed ones each time; messages reach the engines that they name and named before; homes are asked for where a load is in the way. Up to 250 engines room is counted as often as before. The tests count sized engines, lines heard and lists taken in; each fails with its guard taken out.

--- a/cottonhold/decide/capacity.py
+++ b/cottonhold/decide/capacity.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import itertools
 import math
+from collections.abc import Iterable
 
 from cottonhold.decide.gateway_state import GatewayState
 from cottonhold.decide.interface import EngineState
@@ -11,20 +13,69 @@
 
 MEMORY_ROOM = 0.9  # share of an engine's memory planned for; needs are estimates
 CHANCE = 1.5  # standard deviations of an engine's memory in use left free for chance
+FEW_ENGINES = 250  # up to which the room of all is counted each time
+COUNT_EACH_MS = 1.0  # so many for each live engine, before the room of all is counted again
 CHANCE_MOST = 0.5  # of the memory, at most, is left free for chance
 BOUND_ROOM_LEAST = 0.05  # of its room stays to an engine that the fleet bounds, however tightly
 
 
+def take_list(gateway: GatewayState) -> None:
+    """The list has changed: who is live, in which order, known by which code, and with what room."""
+    changed, gateway.relisted = gateway.relisted, {}
+    gateway.live = [e for e in gateway.engines.values() if e.info.state is EngineState.LIVE]
+    gateway.ranked = sorted(gateway.live, key=lambda e: e.id)
+    gateway.by_code = {}
+    for rank, engine in enumerate(gateway.ranked):
+        engine.rank = rank
+        gateway.by_code.setdefault(engine.code, []).append(engine)
+    _lay_ring(gateway)
+    if len(gateway.live) <= FEW_ENGINES:
+        count_room(gateway)
+        return
+    gateway.sound = sum(e.sound() for e in gateway.live)
+    _count_used(gateway, changed)
+    _sum_room(gateway)
+
+
 def count_room(gateway: GatewayState) -> None:
     """Live engines, weighted in the draw by the cores they have now, and their thread and memory room."""
-    gateway.live = [e for e in gateway.engines.values() if e.info.state is EngineState.LIVE]
+    gateway.counted_at = gateway.now
+    gateway.sound = sum(e.sound() for e in gateway.live)
+    gateway.homes.clear()
     _weigh_news(gateway)
     for engine in gateway.live:
         _size(gateway, engine)
-    ranked = _rank(gateway)
-    _draw_own(gateway, ranked)
-    _lay_ring(gateway, ranked)
-    _share_room(gateway)
+    _draw_own(gateway)
+    _sum_room(gateway)
+    _share_room(gateway, gateway.live)
+
+
+def follow_room(gateway: GatewayState) -> None:
+    """Time has passed: count the room of all engines anew, or where they are many of those in use."""
+    # Danger: counted for all four times a second, the room of thousands of engines, of which a gateway uses
+    # a few, took more than all its requests. So few are counted in a second, and those in use each time.
+    count = len(gateway.live)
+    if count <= FEW_ENGINES or gateway.now - gateway.counted_at >= count * COUNT_EACH_MS:
+        count_room(gateway)
+        return
+    _count_used(gateway, {})
+
+
+def _count_used(gateway: GatewayState, more: dict[str, EngineView]) -> None:
+    """Count the room of the engines in use, and of some more."""
+    gateway.homes.clear()
+    _weigh_news(gateway)
+    _draw_own(gateway)
+    used = {e.id: e for e in gateway.near} | gateway.active | more
+    for engine in used.values():
+        _size(gateway, engine)
+    _share_room(gateway, used.values())
+
+
+def _sum_room(gateway: GatewayState) -> None:
+    """Room of the whole fleet."""
+    gateway.full_room = sum(e.room for e in gateway.live) or 1.0
+    gateway.full_memory = sum(e.memory_room for e in gateway.live) or math.inf
 
 
 def _weigh_news(gateway: GatewayState) -> None:
@@ -48,16 +99,9 @@
     engine.memory_room = engine.memory * MEMORY_ROOM * (1 - chance) or math.inf
 
 
-def _rank(gateway: GatewayState) -> list[EngineView]:
-    """The live engines in an order that is the same at every gateway."""
-    ranked = sorted(gateway.live, key=lambda e: e.id)
-    for rank, engine in enumerate(ranked):
-        engine.rank = rank
-    return ranked
-
-
-def _draw_own(gateway: GatewayState, ranked: list[EngineView]) -> None:
+def _draw_own(gateway: GatewayState) -> None:
     """The engines that this gateway's queries are drawn to."""
+    ranked = gateway.ranked
     # Danger: where engines are rarely heard of, the best of k is the one last seen by luck, and all fill
     # unevenly. So k are drawn from engines of this gateway's own, evenly covered, which it gets to know;
     # k times its share of the fleet, k at least. Suspect ones are replaced. Hurts if `me` is not set.
@@ -65,28 +109,25 @@
     count = math.ceil(CANDIDATES * max(1.0, len(ranked) * gateway.share))
     turned = ranked[first:] + ranked[:first]
     # Danger: taken from the list, left engines changed whom peers tell of loads, and the others idled.
-    gateway.near = [e for e in turned if e.sound()][:count]
+    gateway.near = list(itertools.islice((e for e in turned if e.sound()), count))
     gateway.mine = set()
     if gateway.near:
         last = gateway.near[-1].rank
         gateway.mine = {e.id for e in turned[: (last - first) % len(ranked) + 1]}
-    sound = sum(e.sound() for e in ranked)
-    gateway.reach = min(1.0, sound / max(len(gateway.near), 1) * gateway.share) or 1.0
+    gateway.reach = min(1.0, gateway.sound / max(len(gateway.near), 1) * gateway.share) or 1.0
 
 
-def _lay_ring(gateway: GatewayState, ranked: list[EngineView]) -> None:
+def _lay_ring(gateway: GatewayState) -> None:
     """The engines by rank, each as often as it has the cores of the smallest: homes are dealt from it."""
+    ranked = gateway.ranked
     least = min((e.cores for e in gateway.live), default=1.0)
     gateway.ring = []
     if len(ranked) > 1:
         gateway.ring = [e for e in ranked for _ in range(round(e.cores / least))]
-    gateway.homes.clear()
 
 
-def _share_room(gateway: GatewayState) -> None:
-    """Room of the whole fleet, and what of it and of each engine is this gateway's."""
-    gateway.full_room = sum(e.room for e in gateway.live) or 1.0
-    gateway.full_memory = sum(e.memory_room for e in gateway.live) or math.inf
+def _share_room(gateway: GatewayState, engines: Iterable[EngineView]) -> None:
+    """What of the room of the whole fleet, and of these engines, is this gateway's."""
     gateway.own_room = gateway.full_room * gateway.share
     own_memory = gateway.full_memory * gateway.share
     # Own held work is drained by the own part of its engine, by all of it where peers tell of theirs, and
@@ -94,7 +135,7 @@
     part = 1.0 if gateway.heard else gateway.share
     gateway.alike = (1 / gateway.reach - 1) * gateway.heard
     blind = gateway.blind
-    for engine in gateway.live:
+    for engine in engines:
         room, memory = engine.room, engine.memory_room
         engine.own_room = max(room * part, blind * min(room, gateway.own_room))
         engine.own_memory = max(memory * part, blind * min(memory, own_memory))
--- a/cottonhold/decide/engine_list.py
+++ b/cottonhold/decide/engine_list.py
@@ -16,19 +16,31 @@
 
 def on_list(gateway: GatewayState, event: io.EngineList) -> None:
     """The list, whole or what changed: queries held for engines that leave are placed anew."""
-    named = {info.id for info in event.engines}
     for info in event.engines:
         _on_entry(gateway, info)
-    for engine in list(gateway.engines.values()):
-        if event.whole and engine.id not in named:
-            engine.info = dataclasses.replace(engine.info, state=EngineState.GONE)
-        if engine.info.state is not EngineState.LIVE:
-            engine_health.trust(gateway, engine)
-            for query in engine.empty():
-                placement.place(gateway, query)
-        if engine.info.state is EngineState.GONE and not engine.out:
-            del gateway.engines[engine.id]
-    capacity.count_room(gateway)
+    told = {info.id: gateway.engines[info.id] for info in event.engines}
+    if event.whole:
+        for engine in gateway.engines.values():
+            if engine.id not in told:
+                engine.info = dataclasses.replace(engine.info, state=EngineState.GONE)
+    changed = dict(gateway.engines) if event.whole else told | gateway.leaving
+    for engine in changed.values():
+        _leave(gateway, engine)
+    gateway.relisted |= changed
+
+
+def _leave(gateway: GatewayState, engine: EngineView) -> None:
+    """Take away what is held for an engine that drains or is gone; forget one gone with nothing out."""
+    gateway.leaving.pop(engine.id, None)
+    if engine.info.state is EngineState.LIVE:
+        return
+    engine_health.trust(gateway, engine)
+    for query in engine.empty():
+        placement.place(gateway, query)
+    if engine.info.state is EngineState.GONE and engine.out:
+        gateway.leaving[engine.id] = engine
+    elif engine.info.state is EngineState.GONE:
+        gateway.engines.pop(engine.id, None)
 
 
 def _on_entry(gateway: GatewayState, info: io.Engine) -> None:
--- a/cottonhold/decide/gateway_state.py
+++ b/cottonhold/decide/gateway_state.py
@@ -54,8 +54,15 @@
     probes: float = 0.0  # probes that may be sent now
     probe_part: float = 0.0  # probes that each query taken adds
 
+    relisted: dict[str, EngineView] = field(default_factory=dict)  # told of since room was counted
+    leaving: dict[str, EngineView] = field(default_factory=dict)  # gone from the list with attempts out
+
     # capacity: what the live engines have room for, and this gateway's part of it (capacity)
     live: list[EngineView] = field(default_factory=list)
+    ranked: list[EngineView] = field(default_factory=list)  # in an order that is the same at every gateway
+    by_code: dict[int, list[EngineView]] = field(default_factory=dict)  # as messages name them
+    counted_at: float = -math.inf  # when all room was last counted
+    sound: int = 0  # engines that were sound then
     near: list[EngineView] = field(default_factory=list)  # those that queries are drawn to
     mine: set[str] = field(default_factory=set)  # ids of the engines that this gateway draws on
     reach: float = 1.0  # its part of what each of those is sent
--- a/cottonhold/decide/peers.py
+++ b/cottonhold/decide/peers.py
@@ -25,17 +25,21 @@
         traffic, by_code = told
         gateway.heard_at = gateway.now
         gateway.peers.heard[event.peer] = (gateway.now, traffic)
-        for engine in gateway.live:
-            engine.hear(event.peer, by_code.get(engine.code), gateway.now + PEER_GAPS * gateway.gap)
+        # Danger: each message was told to all engines, on the largest fleets thousands for a few lines.
+        for engine in gateway.peers.told_of.pop(event.peer, ()):
+            engine.hear(event.peer, None, gateway.now)
+        named = [(e, work) for code, work in by_code.items() for e in gateway.by_code.get(code, ())]
+        for engine, work in named:
+            engine.hear(event.peer, work, gateway.now + PEER_GAPS * gateway.gap)
+        gateway.peers.told_of[event.peer] = [engine for engine, _ in named]
 
 
 def _hear_load(gateway: GatewayState, code: int, tables: int, length: float) -> None:
     """A peer sent a load: its tables are locked on the engine, but not for good."""
     longest = max(cls.deadline for cls in gateway.settings.classes)
     until = gateway.now + min(length, longest)
-    for engine in gateway.live:
-        if engine.code == code:
-            engine.locks[tables] = max(engine.locks.get(tables, 0.0), until)
+    for engine in gateway.by_code.get(code, ()):
+        engine.locks[tables] = max(engine.locks.get(tables, 0.0), until)
 
 
 def tell_load(gateway: GatewayState, query: Query, engine: EngineView) -> None:
--- a/cottonhold/decide/placement.py
+++ b/cottonhold/decide/placement.py
@@ -98,12 +98,13 @@
     """Random engines drawn by size; suspect ones and those just tried only if nothing else is left."""
     near = gateway.near
     if query.cls.loads or query.cls.waits:
-        homes = homes_of(gateway, query.tables)
-        if query.cls.loads and (pool := _homes_for_load(gateway, query, homes)):
+        if query.cls.loads and (pool := _homes_for_load(gateway, query)):
             return pool
         # Danger: readers kept off all homes at all times left homes of much read tables half idle,
         # and waited in line elsewhere till they were refused. So they keep off while a load is there.
-        near = [e for e in near if e not in homes or not e.loads_on(query.tables, gateway.now)] or near
+        if any(e.loads_on(query.tables, gateway.now) for e in near):  # else nothing asks who the homes are
+            homes = homes_of(gateway, query.tables)
+            near = [e for e in near if not e.loads_on(query.tables, gateway.now) or e not in homes] or near
     draw = gateway.random.random
     drawn = heapq.nlargest(count, near, key=lambda e: draw() ** (1 / e.room))
     fresh = [e for e in drawn if not e.suspect and e.id not in query.tried and fits(query, e)]
@@ -111,8 +112,9 @@
     return ready or _any_that_fits(gateway, query)
 
 
-def _homes_for_load(gateway: GatewayState, query: Query, homes: list[EngineView]) -> list[EngineView]:
+def _homes_for_load(gateway: GatewayState, query: Query) -> list[EngineView]:
     """The homes of its tables that a load may be sent to."""
+    homes = homes_of(gateway, query.tables)
     pool = [e for e in homes if e.id not in query.tried and fits(query, e)]
     # Danger: loads went to homes that this gateway hears nothing of, which looked empty to it.
     known = [e for e in pool if e.id in gateway.mine] or pool
--- a/cottonhold/decide/scheduler.py
+++ b/cottonhold/decide/scheduler.py
@@ -60,7 +60,12 @@
         """Take in what happened by now and decide; the one entry point."""
         timeouts.begin_step(self, now)
         for event in events:
+            # Danger: counted anew for each change of a list of thousands, room took seconds in a release.
+            if self.relisted and type(event) is not io.EngineList:
+                capacity.take_list(self)
             HANDLERS[type(event)](self, event)
+        if self.relisted:
+            capacity.take_list(self)
         timeouts.answer_due(self)
         if timeouts.is_due(self, self.next_beat):
             self._sweep()
@@ -98,7 +103,7 @@
         engine_health.check_suspicions(self)
         if self.now >= self.next_replan:
             self.next_replan = self.now + REPLAN_MS
-            capacity.count_room(self)
+            capacity.follow_room(self)
             placement.replan(self)
 
 
--- a/cottonhold/decide/state.py
+++ b/cottonhold/decide/state.py
@@ -340,6 +340,7 @@
     """The traffic that other gateways told of, with the time it was heard."""
 
     heard: dict[int, tuple[float, float]] = field(default_factory=dict)
+    told_of: dict[int, list[EngineView]] = field(default_factory=dict)  # engines on which each has work
 
     def mean(self, own: float, since: float) -> float:
         """Mean rate of this gateway and those heard of since."""
--- a/tests/test_many_engines.py
+++ b/tests/test_many_engines.py
@@ -2,8 +2,15 @@
 
 from __future__ import annotations
 
+import random
+import struct
+
 import pytest
 
+from cottonhold.decide import capacity
+from cottonhold.decide import interface as io
+from cottonhold.decide.scheduler import Scheduler
+from cottonhold.decide.state import EngineView
 from cottonhold.discovery.model import Address
 from cottonhold.node.engines import Engines, Place
 from tests.scenario import World
@@ -46,3 +53,89 @@
     assert world.engines.places["a"].address == Address("a", 1)
     world.run("c2 query lookup r2")
     assert any(words[1] == b"%016x" % 2 for line in world.lines for words in line.heard)
+
+
+READ = io.QueryClass("read", 1000, 5000, 1.0, waits=True)
+PERMITS = io.Permits(priorities=True, peers=True)
+
+
+class Gateway:
+    """One of many gateways, which is asked 20 times a second; `counts` says what its fleet takes."""
+
+    def __init__(self, engines: int, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.counts = dict.fromkeys(("sized", "told", "listed"), 0)
+        for owner, name, key in (
+            (capacity, "_size", "sized"),
+            (EngineView, "hear", "told"),
+            (capacity, "take_list", "listed"),
+        ):
+            self.count(owner, name, key, monkeypatch)
+        rules = io.Settings(
+            (READ,), (io.Model(8, 16000.0),), permits=PERMITS, gateways=engines, me=7, tick=5.0
+        )
+        self.scheduler = Scheduler(rules, 1)
+        self.names = [f"e{n:04}" for n in range(engines)]
+        self.scheduler.step(1000.0, [io.EngineList(tuple(map(io.Engine, self.names)), whole=True)])
+        self.counts.update(sized=0, told=0, listed=0)
+
+    def count(self, owner: object, name: str, key: str, monkeypatch: pytest.MonkeyPatch) -> None:
+        real = getattr(owner, name)
+
+        def counted(*args: object) -> object:
+            self.counts[key] += 1
+            return real(*args)
+
+        monkeypatch.setattr(owner, name, counted)
+
+    def serve(self, seconds: int) -> None:
+        """Queries, their ends, and four messages of peers a second."""
+        draw = random.Random(1)
+        for number in range(20 * seconds):
+            now = 1000.0 + 50 * number
+            events: list[io.Event] = [
+                io.Arrival(f"q{number}", 0, now + 4000, 200.0, tables=draw.randrange(9))
+            ]
+            if number % 5 == 0:
+                told = [
+                    struct.pack(">IBHH", draw.choice(self.scheduler.near).code, 1, 9, 9) for _ in range(5)
+                ]
+                events.append(io.PeerMessage(number % 8, struct.pack(">Bf", 3, 20.0) + b"".join(told)))
+            for action in self.scheduler.step(now, events):
+                if isinstance(action, io.Send):
+                    end = io.AttemptEnded(action.query, 0, action.engine, io.Outcome.OK, 30.0, final=True)
+                    self.scheduler.step(now + 30, [end])
+
+
+def test_room_and_messages_do_not_grow_with_the_fleet(monkeypatch: pytest.MonkeyPatch) -> None:
+    """At the usual size all are counted each time; at the largest each at times, those in use as before."""
+    with monkeypatch.context() as patch:
+        usual = Gateway(200, patch)
+        usual.serve(20)
+    largest = Gateway(MOST, monkeypatch)
+    largest.serve(20)
+    assert largest.counts["told"] <= usual.counts["told"] > 0
+    assert MOST < largest.counts["sized"] <= 2 * usual.counts["sized"]  # of 16 times the engines
+
+
+@pytest.mark.parametrize("engines", [200, MOST])
+def test_a_list_that_changes_often_is_taken_in_once_a_step(
+    engines: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    gateway = Gateway(engines, monkeypatch)
+    s, names = gateway.scheduler, gateway.names
+    gone = [io.EngineList((io.Engine(name, state=io.EngineState.GONE),), whole=False) for name in names[:50]]
+    come = [io.EngineList((io.Engine(f"n{n:04}"),), whole=False) for n in range(50)]
+    s.step(2000.0, [*gone, *come])
+    assert gateway.counts["listed"] == 1 and len(s.live) == engines
+    assert {e.id for e in s.ranked} == set(names[50:]) | {f"n{n:04}" for n in range(50)}
+    s.step(2001.0, [io.EngineList((), whole=True)])
+    assert not s.live and not s.near and not s.engines
+
+
+def test_a_query_after_a_change_in_the_same_step_sees_the_change(monkeypatch: pytest.MonkeyPatch) -> None:
+    s = Gateway(MOST, monkeypatch).scheduler
+    usual = tuple(io.Engine(e.id, state=io.EngineState.DRAINING) for e in s.near)
+    s.step(2000.0, [io.EngineList(usual, whole=False), io.Arrival("q", 0, 6000.0, 200.0)])
+    (engine,) = [e.id for e in s.active.values() if e.out]
+    assert engine not in {e.id for e in usual} and engine in s.mine
+    assert s.engines[engine].own_room > 1  # counted, though all are counted again only later
