Force changes of the list into the moment of a send, and moves of the watch in a row

No fault found: nothing goes to an engine that drains or is gone in the same turn as the send, from the queue of a connection or from one that is not up yet; a new engine at the address of one that goes has its own connection; a drained one that is ready again gets work; events in one report, in one step or one by one end the same; a watch that is moved takes nothing more from the old bus.

--- /dev/null
+++ b/tests/test_list_changes.py
@@ -0,0 +1,137 @@
+"""Changes of the engine list that cross what is being sent: before its step, in its queue, in its connect."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import pytest
+
+from cottonhold.decide import interface as io
+from cottonhold.discovery.belief import Belief
+from cottonhold.discovery.bus import SOURCE
+from cottonhold.discovery.model import Address, Change, Guard, Observation, Publish, Report, Verdict
+from tests.scenario import World, packet
+
+LEFT = ["draining", "gone"]
+QUERY = b"/* service=lookup,ref=%016x,allow=5000 */ SELECT a FROM s_7.t"
+SERVED = "served count=1 a|b|c/\nc1 expect rows a|b|c"
+
+
+def ask(world: World, number: int) -> None:
+    """A query comes, and nothing else happens yet."""
+    world.client("c1").session.receive(packet(0, b"\x03" + QUERY % number))
+
+
+def got(world: World) -> dict[str, list[int]]:
+    """The queries that each engine was sent, by its name."""
+    heard: dict[str, list[int]] = {name: [] for name in world.names}
+    for line in world.lines:
+        name = world.names[int(line.engine[1:]) - 1]
+        heard[name] += [int(words[1], 16) for words in line.heard if words[0] == b"GET"]
+    return heard
+
+
+def before_the_step(world: World, change: Callable[[], None]) -> None:
+    ask(world, 1)
+    change()
+
+
+def after_the_step(world: World, change: Callable[[], None]) -> None:
+    """Decided, and in the queue of a connection that is up; nothing of it is written."""
+    ask(world, 1)
+    world.gateway._step()
+    assert any(c.queue for p in world.engines.places.values() for c in p.connections)
+    change()
+
+
+def in_the_connect(world: World, change: Callable[[], None]) -> None:
+    for name in ("a", "b"):
+        world.behaviour[world.met(name) if name not in world.names else ""] = "vanish"
+    ask(world, 1)
+    world.wait(10)
+    change()
+    world.behaviour.clear()
+
+
+@pytest.mark.parametrize("state", LEFT)
+@pytest.mark.parametrize("cross", [before_the_step, after_the_step, in_the_connect])
+def test_nothing_is_sent_to_an_engine_that_leaves_in_the_moment_of_a_send(
+    cross: Callable[[World, Callable[[], None]], None], state: str
+) -> None:
+    """Whichever engine the query was for, both are told to leave but one that comes in the same change."""
+    world = World(engines="a b")
+    world.client("c1")
+    if cross is after_the_step:  # a connection to each that is up
+        for name in ("a", "b"):
+            world.engines.probe(name)
+            world.met(name)
+        world.wait(10)
+    world.unmet.append("new")
+
+    def change() -> None:
+        left = [io.Engine(name, state=io.EngineState(state)) for name in ("a", "b")]
+        world.gateway.change_list(Change((*left, io.Engine("new")), {"new": Address("new", 1)}, whole=False))
+
+    cross(world, change)
+    world.wait(400)
+    assert got(world) == {**{name: [] for name in world.names}, "new": [1]}
+
+
+@pytest.mark.parametrize("together", [True, False])
+def test_a_new_engine_at_the_address_of_one_that_goes_gets_a_connection_of_its_own(together: bool) -> None:
+    """The old one's answer to what was out may still come, and counts once."""
+    world = World(engines="a").run("c1 query lookup r1\ne1 expect GET r1 *")
+    gone, new = io.Engine("a", state=io.EngineState.GONE), io.Engine("fresh", started_at=900.0)
+    at = {"fresh": Address("a", 1)}
+    world.unmet.append("a")
+    changes: list[tuple[io.Engine, ...]] = [(gone, new)] if together else [(gone,), (new,)]
+    for engines in changes:
+        world.gateway.change_list(Change(engines, at, whole=False))
+    world.run(f"c2 query lookup r2\ne1 send r1 {SERVED}")
+    lines = [line for line in world.lines if line.connection.engine == "fresh"]
+    assert len(lines) == 1 and lines[0] is not world.lines[0]
+    assert [int(words[1], 16) for words in lines[0].heard] == [2]
+
+
+@pytest.mark.parametrize("started", [0.0, 1200.0])
+def test_a_drained_engine_that_is_ready_again_gets_work_again(started: float) -> None:
+    world = World(engines="a").run("c1 query lookup r1\ne1 expect GET r1 *\nlist tell e1 draining")
+    world.run(f"c2 query lookup r2\ntime wait 300\ne1 expect nothing\ne1 send r1 {SERVED}")
+    world.gateway.change_list(Change((io.Engine("a", started_at=started),), {}, whole=False))
+    world.wait(3000)
+    assert any(words[1] == b"%016x" % 2 for line in world.lines for words in line.heard)
+
+
+IN, OUT, END = Verdict.IN, Verdict.DRAINED, Verdict.ENDED
+
+
+@pytest.mark.parametrize(
+    "events, state",
+    [
+        ([[("a", OUT)], [("a", END)], [("b", IN)]], {"a": "gone", "b": "live"}),
+        ([[("a", OUT), ("b", IN)]], {"a": "draining", "b": "live"}),
+        ([[("a", END), ("b", IN)]], {"a": "gone", "b": "live"}),
+        ([[("b", IN), ("a", END)]], {"a": "gone", "b": "live"}),
+        ([[("a", OUT)], [("a", IN)]], {"a": "live"}),
+        ([[("a", END)], [("a", IN)]], {"a": "live"}),
+        ([[("a", IN)], [("a", OUT)]], {"a": "draining"}),
+    ],
+)
+@pytest.mark.parametrize("one_by_one", [True, False])
+def test_events_that_come_together_say_what_they_say_one_by_one(
+    events: list[list[tuple[str, Verdict]]], state: dict[str, str], one_by_one: bool
+) -> None:
+    """All at one address: the last word on each engine counts."""
+    belief = Belief(((SOURCE, Guard(trusted=True)),), 1)
+    here = Address("h", 1)
+    reports = [
+        Report(SOURCE, index + 2, tuple(Observation(id, verdict, address=here) for id, verdict in event))
+        for index, event in enumerate(events)
+    ]
+    first = Report(SOURCE, 1, (Observation("a", IN, address=here),), whole=True)
+    published: dict[str, str] = {}
+    for step in [[first], *([[report] for report in reports] if one_by_one else [reports])]:
+        for action in belief.step(1000.0, step):
+            if isinstance(action, Publish):
+                published |= {engine.id: engine.state.value for engine in action.change.engines}
+    assert published == state
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -260,3 +260,60 @@
     bus.request()
     assert bus.receive(answer(max(number for number, _ in events), *events))
     assert [o.reason for report in told for o in report.observations] == states
+
+
+def test_a_watch_that_is_moved_takes_nothing_more_from_the_old_bus() -> None:
+    """Moved twice, the second time before the first new bus was reached; the old one answers late."""
+
+    async def story() -> tuple[Rig, bytes]:
+        rig, held = Rig(), list[socket.socket]()
+        buses = [rig.listener, *(socket.create_server(("127.0.0.1", 0)) for _ in range(2))]
+        following: asyncio.Task[None] | None = None
+        for listener in buses:
+            listener.setblocking(False)
+            if following is not None:
+                following.cancel()
+            following = rig.loop.create_task(rig.driver.follow(rig.bus, Address(*listener.getsockname())))
+            if listener is not buses[1]:
+                held.append((await rig.loop.sock_accept(listener))[0])
+                rig.calls.append(await rig.loop.sock_recv(held[-1], 1000))
+            if listener is buses[0]:
+                await rig.loop.sock_sendall(held[0], answer(5, (5, "Gone")))
+                rig.calls.append(await rig.loop.sock_recv(held[0], 1000))
+        with suppress(OSError):
+            await rig.loop.sock_sendall(held[0], answer(6, (6, "Ready")))
+        await rig.loop.sock_sendall(held[1], answer(7, (6, "Terminating"), (7, "Gone")))
+        last = await rig.loop.sock_recv(held[1], 1000)
+        assert following is not None
+        following.cancel()
+        await asyncio.gather(following, return_exceptions=True)
+        for sock in (*held, *buses):
+            sock.close()
+        return rig, last
+
+    rig, last = run(story)
+    assert rig.states() == ["Gone", "Terminating", "Gone"]
+    assert [b"from=%d&" % n in call for n, call in zip((3, 5, 5), rig.calls, strict=True)] == [True] * 3
+    assert b"from=7&" in last
+
+
+def test_a_watch_whose_new_address_refuses_is_tried_until_it_is_there() -> None:
+    async def story() -> Rig:
+        rig = Rig()
+        address = rig.listener.getsockname()
+        rig.listener.close()
+        following = rig.loop.create_task(rig.driver.follow(rig.bus, Address(*address)))
+        while rig.counters.counts["bus_broken"] < 3:
+            await asyncio.sleep(0.005)
+        with socket.create_server(address) as listener:
+            listener.setblocking(False)
+            sock, _ = await rig.loop.sock_accept(listener)
+            rig.calls.append(await rig.loop.sock_recv(sock, 1000))
+            await rig.loop.sock_sendall(sock, answer(4, (4, "Gone")))
+            assert await rig.loop.sock_recv(sock, 1000)
+            following.cancel()
+            await asyncio.gather(following, return_exceptions=True)
+            sock.close()
+        return rig
+
+    assert run(story).states() == ["Gone"]
