Add conformance rows for clients that leave, time left, and repeats that begin late

Nine rows against PROTOCOL: nothing is begun for a client that left while it was held or during a connect, with cancelling allowed or not; an engine is told what is left after a connect and behind another query; what has next to no time is refused; a copy of an answer ends no other attempt; window and allowance hold at the first byte. Two planted defects: a gateway that wants every attempt, and a window without an end.

--- a/tests/conformance/protocol.py
+++ b/tests/conformance/protocol.py
@@ -16,7 +16,7 @@
 from cottonhold.node.statement import table_group
 from cottonhold.observe.counters import Counters
 from tests.conformance.rows import Direct, Machine, Row
-from tests.scenario import LOGIN, SETTINGS, Client, World, packet
+from tests.scenario import LOGIN, PERMITS, READ, SETTINGS, Client, World, packet
 
 OUT = "c1 query lookup r1\ne1 expect GET r1 *\n"
 LOAD_OUT = "c1 query load r1 allow=20000\ne1 expect GET r1 *\n"
@@ -24,6 +24,11 @@
 SERVED = "served count=1 a|b|c/\nc1 expect rows a|b|c\n"
 TOKEN = "5c0f6e1a2b3d4c59a8b7c6d5e4f30211"
 TENANTS = (io.Tenant("acme", 5.0), io.Tenant("zenith", 9.0))
+UNCANCELLED = replace(SETTINGS, permits=replace(PERMITS, cancel=False))
+KEYED = replace(UNCANCELLED, classes=(replace(READ, effect=io.Effect.KEYED, window=1000.0),))
+ONE_MORE = replace(
+    UNCANCELLED, rules=io.Rules(budget_free=1, budget_share=0.0, budget_window=1000.0), begin_late=250.0
+)
 STATEMENT = "SELECT a FROM s_7.t WHERE b = '/* x */'"
 
 
@@ -223,6 +228,28 @@
         "and no engine is told to work longer than that",
         Machine("c1 query lookup r1 allow=2000\ne1 expect GET r1 *ms=1???,*"),
     ),
+    Row(
+        "pro-field-allow-connect",
+        C("fields, row 3"),
+        "nor after a connect that took some of it",
+        Machine(
+            "e1 will vanish\nc1 query load r1 allow=2000\ntime wait 200\ne1 will up\ntime wait 1\ne1 expect GET r1 *ms=138?,*"
+        ),
+    ),
+    Row(
+        "pro-field-allow-behind",
+        C("fields, row 3"),
+        "nor behind another query of its session: the time counts from its last byte",
+        Machine(
+            "c1 query load r1 allow=9000\ne1 expect GET r1 *\nc1 query load r2 allow=2000\ntime wait 200\ne1 send r1 served count=1 a|b|c/\nany expect GET r2 *ms=138?,*"
+        ),
+    ),
+    Row(
+        "pro-field-allow-little",
+        C("fields, row 3"),
+        "What no engine could answer in time is refused at once, and sent to none",
+        Machine("c1 query load r1 allow=1\nc1 expect error 1226 *\nany nothing\ntime wait 300\nany nothing"),
+    ),
     Row(
         "pro-field-dup",
         C("fields, row 4"),
@@ -354,6 +381,31 @@
         "A client that has closed is owed nothing",
         Machine(OUT + "c1 close\ne1 expect DROP r1\ne1 send r1 served count=1 a|b|c/"),
     ),
+    Row(
+        "pro-kill-connect",
+        C("list, item 2"),
+        "Nothing is begun for a client that left while a connect was under way, though loads are not cancelled",
+        Machine(
+            "e1 will vanish\nc1 query load r1 allow=20000\nc1 close\ntime wait 200\ne1 will up\ntime wait 20\nany nothing"
+        ),
+    ),
+    Row(
+        "pro-kill-connect-kept",
+        C("list, item 2"),
+        "nor where the site allows no cancelling",
+        Machine(
+            "e1 will vanish\nc1 query lookup r1\nc2 say KILL QUERY 1\nc1 expect error 1317 *\ntime wait 200\ne1 will up\ntime wait 20\nany nothing",
+            UNCANCELLED,
+        ),
+    ),
+    Row(
+        "pro-kill-held",
+        C("list, item 2"),
+        "nor for one that left while its query was held, once there is an engine again",
+        Machine(
+            "list tell e1 gone\nlist tell e2 gone\nc1 query load r1 allow=20000\nc1 close\nlist tell e1 live\ntime wait 300\nany nothing"
+        ),
+    ),
     Row(
         "pro-ping",
         C("list, item 3"),
@@ -577,6 +629,34 @@
             "c1 query load r1 allow=3000\ne1 expect GET r1 *\ntime wait 2590\nc1 expect error 1105 *\ne1 send r1 served count=1 a|b|c/\nc1 expect nothing"
         ),
     ),
+    Row(
+        "pro-lost-copy",
+        S("item 1, sentence 2"),
+        "A copy of the answer to an attempt is none to the next one under that id",
+        Machine(
+            "c1 query load r1 allow=20000\ne1 expect GET r1 *\ne1 send r1 overload -\ntime wait 1500\ne1.2 expect GET r1 *\ne1 send r1 overload -\ntime wait 1500\nany nothing\ne1.2 send r1 "
+            + SERVED,
+            engines="a",
+        ),
+    ),
+    Row(
+        "pro-window-connect",
+        "The rules on sockets, paragraph 1",
+        "A repeat begins within the window in which engines drop it, also where its connect takes long",
+        Machine(
+            "c1 query lookup r1\ne1 expect GET r1 *\ntime wait 900\ne2 will vanish\ne1 close\ntime wait 120\ne2 will up\ntime wait 1\nany nothing\nc1 expect error 1226 *",
+            KEYED,
+        ),
+    ),
+    Row(
+        "pro-allowance-connect",
+        "The rules on sockets, paragraph 1",
+        "Further attempts count against their allowance when they begin, not when their connect does",
+        Machine(
+            "c1 query lookup r1\ne1 expect GET r1 *\ne2 will vanish\ne1 send r1 overload -\ntime wait 240\ne2 will up\ntime wait 0\ne2 expect GET r1 *\nlist tell e1 draining\ntime wait 780\nc2 query lookup r2\ne2 expect GET r2 *\ne2 send r2 overload -\nc2 expect error 1226 *",
+            ONE_MORE,
+        ),
+    ),
     Row(
         "pro-lost-made-up",
         S("item 1, sentence 2"),
--- a/tests/conformance/test_tables.py
+++ b/tests/conformance/test_tables.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
+import math
 from typing import Any
 
 import pytest
 
 from cottonhold.decide import retry, slow_start
+from cottonhold.decide.state import Query
 from cottonhold.node import driver, peers
 from cottonhold.node.engines import Engines
+from cottonhold.node.gateway import Gateway
 from tests.conformance import protocol, sockets, wire
 from tests.conformance.rows import Row
 
@@ -42,6 +45,8 @@
         "wire-unsafe-reset wire-keyed-window-over wire-budget",
     ),
     (slow_start, "barred", lambda gateway, query, engine: False, "wire-cold-budget"),
+    (Gateway, "wants", lambda self, attempt: True, "pro-kill-connect pro-kill-connect-kept"),
+    (Query, "window_end", lambda self: math.inf, "pro-window-connect wire-keyed-window-over"),
     (peers, "MOST_BYTES", 300, "pro-peer-most"),
     (driver, "LACKING", frozenset(), "pro-sock-whole"),
 ]
