Look at a deadline again where its request is held again after its attempt

Seen: settings with a shorter tick came while an attempt was out whose deadline had come up; the engine turned it away, the request was held for want of an engine, and it was never answered.

Ruled out: the same without a change of settings: the attempt's end is then always answered at once, as the slack only ever was the same.

At fault: Scheduler.step takes a query out of the deadlines while its attempt is out, and relies on _again to see that it is late, by the slack of another moment.

Change: _again adds it once more; what is there twice is answered once.

Measured: the new case of tests/test_retune.py fails without the change.

--- a/cottonhold/decide/outcomes.py
+++ b/cottonhold/decide/outcomes.py
@@ -55,6 +55,9 @@
     if outcome is Outcome.MOOT or retry.repeat_barred(gateway, query) or late:
         answers.answer(gateway, query)
     else:
+        # Danger: its deadline had come up while its attempt was out. Held again, under settings with a
+        # shorter slack, nothing looked at it any more, and it was never answered.
+        gateway.deadlines.add(query)
         placement.place(gateway, query)
         release.release(gateway)
 
--- a/cottonhold/decide/timeouts.py
+++ b/cottonhold/decide/timeouts.py
@@ -27,7 +27,7 @@
 def answer_due(gateway: GatewayState) -> None:
     """Answer the queries whose time is up; those with an attempt out wait for its end."""
     for query in gateway.deadlines.take(gateway.now + gateway.slack):
-        if not query.out:
+        if not query.out and not query.over:
             answers.answer(gateway, query)
 
 
--- a/tests/test_retune.py
+++ b/tests/test_retune.py
@@ -17,7 +17,7 @@
 from cottonhold.decide import slow_start
 from cottonhold.node.dispatcher import Dispatcher
 from cottonhold.observe.counters import Counters
-from tests.scenario import LOAD, READ, World
+from tests.scenario import LOAD, PERMITS, READ, SETTINGS, World
 from tests.test_parts import CONFIG, write
 from tests.test_scheduler import LOOKUP, arrival, ended, engines, sends, settings
 
@@ -99,6 +99,16 @@
     World().run(script)
 
 
+def test_a_request_whose_attempt_was_out_as_its_time_came_up_is_answered_after_a_change_too() -> None:
+    """Times are looked at the earlier, the longer a tick is; the change made it a short one."""
+    few = dataclasses.replace(PERMITS, cancel=False)
+    long = dataclasses.replace(SETTINGS, permits=few, tick=50.0)
+    world = World(long).run("c1 query load r1 allow=2000,effort=20.0\ne1 expect GET r1 *\ntime wait 1425")
+    world.gateway.retune(dataclasses.replace(long, tick=5.0))
+    world.run("list tell e1 draining\nlist tell e2 draining\ne1 send r1 overload -\nc1 expect nothing")
+    world.run("time wait 175\nc1 expect error 1226 *")
+
+
 def teach(s: Scheduler, at: float, place: int, cost: float) -> None:
     for i in range(30):
         name = f"t{at}-{place}-{i}"
