--- a/tests/test_loads.py
+++ b/tests/test_loads.py
@@ -104,6 +104,28 @@
         disk writes it
         any expect GET r1 *
     """,
+    "a client that leaves once it is written, while a connect is under way, has nothing begun for it": """
+        e1 will vanish
+        c1 query load r1 allow=20000
+        disk writes it
+        c1 close
+        time wait 200
+        e1 will up
+        time wait 20
+        any nothing there
+        end is moot
+    """,
+    "a client that leaves between the disk's word and the write has nothing begun for it": """
+        c1 query load r1 allow=20000
+        e1 will vanish
+        disk writes it
+        c2 say KILL QUERY 1
+        c1 expect error 1317 *
+        e1 will up
+        time wait 1
+        any nothing there
+        end is moot
+    """,
     "one that is turned away as it comes leaves its session as it was": """
         disk goes away
         c1 query load r1 allow=20000
