--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -518,3 +518,10 @@
     world.wait(idle_ms - IDLE_MARGIN_MS if idle_ms > 2 * IDLE_MARGIN_MS else idle_ms / 2)
     world.run("c2 query lookup r9\ne1.2 expect GET r9 *")
     assert world.counters.counts["engine_connections"] == 2
+
+
+@pytest.mark.parametrize("digits", [10, 11, 5000])
+def test_a_kill_of_a_number_that_no_session_can_have_is_an_error_and_no_more(digits: int) -> None:
+    """Beyond 4,300 digits the number could not be read: the session was closed, with what it was owed."""
+    world = World().run(f"c1 say KILL QUERY {'9' * digits}\nc1 expect error * *\nc1 query lookup r1")
+    world.run("e1 expect GET r1 *\ne1 send r1 served count=1 a|b|c/\nc1 expect rows a|b|c")
