Answer a request though who watches it or remembers its load fails

Seen, with faults planted in the guard of loads: where closed() or ended() failed no answer went out, and the connection to the engine was closed with what else was out on it; where came() failed the client's connection was closed with its request read and unanswered.

At fault: Gateway.take, attempt_ended and _finish called it unguarded, _finish after it had taken the way back.

Change: its faults are counted and logged there; a request that could not be taken to it fails. A fault in sending() already ended that request, as an action that fails.

--- a/cottonhold/node/gateway.py
+++ b/cottonhold/node/gateway.py
@@ -210,10 +210,15 @@
         request = self.requests[taken.ref] = Request(taken, due, client)
         self.open += 1
         self.counters.add("requests_taken")
-        if self.loads is not None and self.loads.guards(taken.query_class):
-            self.loads.came(taken, due, lambda past, ms: self._settled(request, past, ms))
-        else:
-            self._arrive(request)
+        try:
+            if self.loads is not None and self.loads.guards(taken.query_class):
+                self.loads.came(taken, due, lambda past, ms: self._settled(request, past, ms))
+            else:
+                self._arrive(request)
+        except Exception as error:
+            # Danger: its connection was closed with what had been read on it unanswered.
+            self._watch_fault(error)
+            self.clock.call_soon(lambda: self._abandon(taken.ref))
         return request
 
     def _settled(self, request: Request, past: Past, ms: float) -> None:
@@ -282,10 +287,8 @@
 
     def attempt_ended(self, attempt: Attempt, event: io.AttemptEnded) -> None:
         """The engines tell of an attempt's end; a served one answers the client at once."""
-        if self.watch is not None:
-            self.watch.ended(attempt, event)
-        if self.loads is not None:
-            self.loads.ended(attempt, event.outcome)
+        if self.watch is not None or self.loads is not None:
+            self._tell_of_end(attempt, event)
         request = self.requests.get(attempt.query)
         if request is None:
             return
@@ -295,6 +298,20 @@
             self._answer(lambda: client.served(attempt.rows()))
         self._report(request, event)
 
+    def _tell_of_end(self, attempt: Attempt, event: io.AttemptEnded) -> None:
+        # Danger: where one of these failed, nobody else heard of the end: the request was never answered.
+        try:
+            if self.watch is not None:
+                self.watch.ended(attempt, event)
+            if self.loads is not None:
+                self.loads.ended(attempt, event.outcome)
+        except Exception as error:
+            self._watch_fault(error)
+
+    def _watch_fault(self, error: Exception) -> None:
+        self.counters.add("watch_faults")
+        self.say(f"watch: {type(error).__name__}: {error}")
+
     def _report(self, request: Request, event: io.AttemptEnded) -> None:
         over = request.client is None
         if over:
@@ -503,14 +520,23 @@
         client, request.client = request.client, None
         if client is not None:
             self.open -= 1
-            if self.watch is not None:
-                self.watch.closed(request.taken.ref)
-            if self.loads is not None and self.loads.guards(request.taken.query_class):
-                self.loads.closed(request.taken.ref)
+            if self.watch is not None or self.loads is not None:
+                self._tell_of_close(request.taken)
             if request.attempt is None:
                 self.requests.pop(request.taken.ref, None)
         return client
 
+    def _tell_of_close(self, taken: Taken) -> None:
+        # Danger: the way back to the client had been taken by then, and it got no answer where one of these
+        # failed.
+        try:
+            if self.watch is not None:
+                self.watch.closed(taken.ref)
+            if self.loads is not None and self.loads.guards(taken.query_class):
+                self.loads.closed(taken.ref)
+        except Exception as error:
+            self._watch_fault(error)
+
     def _answer(self, answer: Callable[[], None]) -> None:
         try:
             answer()
--- a/tests/test_client_gone.py
+++ b/tests/test_client_gone.py
@@ -41,6 +41,12 @@
 
 
 def nothing_left(world: World) -> None:
+    """Nothing is kept for a request that is over, and nothing failed."""
+    left_over(world)
+    assert not world.counters.counts["step_faults"] + world.counters.counts["action_faults"], world.log
+
+
+def left_over(world: World) -> None:
     """Nothing is kept for a request that is over: neither way back, place, room nor turn."""
     world.wait(300)
     gateway, scheduler = world.gateway, world.gateway.scheduler
@@ -49,7 +55,6 @@
     assert not [q for e in scheduler.engines.values() for q in (*e.out.values(), *e.plan)]
     assert scheduler.pool.threads == 0
     assert not [a for line in world.lines for a in line.connection.attempts]
-    assert not world.counters.counts["step_faults"] + world.counters.counts["action_faults"], world.log
 
 
 # CLASS is the class of the request and LEAVES what its client does.
--- a/tests/test_step_faults.py
+++ b/tests/test_step_faults.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 
 import pytest
 
 from cottonhold.decide import interface as io
 from cottonhold.decide.interface import Outcome
-from tests.test_client_gone import SITES, Turns
+from cottonhold.node.engines import Attempt
+from cottonhold.node.gateway import Past, Settled, Taken
+from tests.test_client_gone import SITES, Turns, left_over
+from tests.test_loads import Guard
 
 BAD = f"{9:016x}"
 
@@ -142,3 +145,51 @@
     world.run("c9 expect error 1105 *\nc1 expect nothing")
     assert [words[1] for line in world.lines for words in line.heard] == [b"%016x" % 1]
     world.settled()
+
+
+class BrokenWatch(Guard):
+    """Remembers loads, and fails at one of the calls; also one that watches all requests."""
+
+    def __init__(self, fails: str) -> None:
+        super().__init__()
+        self.fails = fails
+
+    def failing(self, name: str) -> None:
+        if self.fails == name:
+            raise OSError("planted")
+
+    def came(self, taken: Taken, until: float, settled: Settled) -> None:
+        self.failing("came")
+        settled(Past.NEVER, 0.0)
+
+    def sending(self, attempt: Attempt, taken: Taken, kept: Callable[[bool], None]) -> None:
+        self.failing("sending")
+        kept(True)
+
+    def ended(self, attempt: Attempt, outcome: Outcome | None) -> None:
+        self.failing("ended")
+
+    def closed(self, ref: str) -> None:
+        self.failing("closed")
+
+
+@pytest.mark.parametrize("fails", ["came", "sending", "ended", "closed"])
+@pytest.mark.parametrize("end", ["served", "overload", "reset", "left"])
+def test_a_fault_of_who_keeps_loads_costs_no_request_its_answer(fails: str, end: str) -> None:
+    world = Turns(SITES["much allowed"])
+    world.gateway.loads = BrokenWatch(fails)
+    world.run("c1 query load r1 allow=1000,effort=20.0")
+    if fails in ("came", "sending"):
+        world.run("c1 expect error 1105 *\nany nothing there")
+    elif end == "served":
+        world.run("e1 expect GET r1 *\ne1 send r1 served count=1 a|b|c/\nc1 expect rows a|b|c")
+    elif end == "overload":
+        world.run("e1 expect GET r1 *\ne1 send r1 overload -\ne2 expect GET r1 *\ne2 close")
+        world.run("c1 expect error 1105 *")
+    elif end == "reset":
+        world.run("e1 expect GET r1 *\ne1 close\nc1 expect error 1105 *")
+    else:
+        world.run("e1 expect GET r1 *\nc1 close\ne1 send r1 served count=1 a|b|c/")
+    left_over(world)
+    world.run("c2 query lookup r2\nany expect GET r2 *")
+    assert world.counters.counts["watch_faults"] + world.counters.counts["action_faults"]
