--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -87,3 +87,43 @@
 def test_the_settings_of_a_dispatcher_say_how_late_an_attempt_may_begin(tmp_path: Path) -> None:
     config = load(write(tmp_path, listen="127.0.0.1:80"), Counters())
     assert config.settings.begin_late == config.links.connect_ms > 0
+
+
+@pytest.mark.parametrize("before", [True, False])
+@pytest.mark.parametrize(
+    "late",
+    [
+        "served count=1 x|y|z/",
+        "served count=2 x|y|z/",
+        "rows pos=1 x|y|z/",
+        "overload -",
+        "crashed -",
+        "nobody -",
+    ],
+)
+def test_a_late_first_answer_beside_a_second_attempt_is_passed_over(late: str, before: bool) -> None:
+    """The first one was given up as it took far longer than planned."""
+    world = Turns(SITES["much allowed"])
+    world.run("c1 query lookup r1 effort=20.0\ne1 expect GET r1 *\ntime wait 200\ne1 expect DROP r1")
+    world.run("e2 expect GET r1 *\ne2 send r1 served count=2 a|b|c/\ne2 expect PAGE r1 1")
+    if before:
+        world.run(f"e1 send r1 {late}\nc1 expect nothing")
+    world.run("e2 send r1 rows pos=1 d|e|f/\nc1 expect rows a|b|c/d|e|f\ne2 expect CLOSE r1")
+    world.run(f"e1 send r1 {late}\ne2 send r1 {late}\nc1 expect nothing\nany nothing there")
+    nothing_left(world)
+    world.run("c1 query lookup r2\nany expect GET r2 *")
+
+
+@pytest.mark.parametrize("most", [1, 2, 3])
+@pytest.mark.parametrize("name", NAMES)
+def test_no_request_has_more_attempts_than_the_settings_allow(name: str, most: int) -> None:
+    """Each is turned away, so that each could go out again."""
+    site = SITES["little allowed"]
+    world = Turns(replace(site, permits=replace(site.permits, max_attempts=most)), engines="a b c d")
+    world.run(f"c1 query {name} r1 allow=20000")
+    for _ in range(most):
+        (line,) = [line for line in world.lines if line.heard]
+        assert line.heard.pop()[0] == b"GET" and not line.heard
+        world.run(f"c1 expect nothing\n{line.engine} send r1 overload -")
+    world.run("c1 expect error 1226 *\ntime wait 1000\nany nothing there")
+    nothing_left(world)
