Tell a connect that could not begin from one that is up

Seen: connect that fails with EAGAIN (connect(2): the routing cache lacks an entry) reads as one under way; a socket that was never connected is writable, and SO_ERROR is 0. The load that was written there ended as reset, maybe run, and failed.

Ruled out: EINTR (the connect goes on, and comes up), errors in SO_ERROR.

At fault: Driver._connected, which took the loop's word.

Change: the socket is asked for its peer; ENOTCONN is a connect that failed, before the first byte, so that a load goes to another engine.

--- a/cottonhold/node/driver.py
+++ b/cottonhold/node/driver.py
@@ -551,6 +551,9 @@
         sock = tcp_socket(self.make_socket, kind)
         try:
             await self.loop.sock_connect(sock, target)
+            # Danger: a connect that could not begin (EAGAIN) looked like one that is up, and what was written
+            # there counted as maybe run.
+            sock.getpeername()
         except BaseException:
             sock.close()
             raise
--- a/tests/test_connect_faults.py
+++ b/tests/test_connect_faults.py
@@ -39,6 +39,22 @@
     play(story, engines=2)
 
 
+@pytest.mark.parametrize("error", [errno.EAGAIN, errno.EINTR])
+def test_a_connect_that_seems_to_be_under_way_is_looked_at(error: int) -> None:
+    """EINTR leaves it under way; EAGAIN has not begun it, and its socket is as writable as one that is up."""
+
+    async def story(rig: Rig) -> None:
+        rig.faults.plan("connect", error, on=MADE)
+        client = rig.client()
+        client.ask(1, "load")
+        await rig.serve(1)
+        await rig.until(lambda: client.answers() == ROWS)
+        assert rig.asked() == [REF % 1]
+        assert rig.counts["attempts_connect_failed"] == (error == errno.EAGAIN)
+
+    play(story, engines=2)
+
+
 @pytest.mark.parametrize("error", PROOFS)
 def test_where_no_connect_succeeds_the_client_is_told_that_it_never_ran(error: int) -> None:
     async def story(rig: Rig) -> None:
