Log what clients, lists and peers say that makes no sense, at the log's rate

Seen: bytes of a client that break the protocol, an entry of a list that is passed over and a stranger's datagram were counted and never told; only engines' were.

At fault: Session.receive and _resume, bus.read_batch, Peers.receive.

Change: one line each, through the log with its bucket (100 lines, then 20 a second, the others counted). A client's or list's own text is quoted, so that it makes no line of its own. Clients that are late are counted as before, without a line.

--- a/cottonhold/discovery/bus.py
+++ b/cottonhold/discovery/bus.py
@@ -41,8 +41,15 @@
     )
 
 
-def read_batch(source: Any, names: Names, counters: Counters) -> tuple[int, list[Report]]:
+def read_batch(
+    source: Any, names: Names, counters: Counters, say: Callable[[str], None] = lambda text: None
+) -> tuple[int, list[Report]]:
     """The last event's number and what each told; an entry that makes no sense is counted and passed over."""
+
+    def malformed(error: Exception) -> None:
+        counters.add("bus_malformed")
+        say(f"event bus: passed over: {str(error)!r}")
+
     if not isinstance(source, dict):
         raise WireError("not an object")
     reports = []
@@ -53,15 +60,15 @@
                 continue
             entries = read(topology, "instances", list, [])
             whole = read(topology, "reset", bool, False) or event.get("offset") == 1
-        except WireError:
-            counters.add("bus_malformed")
+        except WireError as error:
+            malformed(error)
             continue
         told = []
         for entry in entries:
             try:
                 told.append(read_engine(entry, names))
-            except (WireError, AttributeError):
-                counters.add("bus_malformed")
+            except (WireError, AttributeError) as error:
+                malformed(error)
         number = event.get("offset")
         reports.append(Report(SOURCE, number if isinstance(number, int) else 0, tuple(told), whole=whole))
     return read(source, "offset", int), reports
@@ -71,11 +78,18 @@
     """Asks for what follows the last event and passes on what comes; knows no socket."""
 
     def __init__(
-        self, host: str, offset: int, names: Names, counters: Counters, tell: Callable[[Report], None]
+        self,
+        host: str,
+        offset: int,
+        names: Names,
+        counters: Counters,
+        tell: Callable[[Report], None],
+        say: Callable[[str], None] = lambda text: None,
     ) -> None:
         self.host, self.offset, self.names, self.counters, self.tell = host, offset, names, counters, tell
         self.unanswered = False  # the last call, a short one
         self.current: Callable[[], None] = lambda: None  # an answer is told whole, even if nothing is new
+        self.say = say
         self.restart()
 
     def restart(self) -> None:
@@ -122,7 +136,7 @@
         try:
             if status != 200:
                 raise WireError(f"status {status}")
-            offset, reports = read_batch(orjson.loads(body), self.names, self.counters)
+            offset, reports = read_batch(orjson.loads(body), self.names, self.counters, self.say)
         except (orjson.JSONDecodeError, WireError) as error:
             self._malformed(error)
         if offset > self.offset:  # an answer that tells nothing new must not be told twice
--- a/cottonhold/node/dispatcher.py
+++ b/cottonhold/node/dispatcher.py
@@ -75,12 +75,14 @@
         self.gateway = Gateway(config.settings, config.seed, clock, self.engines, counters, say)
         self.front = Front(self.gateway, clock, counters, self.life, self.parts.clients, self.seats.ids())
         self.calls = Calls(self.life, clock, counters, log.note, self.parts.calls)
-        self.peers = Peers(config.peers, config.peers_all, counters)
+        self.peers = Peers(config.peers, config.peers_all, counters, say)
         self.gateway.tell = self.tell
         self.belief = Belief(sources, config.seed, clock.unix_offset)
         self.belief_timer: Timer | None = None
         host = config.bus.host if config.bus else ""
-        self.bus = Bus(host, config.offset, config.names, counters, lambda report: self.believe([report]))
+        self.bus = Bus(
+            host, config.offset, config.names, counters, lambda report: self.believe([report]), say
+        )
         self.bus.current = lambda: self.belief.current(clock.now(), SOURCE)
         self.stop, self.serving = asyncio.Event(), False
         self.following: asyncio.Task[None] | None = None
--- a/cottonhold/node/mysql.py
+++ b/cottonhold/node/mysql.py
@@ -239,7 +239,7 @@
                 self.partial_at = min(self.partial_at, now)
             self._advance()
         except ProtocolError as error:
-            self._broken(error)
+            self._malformed(error)
 
     def _read_packet(self) -> tuple[int, bytes] | None:
         buffer = self.buffer
@@ -271,7 +271,7 @@
         try:
             self._advance()
         except ProtocolError as error:
-            self._broken(error)
+            self._malformed(error)
 
     def closed(self) -> None:
         """The connection has ended."""
@@ -507,6 +507,10 @@
         if self.line is not None:
             self.line.finish()
 
+    def _malformed(self, error: ProtocolError) -> None:
+        self.front.gateway.say(f"client {self.number}: {str(error)!r}")
+        self._broken(error)
+
     def _broken(self, error: ProtocolError) -> None:
         """The client broke the protocol: tell it where that can be done, and close this connection only."""
         self.front.counters.add("client_malformed")
--- a/cottonhold/node/peers.py
+++ b/cottonhold/node/peers.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from cottonhold.decide import interface as io
 from cottonhold.discovery.model import Address
 from cottonhold.observe.counters import Counters
@@ -12,8 +14,14 @@
 class Peers:
     """Which peer an address is, and where a message for a peer goes."""
 
-    def __init__(self, addresses: tuple[Address, ...], all_peers: Address | None, counters: Counters) -> None:
-        self.addresses, self.all_peers, self.counters = addresses, all_peers, counters
+    def __init__(
+        self,
+        addresses: tuple[Address, ...],
+        all_peers: Address | None,
+        counters: Counters,
+        say: Callable[[str], None] = lambda text: None,
+    ) -> None:
+        self.addresses, self.all_peers, self.counters, self.say = addresses, all_peers, counters, say
         self.numbers = {(a.host, a.port): number for number, a in enumerate(addresses)}
 
     def receive(self, data: bytes, sender: tuple[str, int]) -> io.PeerMessage | None:
@@ -21,6 +29,7 @@
         number = self.numbers.get(sender)
         if number is None or len(data) > MOST_BYTES:
             self.counters.add("peer_malformed")
+            self.say(f"peers: {len(data)} bytes from {sender[0]}:{sender[1]} are no message of a peer")
             return None
         self.counters.add("peer_received")
         return io.PeerMessage(number, data)
--- a/tests/test_bad_bytes.py
+++ b/tests/test_bad_bytes.py
@@ -4,17 +4,20 @@
 
 import time
 
+import orjson
 import pytest
 from hypothesis import example, given
 from hypothesis import strategies as st
 
 from cottonhold.decide import interface as io
-from cottonhold.discovery.model import Address
+from cottonhold.discovery.bus import Bus
+from cottonhold.discovery.model import Address, Names
 from cottonhold.node.mysql import MOST_PACKET
 from cottonhold.node.ops import Calls
 from cottonhold.node.peers import Peers
 from cottonhold.node.resp import RespError, RespReader, encode, read_count, read_fields, read_rows
 from cottonhold.node.statement import FieldError, parse
+from cottonhold.observe.log import BURST, Log
 from tests.drawn import CASES, untroubled
 from tests.scenario import LOGIN, FakeClock, World, packet
 
@@ -183,3 +186,24 @@
         call.receive(data[at : at + pieces])
     clock.run_until(clock.at + 5000, lambda: None)
     assert call.closing and call.take_output().startswith(b"HTTP/1.1 ")
+
+
+def test_what_is_malformed_is_counted_and_told_at_a_limited_rate(capsys: pytest.CaptureFixture[str]) -> None:
+    """All of it within one moment: the log's bucket is never filled again."""
+    log, world = Log(seconds=lambda: 0.0), World(engines="a")
+    world.gateway.say = world.engines.say = log.say
+    peers = Peers((Address("a", 1),), None, world.counters, log.say)
+    entries = [{"instanceId": "s-1", "lifecycle": "Odd"}] * 50
+    answer = orjson.dumps({"offset": 2, "batch": [{"offset": 2, "topology": {"instances": entries}}]})
+    for _ in range(50):
+        session = world.front.open()
+        session.receive(packet(1, LOGIN.replace(b"app", b"a\nb")))
+        peers.receive(b"x", ("stranger", 1))
+        world.engines.malformed("engine a: nonsense")
+    bus = Bus("h", 1, Names(("z",), ("a",)), world.counters, lambda report: None, log.say)
+    assert bus.receive(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(answer) + answer)
+    names = ("client_malformed", "peer_malformed", "engine_malformed", "bus_malformed")
+    assert [world.counters.counts[name] for name in names] == [50] * 4
+    lines = capsys.readouterr().err.splitlines()
+    assert len(lines) == BURST and log.dropped == 100
+    assert {line.split(" ")[0] for line in lines} >= {"client", "peers:", "engine"}
