Look after the other clients and engines though one of them fails the look

Seen, with a fault planted in the look after one engine, or one client: none was ever looked after again. Silent connections to other engines were not found, so that what was out on them waited to its deadline, and clients that go nowhere kept their descriptors.

At fault: Engines._check and Front._check set their next time behind the loop over all of them.

Change: it is set first, and a fault is counted, logged and kept to the one it is about; a client whose look fails is cut, as it would hold its descriptor for good.

--- a/cottonhold/node/engines.py
+++ b/cottonhold/node/engines.py
@@ -318,13 +318,19 @@
     def _check(self) -> None:
         """Look after connections that stay open and silent, and after engines that have left."""
         now, quiet = self.clock.now(), list[Connection]()
+        self.clock.call_in(CHECK_MS, self._check)
         # Danger: all engines of the list were looked at five times a second, though most never get any: on
         # the largest fleets that passed what a dispatcher may take for their number.
         for name, place in list(self.linked.items()):
-            quiet += [c for c in list(place.connections) if self._look_at(place, c, now)]
-            self._left(place)
-            if not place.connections:
-                self.linked.pop(name, None)
+            try:
+                quiet += [c for c in list(place.connections) if self._look_at(place, c, now)]
+                self._left(place)
+                if not place.connections:
+                    self.linked.pop(name, None)
+            except Exception as error:
+                # Danger: after a fault at one engine no silent connection to any other was ever found.
+                self.counters.add("check_faults")
+                self.say(f"engine {place.info.id}: {type(error).__name__}: {error}")
         # Danger: each connection with work out that was quiet for 1.2 s was asked, which on a full fleet is
         # most of them, again and again: 0.3 probes a request, at six times the price of all other probes. So
         # each attempt pays for a part of a sign, and the quietest are asked first.
@@ -332,7 +338,6 @@
             if self.signs >= 1 or not self.links.probe_price:
                 self.signs = max(self.signs - 1, 0.0)
                 self._ask(connection, told=False)
-        self.clock.call_in(CHECK_MS, self._check)
 
     def _look_at(self, place: Place, connection: Connection, now: float) -> bool:
         """Give up a connection that has failed; whether one ought to be asked for a sign of life."""
--- a/cottonhold/node/mysql.py
+++ b/cottonhold/node/mysql.py
@@ -127,14 +127,20 @@
 
     def _check(self) -> None:
         """A timer for each connection would cost more than this."""
-        self.close_spare()
         self.clock.call_in(CHECK_MS, self._check)
+        self.close_spare()
 
     def close_spare(self) -> None:
         """Close what goes nowhere."""
         now = self.clock.now()
         for session in list(self.sessions.values()):
-            session.check(now)
+            try:
+                session.check(now)
+            except Exception as error:
+                # Danger: after a fault at one session none was ever looked at again.
+                self.counters.add("check_faults")
+                self.gateway.say(f"client: {type(error).__name__}: {error}")
+                session.cut()
 
     def owes(self) -> bool:
         """Whether the program may not end yet: someone has no answer, or may still ask."""
--- a/tests/test_step_faults.py
+++ b/tests/test_step_faults.py
@@ -8,8 +8,9 @@
 
 from cottonhold.decide import interface as io
 from cottonhold.decide.interface import Outcome
-from cottonhold.node.engines import Attempt
+from cottonhold.node.engines import Attempt, Connection, Engines, Place
 from cottonhold.node.gateway import Past, Settled, Taken
+from cottonhold.node.mysql import Session
 from tests.test_client_gone import SITES, Turns, left_over
 from tests.test_loads import Guard
 
@@ -193,3 +194,39 @@
     left_over(world)
     world.run("c2 query lookup r2\nany expect GET r2 *")
     assert world.counters.counts["watch_faults"] + world.counters.counts["action_faults"]
+
+
+def test_a_fault_in_looking_after_one_engine_leaves_the_others_looked_after(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    world = Turns(SITES["little allowed"]).run("c2 query load r2 allow=20000\ne1 expect GET r2 *")
+    world.run("list tell e1 draining\ne2 will mute\nc1 query load r1 allow=20000\ne2 expect GET r1 *")
+    look_at = Engines._look_at
+
+    def broken(engines: Engines, place: Place, connection: Connection, now: float) -> bool:
+        if connection is world.lines[0].connection:
+            raise LookupError("planted")
+        return look_at(engines, place, connection, now)
+
+    monkeypatch.setattr(Engines, "_look_at", broken)
+    world.run("time wait 2100\nc1 expect error 1105 *may have run*")
+    world.run("e1 send r2 served count=1 a|b|c/\nc2 expect rows a|b|c")
+    assert world.counters.counts["check_faults"]
+
+
+def test_a_fault_in_looking_after_one_client_leaves_the_others_looked_after(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    world = Turns(SITES["little allowed"])
+    world.client("c1"), world.client("c2")
+    check = Session.check
+
+    def broken(session: Session, now: float) -> None:
+        if session is world.clients["c1"].session:
+            raise LookupError("planted")
+        check(session, now)
+
+    monkeypatch.setattr(Session, "check", broken)
+    world.clients["c2"].session.used = True
+    world.run("time wait 5300\nc2 closing")
+    assert world.clients["c1"].session.over and world.counters.counts["check_faults"]
