Tell peers of one's traffic only once it is a measure, so that shares add up to the whole

Seen in drawn fleets of pure schedulers: for some seconds after gateways had started together their shares of the traffic added up to 1.9, 2.5 and 5.6 (5, 20 and 60 gateways), and with them their rooms and budgets of cold engines. Ruled out: bursts (1.03 to 1.12 while all triple their traffic), uneven traffic, cold budgets (held by a cap of their own). At fault: next_peer of 0 had each gateway tell in its first step, with next to no traffic counted; its peers took that for its rate for up to 30 s, or until its next message, up to 3 s later. Change: the first message goes out when the traffic is old enough to be told in full (TRAFFIC_YOUNG_MS). What peers have on engines is told from then on as well; until then an equal share is assumed, as before any message. The test fails on the old code at 5, 20 and 60.

--- a/cottonhold/decide/gateway_state.py
+++ b/cottonhold/decide/gateway_state.py
@@ -30,6 +30,7 @@
 
     # the step under way (scheduler)
     now: float = 0.0
+    begun: bool = False  # there has been a step
     actions: list[io.Action] = field(default_factory=list)
     changed: bool = False  # something happened that may let a held query go
     slack: float = 0.0  # ms before a deadline at which a query without an attempt out is answered
--- a/cottonhold/decide/timeouts.py
+++ b/cottonhold/decide/timeouts.py
@@ -7,7 +7,7 @@
 from cottonhold.decide import answers
 from cottonhold.decide import interface as io
 from cottonhold.decide.gateway_state import GatewayState
-from cottonhold.decide.parameters import HEARTBEAT_MS
+from cottonhold.decide.parameters import HEARTBEAT_MS, TRAFFIC_YOUNG_MS
 
 
 def is_due(gateway: GatewayState, at: float) -> bool:
@@ -18,6 +18,11 @@
 def begin_step(gateway: GatewayState, now: float) -> None:
     """A step begins: a wake-up that has come counts no more."""
     gateway.now = now
+    if not gateway.begun:
+        # Danger: what a gateway told as it started was next to no traffic, and all that started with it took
+        # themselves for busy ones: their shares of the fleet added up to more than three for some seconds.
+        gateway.begun = True
+        gateway.next_peer = max(gateway.next_peer, now + TRAFFIC_YOUNG_MS)
     gateway.actions = []
     gateway.changed = False
     if is_due(gateway, gateway.wake_at):
--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -10,7 +10,7 @@
 from cottonhold.decide import interface as io
 from cottonhold.decide import slow_start
 from cottonhold.decide.scheduler import Scheduler
-from tests.coldfleet import COLD_MS, ColdFleet, Site
+from tests.coldfleet import COLD_MS, START_MS, ColdFleet, Site
 
 COLDER = {"cold_from": 0.1, "factor": 2.0, "tip_ms": 2000.0}
 SITES = {
@@ -68,3 +68,11 @@
     until = COLD_MS + 4000.0
     fleet = ColdFleet(Site(gateways, 8, 120.0 / gateways)).play(until)
     assert fleet.used(until) > 0.1
+
+
+@pytest.mark.parametrize("gateways", [5, 20, 60])
+def test_shares_add_up_to_about_the_whole_while_gateways_start(gateways: int) -> None:
+    site = Site(gateways, 12, 200.0 / gateways, uneven=0.5)
+    for seconds in (0.5, 1.0, 1.5, 2.0, 2.4):
+        fleet = ColdFleet(site).play(START_MS + 1000 * seconds)
+        assert sum(gateway.share for gateway in fleet.gateways if gateway is not None) < 1.6
