Play the end of the program with a wall clock that is stepped in service

Connections are open before the first request is written, so how fast the machine is decides nothing; a program that ends early fails the test.

--- a/tests/test_wall_clock.py
+++ b/tests/test_wall_clock.py
@@ -17,10 +17,14 @@
 from tests.test_parts import CONFIG, ENTRY, write
 
 PROGRAM = """
-import sys
+import itertools, sys, time
 from cottonhold.emulator.rig.instance import shift
-shift(float(sys.argv.pop()))
+wrong, step = map(float, sys.argv[1:])
+shift(wrong)
+wall, read = time.time, itertools.count()
+time.time = lambda: wall() + (step if next(read) else 0.0)  # stepped once it has been read
 from cottonhold.__main__ import main
+sys.argv[1:] = []
 sys.exit(main())
 """
 HOUR, DAY = 3600.0, 86_400.0
@@ -55,28 +59,38 @@
         writer.write(encode(ref, b"served", fields, b"s-1\ta\tok\n"))
 
 
-async def ask(port: int, number: int) -> bytes:
-    """One request on a connection of its own: all that is answered, up to the end of the result or an error.
+Streams = tuple[asyncio.StreamReader, asyncio.StreamWriter]
 
-    The dispatcher may not be there yet.
-    """
-    while True:
+
+async def connect(port: int, program: asyncio.subprocess.Process) -> Streams:
+    """A connection to the dispatcher, which may not be there yet."""
+    while program.returncode is None:
         try:
-            reader, writer = await asyncio.open_connection("127.0.0.1", port)
-            break
+            return await asyncio.open_connection("127.0.0.1", port)
         except OSError:
             await asyncio.sleep(0.01)
+    raise AssertionError("the program has ended")
+
+
+async def ask(streams: Streams, number: int) -> bytes:
+    """One request on a connection: all that is answered, up to the end of the result or an error."""
+    reader, writer = streams
     fields = f"service=lookup,ref={number:016x},allow={ALLOW_MS},effort={WORK_MS}.0,room=1"
     writer.write(packet(1, LOGIN) + packet(0, f"\x03/* {fields} */ SELECT a FROM s_7.t".encode()))
     got = b""
     while got.count(b"\xfe\x00\x00\x02\x00") < 2 and b"\xff" not in got and (data := await reader.read(4096)):
         got += data
     writer.close()
-    return got
+    return got if b"\xff" in got or got.count(b"\xfe\x00\x00\x02\x00") == 2 else b""
 
 
-async def play(folder: Path, wrong_s: float, age_s: float) -> Listening:
-    """Many requests in one moment, by way of a program whose wall clock is off, to an engine of some age."""
+async def play(
+    folder: Path, wrong_s: float, age_s: float, step_s: float = 0.0, leaves: bool = False
+) -> Listening:
+    """Many requests in one moment, by way of a program whose wall clock is off, to an engine of some age.
+
+    step_s: the clock is stepped in service. leaves: it is told to end as soon as the first request is out.
+    """
     engine = Listening()
     ports = []
     for _ in range(2):
@@ -92,15 +106,23 @@
         "-c",
         PROGRAM,
         str(wrong_s),
+        str(step_s),
         env={**os.environ, **environ},
         stderr=asyncio.subprocess.DEVNULL,
     )
     try:
-        answers = await asyncio.gather(*(ask(ports[1], number) for number in range(CLIENTS)))
-        assert all(answers) and program.returncode is None
+        open_now = await asyncio.gather(*(connect(ports[1], program) for _ in range(CLIENTS)))
+        asked = [asyncio.create_task(ask(streams, number)) for number, streams in enumerate(open_now)]
+        if leaves:
+            while not engine.told:
+                await asyncio.sleep(0)
+            program.terminate()
+            assert await program.wait() == 0
+        assert all(await asyncio.gather(*asked)) and (leaves or program.returncode is None)
     finally:
-        program.kill()
-        await program.wait()
+        if program.returncode is None:
+            program.kill()
+            await program.wait()
         await engine.stop()
     return engine
 
@@ -119,3 +141,10 @@
     engine = asyncio.run(play(tmp_path, wrong_s, age_s=DAY))
     assert len(engine.told) > COLD
     assert all(0 < ms <= ALLOW_MS for ms in engine.told)
+
+
+@pytest.mark.parametrize("step_s", [5.0, -5.0, HOUR, -HOUR])
+def test_one_that_ends_answers_all_it_has_read_however_its_wall_clock_is_stepped(
+    tmp_path: Path, step_s: float
+) -> None:
+    asyncio.run(play(tmp_path, 0.0, DAY, step_s, leaves=True))
