Blame no engine where this machine's own descriptors or ports run out

Seen: with all places for engine connections taken, two queries had both engines marked "suspect: dead" (and peers are told of such); the same once a connect could not be made for its whole limit because socket() lacked a descriptor or memory.

Ruled out: that it may have run (nothing was tried); the connect that times out or is refused (the engine's, told as before); a spin (an engine that is full rests ever longer, and attempts are bounded).

At fault: Gateway._start and the probe's answer (connect_failed for every False), Engines.connection_closed, Driver.dial (a time-out hid what was lacking).

Change: these end as full, "it never ran, turned away", which is tried elsewhere and rests the engine a little; dial raises what was lacking at its limit.

--- a/cottonhold/node/driver.py
+++ b/cottonhold/node/driver.py
@@ -517,6 +517,7 @@
             sock = await self.dial(address, self.connect_s)
         except BaseException as error:
             self.counters.add("connect_failed")
+            connection.lacking = isinstance(error, OSError) and error.errno in LACKING_TO_CONNECT
             connection.closed()
             if not isinstance(error, OSError):  # a time-out is one
                 raise
@@ -529,23 +530,28 @@
 
         Names are looked up here only: the platform has none, and its addresses never come to that.
         """
-        # Danger: a machine that vanished never answers, and the system would try for minutes.
-        async with asyncio.timeout(limit_s):
-            if address.host[-1:].isdigit() or ":" in address.host:
-                kind, target = family(address), (address.host, address.port)
-            else:
-                found = await self.loop.getaddrinfo(address.host, address.port, type=socket.SOCK_STREAM)
-                kind, target = found[0][0], found[0][4][:2]
-            while True:
-                try:
-                    return await self._connected(kind, target)
-                except OSError as error:
-                    # Danger: without a free descriptor here, each engine in turn was told as unreachable.
-                    if error.errno not in LACKING_TO_CONNECT:
-                        raise
-                    self.counters.add("connections_lacking")
-                    self.say(f"connections: {error}")
-                await asyncio.sleep(LACKING_PAUSE_S)
+        lacking: OSError | None = None
+        try:
+            # Danger: a machine that vanished never answers, and the system would try for minutes.
+            async with asyncio.timeout(limit_s):
+                if address.host[-1:].isdigit() or ":" in address.host:
+                    kind, target = family(address), (address.host, address.port)
+                else:
+                    found = await self.loop.getaddrinfo(address.host, address.port, type=socket.SOCK_STREAM)
+                    kind, target = found[0][0], found[0][4][:2]
+                while True:
+                    try:
+                        return await self._connected(kind, target)
+                    except OSError as error:
+                        # Danger: without a free descriptor here, each engine in turn was told as unreachable.
+                        if error.errno not in LACKING_TO_CONNECT:
+                            raise
+                        self.counters.add("connections_lacking")
+                        self.say(f"connections: {error}")
+                        lacking = error
+                    await asyncio.sleep(LACKING_PAUSE_S)
+        except TimeoutError:
+            raise lacking or TimeoutError from None
 
     async def _connected(self, kind: socket.AddressFamily, target: tuple[Any, ...]) -> socket.socket:
         sock = tcp_socket(self.make_socket, kind)
--- a/cottonhold/node/engines.py
+++ b/cottonhold/node/engines.py
@@ -120,6 +120,7 @@
         self.answers = 0
         self.unheard_since = math.inf  # since when something that was sent waits for any word
         self.up = self.over = self.closing = False
+        self.lacking = False  # this machine could not make it; that says nothing of the engine
         self.queue: deque[Attempt | bytes] = deque()
         self.attempts: dict[bytes, Attempt] = {}
         self.given_up: dict[bytes, None] = {}  # ids that ended without a result: not used here again
@@ -375,6 +376,13 @@
         connection.put(attempt)
         return True
 
+    def unsendable(self) -> Outcome:
+        """What to tell of an attempt or a probe that could not be started.
+
+        Danger: where only this machine's own descriptors ran out, each engine in turn was taken for dead.
+        """
+        return Outcome.FULL if self.open >= self.most else Outcome.CONNECT_FAILED
+
     def _pick(self, engine: str, ref: bytes) -> Connection | None:
         """The fullest connection with room, so that spare ones run idle and close; else a new one.
 
@@ -575,10 +583,11 @@
         if place is not None and connection in place.connections:
             place.connections.remove(connection)
             self.open -= 1
+        never = Outcome.FULL if connection.lacking else Outcome.CONNECT_FAILED
         for probe in filter(lambda probe: probe.told, list(connection.probes.values())):
-            self._probe_ended(probe, Outcome.RESET if connection.up else Outcome.CONNECT_FAILED)
+            self._probe_ended(probe, Outcome.RESET if connection.up else never)
         for attempt in list(connection.attempts.values()):
-            self._end(attempt, Outcome.RESET if attempt.written else Outcome.CONNECT_FAILED)
+            self._end(attempt, Outcome.RESET if attempt.written else never)
 
     # --- probes ---
 
--- a/cottonhold/node/gateway.py
+++ b/cottonhold/node/gateway.py
@@ -412,7 +412,7 @@
                 self._fail(action)
             case io.Probe(engine):
                 if not self.engines.probe(engine):
-                    self.push(io.Probed(engine, Outcome.CONNECT_FAILED))
+                    self.push(io.Probed(engine, self.engines.unsendable()))
             case io.Tell():
                 self.tell(action)
             case io.Wake(after, token):
@@ -478,7 +478,7 @@
 
     def _start(self, request: Request, attempt: Attempt) -> None:
         if not self.engines.send(attempt):
-            self._never(request, attempt, Outcome.CONNECT_FAILED)
+            self._never(request, attempt, self.engines.unsendable())
 
     def _never(self, request: Request, attempt: Attempt, outcome: Outcome) -> None:
         """An attempt of which nothing was tried."""
