--- a/tests/conformance/protocol.py
+++ b/tests/conformance/protocol.py
@@ -175,6 +175,14 @@
     world.run("e1 expect RANK r1 3")
 
 
+def no_priority() -> None:
+    world = World(replace(SETTINGS, permits=replace(PERMITS, priorities=False)))
+    world.run("c1 query load r1 allow=20000\ne1 expect GET r1 *order=1 *")
+    world.gateway.leave(world.clock.now() + 3000.0)
+    world.wait(100)
+    world.run("e1 expect nothing")
+
+
 C, E, B, P, S, F = (
     "Clients to dispatchers, {}".format,
     "Dispatchers to engines, {}".format,
@@ -369,6 +377,21 @@
         "A refusal says for how many ms to keep away",
         Machine("c1 query load r1 allow=100\nc1 expect error 1226 *cooldown=400"),
     ),
+    Row(
+        "pro-cooldown-none",
+        C("list, item 1"),
+        "and says nothing of it where the site gives its clients no such word",
+        Machine(
+            "c1 query load r1 allow=100\nc1 expect error 1226 query refused, it did not run or may be repeated",
+            replace(SETTINGS, permits=replace(PERMITS, retry_after=False)),
+        ),
+    ),
+    Row(
+        "pro-no-rank",
+        E("form, RANK"),
+        "No priority but the usual one is told where the site allows none, not even at the end of the process",
+        Direct(no_priority),
+    ),
     Row(
         "pro-kill",
         C("list, item 2"),
