Answer an operator's call that has come before its connection makes room for another

Seen on loopback: where all places for calls were taken, a call whose bytes lay unread, or whose answer waited for the next turn of the loop, was cut off without an answer.

At fault: Call.cut, which closed at once; Calls.open picks answered ones first. Ruled out: calls that time out; their answer is written before the close.

Change: Call.cut reads what has come and writes what is to be said, in the same step, and closes then.

Measured: tests/test_ops.py, 2 new cases fail before, none after.

--- a/cottonhold/node/ops.py
+++ b/cottonhold/node/ops.py
@@ -126,7 +126,10 @@
             self.calls.held.pop(self, None)
 
     def cut(self) -> None:
-        """Close at once, to make room."""
+        """Close at once, to make room; a call that has come, read or not, is answered first."""
+        if self.line is not None:
+            self.line.hear()
+            self.line.finish()
         line, self.line = self.line, None
         self.closed()
         if line is not None:
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -82,6 +82,9 @@
     def hear(self) -> bool:
         return False
 
+    def finish(self) -> None:
+        pass
+
     def flush(self) -> None:
         pass
 
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -8,6 +8,7 @@
 import pytest
 
 from cottonhold.config.relay import decode
+from cottonhold.discovery.model import Address
 from cottonhold.node.driver import Driver
 from cottonhold.node.life import IDLE_MS, LEAVE_MS, LONG_MS, SETTLED_MS, TAKE_MS, Life, Phase
 from cottonhold.node.ops import CALL_MS, MOST_BODY, MOST_HEAD, Call, Calls
@@ -216,6 +217,35 @@
     assert len(shared.held) == 2 and half.call.over  # one that is answered makes room first
 
 
+@pytest.mark.parametrize("held", ["unread", "unwritten"])
+def test_a_call_that_has_come_is_answered_where_another_needs_its_place(held: str) -> None:
+    """Danger: its bytes lay unread, or its answer waited for the next turn, and it was cut off."""
+
+    async def scenario() -> bytes:
+        world, driver = World(), Driver(asyncio.get_running_loop(), Counters(), print)
+        shared = calls(world, most=1)
+        listener = driver.listen(Address("127.0.0.1", 0))
+        accepting = driver.spawn(driver.answer_calls(listener, shared))
+        caller = socket.create_connection(listener.getsockname())
+        while len(shared.held) < 1:
+            await asyncio.sleep(0)
+        first = next(iter(shared.held))
+        caller.sendall(b"GET /healthcheck HTTP/1.1\r\n\r\n")
+        assert first.line is not None
+        if held == "unwritten":
+            assert first.line.hear()
+        shared.open().closed()
+        caller.setblocking(False)
+        got = await driver.loop.sock_recv(caller, 4096)
+        accepting.cancel()
+        for sock in [listener, caller]:
+            sock.close()
+        await asyncio.gather(*driver.tasks, return_exceptions=True)
+        return got
+
+    assert asyncio.run(scenario()).startswith(b"HTTP/1.1 200")
+
+
 @pytest.mark.parametrize("text", ["nowhere", "127.0.0.1", "127.0.0.1:0", "127.0.0.1:99999"])
 def test_an_address_for_the_calls_that_is_none_is_named(text: str) -> None:
     with pytest.raises(WireError, match="field 'ops': .* is no address"):
