Draw on few more engines where a gateway's share of the fleet is many of them

Seen by reading the size table against capacity._draw_own: a gateway draws on eight times the engines that its share of the traffic could fill, so on sixteen times as many where engines are sixteen times as many and small: 154 in place of 10 (200 gateways, 200 engines), 384 in place of 24 (20 gateways). Each costs a connection, of which 2.5 times as many and 40 more are allowed. Ruled out: fleets whose gateways grow with their engines (eight are drawn on, as before). At fault: count = k times the share of the fleet. Change: the spare ones grow with the root of the share, and one and a quarter of what the share could fill is covered. Five of six rows fail on the old code.

--- a/cottonhold/decide/capacity.py
+++ b/cottonhold/decide/capacity.py
@@ -13,6 +13,7 @@
 
 MEMORY_ROOM = 0.9  # share of an engine's memory planned for; needs are estimates
 CHANCE = 1.5  # standard deviations of an engine's memory in use left free for chance
+OWN_COVERED = 1.25  # times the engines that its traffic could fill: a gateway draws on that many at least
 FEW_ENGINES = 250  # up to which the room of all is counted each time
 COUNT_EACH_MS = 1.0  # so many for each live engine, before the room of all is counted again
 CHANCE_MOST = 0.5  # of the memory, at most, is left free for chance
@@ -104,9 +105,12 @@
     ranked = gateway.ranked
     # Danger: where engines are rarely heard of, the best of k is the one last seen by luck, and all fill
     # unevenly. So k are drawn from engines of this gateway's own, evenly covered, which it gets to know;
-    # k times its share of the fleet, k at least. Suspect ones are replaced. Hurts if `me` is not set.
+    # k at least. Suspect ones are replaced. Hurts if `me` is not set.
+    # Danger: with k times its share of the fleet a gateway connected to most of thousands of small engines,
+    # each for a query or two. So the spare ones grow with the root of its share, and the share is covered.
     first = round(gateway.settings.me * len(ranked) / gateway.settings.gateways)
-    count = math.ceil(CANDIDATES * max(1.0, len(ranked) * gateway.share))
+    own = len(ranked) * gateway.share  # engines that its traffic could fill
+    count = math.ceil(max(CANDIDATES * math.sqrt(max(1.0, own)), OWN_COVERED * own))
     turned = ranked[first:] + ranked[:first]
     # Danger: taken from the list, left engines changed whom peers tell of loads, and the others idled.
     gateway.near = list(itertools.islice((e for e in turned if e.sound()), count))
--- a/tests/test_many_engines.py
+++ b/tests/test_many_engines.py
@@ -139,3 +139,22 @@
     (engine,) = [e.id for e in s.active.values() if e.out]
     assert engine not in {e.id for e in usual} and engine in s.mine
     assert s.engines[engine].own_room > 1  # counted, though all are counted again only later
+
+
+@pytest.mark.parametrize("gateways, engines", [(200, 80), (200, 200), (20, 24), (20, 60), (5, 8), (3, 6)])
+def test_a_gateway_draws_on_little_more_of_sixteen_times_the_engines_and_all_are_covered(
+    gateways: int, engines: int
+) -> None:
+    """Each engine that is drawn on costs a connection: 2.5 times as many, and 40 more, are allowed."""
+
+    def drawn_on(count: int) -> list[set[str]]:
+        crowd = []
+        for me in range(gateways):
+            scheduler = Scheduler(io.Settings((READ,), gateways=gateways, me=me), 1)
+            scheduler.step(1000.0, [io.EngineList(tuple(io.Engine(f"e{n:04}") for n in range(count)), True)])
+            crowd.append(scheduler.mine)
+        return crowd
+
+    usual, many = drawn_on(engines), drawn_on(16 * engines)
+    assert max(map(len, many)) <= 2.5 * max(map(len, usual)) + 40
+    assert len(set[str]().union(*many)) == 16 * engines
