--- a/cottonhold/decide/slow_start.py
+++ b/cottonhold/decide/slow_start.py
@@ -1,8 +1,8 @@
 """Slow start: the budget of work that a just started engine may be sent.
 
 All gateways together may send a cold engine no more than it takes without falling over; each holds to its own
-part of that, so that the parts add up to the budget whatever the others do. The budget is kept twice, in work
-and in calls: whether an engine that falls had too much of the one or of the other is not told.
+part of that, so that the parts add up to the budget whatever the others do. The budget is kept in work, in
+which a query weighs what its class usually takes.
 """
 
 from __future__ import annotations
@@ -15,15 +15,12 @@
 from cottonhold.decide.state import EngineView, Query
 
 COLD_MARGIN = 0.5  # of a cold engine's budget: true speed, cost estimates and shares are all guesses
-CALLS_SLACK = 0.5  # of what the rule leaves to chance in calls: their number is no guess, its mean work is
-MANY_CALLS = 30  # from which on less is left to chance
 MOST_PART = 1.5  # times an even part of the fleet's traffic: the most that counts as this gateway's share
 LARGE_PART = 0.7  # of the budget that goes to queries larger than what a gateway can save up
 ALONE_SLACK = 2  # queries of mean work by which one may be over the budget of all
 MEAN_OVER = 200  # queries over which their mean work is taken
 MEAN_PRIOR = 10  # queries that the first guess of it stands for
 SETTLED = 8  # answers after which a class's mean work is taken, not what the query itself tells
-WORK_LEAST_MS = 1.0  # no query is taken to be less
 BOUND_BURST_MS = 250.0  # of a bound's work may come at once: the fleet's parts add up within a moment
 CODES = 2**32  # engine codes there are: a code over it is a place between 0 and 1
 
@@ -43,9 +40,9 @@
         return True
     if not cold and free:
         return False
-    if free and query.cost > _most_alone(gateway, engine):
-        return True
     usual = _usual(query)
+    if free and usual > _most_alone(gateway, engine):
+        return True
     _save_up(gateway, engine, bound, usual)
     turn = _turn(gateway, engine, cold, free)
     if not free:
@@ -53,7 +50,7 @@
     # Danger: gateways whose turn was too late for a long query sent a short one, the others the long one, and
     # each of the two spent the whole of all parts. So only a part of the turns is for long ones.
     large = usual > own_part(gateway, engine) * gateway.settings.rules.tip_after
-    return engine.allowance < turn * usual / (LARGE_PART if large else 1.0) or engine.calls < turn
+    return engine.allowance < turn * usual / (LARGE_PART if large else 1.0)
 
 
 def _most_alone(gateway: GatewayState, engine: EngineView) -> float:
@@ -74,8 +71,7 @@
 
 
 def count(gateway: GatewayState, query: Query) -> None:
-    """A query was taken: it counts for the mean work, which says how many calls a budget of work is."""
-    # Danger: a gateway that had met short queries only took its part of the calls for many times as many.
+    """A query was taken: it counts for the mean work."""
     if not gateway.arrivals:
         aims = [cls.aim for cls in gateway.settings.classes]
         gateway.mean_work, gateway.arrivals = sum(aims) / len(aims) * UNTOLD_COST_OF_AIM, MEAN_PRIOR
@@ -88,12 +84,9 @@
     rules = gateway.settings.rules
     passed = gateway.now - engine.allowance_at
     if bound == math.inf:
-        warmer = engine.warmth(gateway.now, rules) / rules.cold_from
         fill = own_part(gateway, engine)
         most = fill * rules.tip_after
-        fill *= warmer
-        calls = _calls_for_work(gateway, engine)
-        engine.calls = min(most * calls, engine.calls + fill * calls * passed)
+        fill *= engine.warmth(gateway.now, rules) / rules.cold_from
     else:  # the fleet's pace follows what a cold engine shows
         fill = bound
         most = max(fill * BOUND_BURST_MS, usual)
@@ -101,14 +94,6 @@
     engine.allowance_at = gateway.now
 
 
-def _calls_for_work(gateway: GatewayState, engine: EngineView) -> float:
-    """How many calls stand for a millisecond of the budget's work: with part of the slack for chance."""
-    rules, mean = gateway.settings.rules, max(gateway.mean_work, WORK_LEAST_MS)
-    allowed = rules.overload_factor * rules.cold_from * engine.cores * rules.tip_after / mean
-    slack = 2 * math.sqrt(allowed) + 2 if allowed >= MANY_CALLS else 3 * math.sqrt(allowed) + 3
-    return (1 + CALLS_SLACK * slack / allowed) / COLD_MARGIN / mean
-
-
 def _turn(gateway: GatewayState, engine: EngineView, cold: bool, free: bool) -> float:
     """Part of a usual query that has to be saved up: gateways come up one after the other."""
     turn = gateway.settings.me
@@ -131,7 +116,6 @@
     """The engine may have started: hold it to the cold budget."""
     if gateway.now >= engine.cold_until:
         engine.allowance = own_part(gateway, engine) * gateway.settings.rules.tip_after
-        engine.calls = math.inf  # up to one burst, which is counted at the first look
         engine.allowance_at = gateway.now
     engine.cold_until = max(engine.cold_until, until)
 
@@ -139,4 +123,3 @@
 def spend(query: Query, engine: EngineView) -> None:
     """An attempt of the query is sent: take it from the engine's allowance."""
     engine.allowance -= _usual(query)
-    engine.calls -= 1
--- a/cottonhold/decide/state.py
+++ b/cottonhold/decide/state.py
@@ -174,7 +174,6 @@
     # slow start and the fleet's bound
     cold_until: float = 0.0
     allowance: float = 0.0  # ms of work that may be sent now
-    calls: float = 0.0  # queries that a cold one may be sent now
     allowance_at: float = 0.0
     bound: float = math.inf  # work in ms a ms that the fleet lets this gateway send here
     bound_until: float = math.inf
--- a/tests/discovery/test_starts.py
+++ b/tests/discovery/test_starts.py
@@ -209,3 +209,21 @@
     node.wait(1.0)
     node.answer(("odd", stamp))
     assert node.cold_for("odd") == WARM
+
+
+@pytest.mark.parametrize("wrong", STEPS)
+@pytest.mark.parametrize("late", [0.5, 2.0, 4.5], ids=lambda s: f"told {s} s late")
+def test_a_start_told_with_a_usual_delay_is_placed_by_a_wall_clock_that_agrees(
+    wrong: float, late: float
+) -> None:
+    """Danger: counted from when they were told, new engines stood idle beside full ones for seconds."""
+    node = Node(Machine(wrong), ("old", 0.0))
+    node.wait(60.0)
+    node.answer()
+    started = node.machine.true()
+    node.wait(late / 2)
+    node.answer()  # the list is asked all the while, and knows of nothing yet
+    node.wait(late / 2)
+    node.answer(("new", started))
+    expected = WARM if wrong else WARM - late * 1000
+    assert node.cold_for("new") == pytest.approx(expected, abs=1.0)
