Write nothing to a connection that ends as it is asked for what it has to say

Seen by reading the joined changes: Wire.hurry asks the machine for its output, the machine looks for the other end's close first, and what lies there may be malformed, so that it ends its connection. With bytes of an earlier write left over, hurry then wrote to a socket that was no longer there (AttributeError, counted as a fault of the action).

Ruled out: Wire._write, which has the socket itself and ends with its error.

Change: the socket is looked at again behind the question. The new test fails without it and passes with it.

--- a/cottonhold/node/driver.py
+++ b/cottonhold/node/driver.py
@@ -149,9 +149,11 @@
         if self.sock is None or self.writing_since < math.inf:
             self.flush()  # nothing may go between the bytes of a write that is under way
             return
-        data = self._output()
+        data, sock = self._output(), self.sock
+        if sock is None:  # looking for the other end's close has ended the connection
+            return
         try:
-            sent = self.sock.send(data) if data else 0
+            sent = sock.send(data) if data else 0
         except (BlockingIOError, InterruptedError):
             sent = 0
         except OSError as error:
--- a/tests/test_driver.py
+++ b/tests/test_driver.py
@@ -246,3 +246,36 @@
         assert rig.ends == [Outcome.MOOT] * (MANY - begun) and rig.there("a") == []
 
     played(story)
+
+
+class EndsAsItIsAsked:
+    """A machine that ends its connection as it is asked for what it has to say."""
+
+    closing = False
+    wire: Wire
+
+    def receive(self, data: bytes) -> None:
+        pass
+
+    def take_output(self) -> bytes:
+        self.wire.abort()
+        return b""
+
+    def closed(self) -> None:
+        pass
+
+
+def test_a_connection_that_ends_as_it_is_about_to_write_is_no_fault() -> None:
+    """Danger: what had been begun before was written to a connection that was there no more."""
+
+    async def story(rig: Rig) -> None:
+        near, far = socket.socketpair()
+        machine = EndsAsItIsAsked()
+        machine.wire = Wire(rig.driver, machine, 4096)
+        machine.wire.sock, machine.wire.rest = near, b"begun"
+        machine.wire.hurry()
+        assert machine.wire.sock is None and far.recv(10) == b""
+        near.close()
+        far.close()
+
+    played(story)
