Send nothing new to the address that an engine had before

Seen: an engine that is told at another address, with no start stamp, got what was new on its open connection to the address before.

Cause: Engines.apply closed only connections older than the stamp, of which 0 has none. Ruled out: engines told with a start (closed before) and connects under way (closed before).

Change: a connection knows its address; where the list has another, it is closed if it is at rest, and else ends what is out on it and gets nothing new. Both cases of the new test fail without it.

--- a/cottonhold/node/engines.py
+++ b/cottonhold/node/engines.py
@@ -112,8 +112,8 @@
 class Connection:
     """One connection to an engine: a state machine that is fed bytes and gives bytes to write."""
 
-    def __init__(self, owner: Engines, engine: str, now: float) -> None:
-        self.owner, self.engine = owner, engine
+    def __init__(self, owner: Engines, engine: str, address: Address, now: float) -> None:
+        self.owner, self.engine, self.address = owner, engine, address
         self.reader, self.line = RespReader(), None
         self.opened_at, self.heard_at, self.used_at = now, now, now
         self.partial_at = math.inf  # since when an answer is there in part
@@ -268,7 +268,7 @@
                 place = self.places[info.id] = Place(info, None)
             address = change.addresses.get(info.id, place.address)
             if address != place.address:
-                self._close(place, lambda c, at=info.started_at: c.opened_at < at or not c.up)  # type: ignore[misc]
+                self._moved(place, info.started_at)
             elif info.started_at > place.info.started_at:
                 self._restarted(place, info.started_at)
             place.info, place.address = info, address
@@ -279,6 +279,10 @@
                 place.info = io.Engine(name, state=EngineState.GONE)
                 self._left(place)
 
+    def _moved(self, place: Place, at: float) -> None:
+        """The engine has another address. What runs on a connection to the one before goes on to its end."""
+        self._close(place, lambda c: c.opened_at < at or c.unused() or not c.up)
+
     def _restarted(self, place: Place, at: float) -> None:
         """Another process is at the address. Connections to a machine that vanished stay open and silent.
 
@@ -403,6 +407,8 @@
             # id, a second "overload" was the proof that a load which ran had not, and it went out once more.
             and ref not in c.given_up
             and ref not in c.attempts
+            # Danger: told of another address without a start, an engine got what was new at the one before.
+            and c.address == place.address
             and (not c.up or c.heard_at >= place.restarted_at or c.opened_at >= place.info.started_at)
         ]
         if usable:
@@ -414,7 +420,7 @@
             if self.open >= self.most:
                 self.counters.add("engine_connections_lacking")
                 return None
-        connection = Connection(self, place.info.id, self.clock.now())
+        connection = Connection(self, place.info.id, place.address, self.clock.now())
         place.connections.append(connection)
         self.linked[place.info.id] = place
         self.open += 1
--- a/tests/test_engine_restarts.py
+++ b/tests/test_engine_restarts.py
@@ -4,9 +4,10 @@
 
 import pytest
 
+from cottonhold.decide import interface as io
 from cottonhold.discovery.belief import Belief
 from cottonhold.discovery.bus import SOURCE
-from cottonhold.discovery.model import Address, Guard, Observation, Publish, Report, Verdict
+from cottonhold.discovery.model import Address, Change, Guard, Observation, Publish, Report, Verdict
 from tests.scenario import World
 
 UNIX = 1_790_000_000_000.0
@@ -104,3 +105,18 @@
         c1 expect rows a|b|c
     """)
     assert not world.lines[0].connection.over
+
+
+@pytest.mark.parametrize("out", [False, True], ids=["at rest", "with work out"])
+def test_an_engine_that_is_told_at_another_address_gets_nothing_new_at_the_one_before(out: bool) -> None:
+    world = World(engines="a elsewhere")
+    world.change(["elsewhere"], "gone")
+    world.run("c1 query lookup r1 allow=9000\ne1 expect GET r1 *")
+    if not out:
+        world.run("e1 send r1 served count=1 a|b|c/\nc1 expect rows a|b|c")
+    moved = Change((io.Engine("a"),), {"a": Address("elsewhere", 1)}, whole=False)
+    world.gateway.change_list(moved)
+    world.run("c2 query lookup r2 allow=9000\ne2 expect GET r2 *\ne1 expect nothing")
+    assert world.lines[0].connection.over is not out
+    if out:
+        world.run("e1 send r1 served count=1 a|b|c/\nc1 expect rows a|b|c")
