Add rows on stepped clocks and on the end under short deadlines

The conformance tables lacked rows for two of the renewed terms. The row on the end fails with the margin before SIGKILL taken away (planted).

--- a/tests/conformance/protocol.py
+++ b/tests/conformance/protocol.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from dataclasses import replace
 
 import orjson
@@ -12,6 +13,7 @@
 from cottonhold.decide import interface as io
 from cottonhold.discovery.bus import FIRST_HOLD_MS, HOLD_MS, Bus
 from cottonhold.discovery.model import Address, Names, Report, Verdict
+from cottonhold.node.driver import LoopClock
 from cottonhold.node.peers import Peers
 from cottonhold.node.statement import table_group
 from cottonhold.observe.counters import Counters
@@ -22,6 +24,8 @@
 LOAD_OUT = "c1 query load r1 allow=20000\ne1 expect GET r1 *\n"
 PING = "send 010000000e\n"
 SERVED = "served count=1 a|b|c/\nc1 expect rows a|b|c\n"
+BRIEF = replace(SETTINGS, classes=(replace(READ, name="brief", aim=100.0, deadline=400.0),))
+RENEWED = "Renewed terms, item {}".format
 TOKEN = "5c0f6e1a2b3d4c59a8b7c6d5e4f30211"
 TENANTS = (io.Tenant("acme", 5.0), io.Tenant("zenith", 9.0))
 UNCANCELLED = replace(SETTINGS, permits=replace(PERMITS, cancel=False))
@@ -66,6 +70,17 @@
     assert heard == "rows " + "/".join([page[: page.index("/")]] * 193 * 8)
 
 
+def clock_is_stepped() -> None:
+    loop, wall, up = asyncio.new_event_loop(), [1.79e9], [7.0]
+    clock = LoopClock(loop, lambda: up[0], lambda: wall[0])
+    loop.close()
+    before = clock.now()
+    for step in (3600.0, -7200.0, 5.0):
+        wall[0] += step
+        up[0] += 1.0
+    assert clock.now() == before + 3000.0
+
+
 def tables_by_schema() -> None:
     assert table_group("SELECT a FROM sales_17.orders") == 17
     assert table_group("INSERT INTO s_3.t SELECT * FROM staging.u_9") == 3
@@ -742,4 +757,19 @@
             LOAD_OUT + "ops leave\ntime wait 1500\nc1 expect nothing\ne1 send r1 " + SERVED + "c1 closing"
         ),
     ),
+    Row(
+        "pro-term-short",
+        RENEWED(9),
+        "With short deadlines SIGKILL comes soon: what engines that hang hold is answered before, and idle connections are closed",
+        Machine(
+            "c2 send 010000000e\nc2 expect ok\nc1 query brief r1 allow=9000\ne1 expect GET r1 *\nops terminate\ntime wait 1000\nc1 expect error 1226 *\nc1 closing\nc2 closing",
+            BRIEF,
+        ),
+    ),
+    Row(
+        "pro-clock-step",
+        RENEWED(6),
+        "A step of the wall clock by an hour moves neither deadlines nor waits",
+        Direct(clock_is_stepped),
+    ),
 )
