Say lifecycle where it said life

node/life.py is node/lifecycle.py, its class Lifecycle, and those that hold it say lifecycle; behaviour unchanged. The numbers of an instance's lives in the fleet's messages are incarnations and stay for whoever works there.

--- a/cottonhold/node/dispatcher.py
+++ b/cottonhold/node/dispatcher.py
@@ -1,4 +1,4 @@
-"""One dispatcher put together: its parts, its life from start to end, and its reload."""
+"""One dispatcher put together: its parts, its lifecycle from start to end, and its reload."""
 
 from __future__ import annotations
 
@@ -25,7 +25,7 @@
 from cottonhold.node.driver import Driver
 from cottonhold.node.engines import Engines
 from cottonhold.node.gateway import Gateway
-from cottonhold.node.life import Life
+from cottonhold.node.lifecycle import Lifecycle
 from cottonhold.node.mysql import Front
 from cottonhold.node.ops import Calls
 from cottonhold.node.peers import Peers
@@ -67,14 +67,16 @@
         self.driver = Driver(loop, counters, say, make_socket)
         self.driver.connect_s = config.links.connect_ms / 1000
         clock = self.driver.clock
-        self.life, self.parts = Life(), Descriptors.divide(config.sockets)
+        self.lifecycle, self.parts = Lifecycle(), Descriptors.divide(config.sockets)
         self.seats = Seats(os.environ.get("TMPDIR"), str(config.listen), say)
         self.beside = 0
         self.engines = Engines(config.links, clock, counters, say, self.parts.engines)
         self.engines.connect = self.driver.connect
         self.gateway = Gateway(config.settings, config.seed, clock, self.engines, counters, say)
-        self.front = Front(self.gateway, clock, counters, self.life, self.parts.clients, self.seats.ids())
-        self.calls = Calls(self.life, clock, counters, log.note, self.parts.calls)
+        self.front = Front(
+            self.gateway, clock, counters, self.lifecycle, self.parts.clients, self.seats.ids()
+        )
+        self.calls = Calls(self.lifecycle, clock, counters, log.note, self.parts.calls)
         self.peers = Peers(config.peers, config.peers_all, counters, say)
         self.gateway.tell = self.tell
         self.belief = Belief(sources, config.seed, clock.unix_offset)
@@ -151,7 +153,7 @@
 
     async def stay_for_newer(self) -> None:
         """Go on taking clients while a newer process does not serve yet, within limits."""
-        until = min(self.driver.clock.now() + STARTING_MS, self.life.closes_at())
+        until = min(self.driver.clock.now() + STARTING_MS, self.lifecycle.closes_at())
         while self.seats.newer_starts() and self.driver.clock.now() < until:
             await asyncio.sleep(CHECK_S)
 
@@ -185,9 +187,9 @@
         )
         self.look_beside()
         await self.stop.wait()
-        self.gateway.leave(self.life.ends_at())
+        self.gateway.leave(self.lifecycle.ends_at())
         self.log.note("leaving", open=self.gateway.open, clients=len(self.front.sessions))
-        door_s = max(self.life.door_at() - driver.clock.now(), 0.0) / 1000
+        door_s = max(self.lifecycle.door_at() - driver.clock.now(), 0.0) / 1000
         await asyncio.gather(asyncio.sleep(door_s), *self.leave(), return_exceptions=True)
         await self.stay_for_newer()
         accepting.cancel()
@@ -203,15 +205,15 @@
         Danger: ended behind the last answer, with bytes of a client unread, its connection was reset, and the
         answer went with it; one that was written in part stopped short.
         """
-        clock, life, done_at = self.driver.clock, self.life, math.inf
+        clock, lifecycle, done_at = self.driver.clock, self.lifecycle, math.inf
         while self.front.sessions or self.gateway.open:
             self.front.close_spare()
             now = clock.now()
-            if self.gateway.open or self.front.owes() and now < life.ends_at():
+            if self.gateway.open or self.front.owes() and now < lifecycle.ends_at():
                 done_at = math.inf
             else:
                 done_at = min(done_at, now)
-                if now >= min(done_at + SEEN_MS, life.ends_at()):
+                if now >= min(done_at + SEEN_MS, lifecycle.ends_at()):
                     break
             await asyncio.sleep(CHECK_S)
 
@@ -243,7 +245,7 @@
     def end(self) -> None:
         """Leave: from now on, not from when the loop comes to it."""
         longest = max(cls.deadline for cls in self.gateway.settings.classes)
-        self.life.leave(self.driver.clock.now(), longest)
+        self.lifecycle.leave(self.driver.clock.now(), longest)
         self.stop.set()
 
     def print_counters(self) -> None:
@@ -251,7 +253,7 @@
         print(self.counters.line(), file=sys.stderr, flush=True)
 
     async def live(self) -> None:
-        """A program's life as this dispatcher: signals, serving, and the counters at the end."""
+        """A program's lifecycle as this dispatcher: signals, serving, and the counters at the end."""
         self.handle_signals(self.driver.loop)
         gc.collect()
         gc.freeze()  # what lives as long as the program need not be looked through again and again
--- a/cottonhold/node/fleet/swap.py
+++ b/cottonhold/node/fleet/swap.py
@@ -27,7 +27,7 @@
 from cottonhold.node.clock import Clock, Timer
 from cottonhold.node.fleet.drains import DrainRim
 from cottonhold.node.fleet.inorder import InOrder
-from cottonhold.node.life import Life
+from cottonhold.node.lifecycle import Lifecycle
 from cottonhold.observe.counters import Counters
 from cottonhold.store.ledger import Ledger
 from cottonhold.store.ledger import Memory as Folder
@@ -72,7 +72,7 @@
         swim: Swim,
         fleet: Fleet,
         census: Census,
-        life: Life,
+        lifecycle: Lifecycle,
         clock: Clock,
         hop: Callable[[Callable[[], None]], object],
         say: Callable[[int, bytes], None],
@@ -83,7 +83,7 @@
     ) -> None:
         file, now = installation.file, clock.now()
         assert file.membership is not None
-        self.swim, self.fleet, self.census, self.life = swim, fleet, census, life
+        self.swim, self.fleet, self.census, self.lifecycle = swim, fleet, census, lifecycle
         self.promises = InOrder(ledger, hop, clock.call_in)
         self.clock, self.say, self.open_requests = clock, say, open_requests
         self.counters, self.note, self.name, self.drains = counters, note, file.name, drains
@@ -223,9 +223,9 @@
                 self.drains.act(now, self.swap, action)
             case steps_of.Drain(machine):
                 self.counters.add("swap_drains")
-                self.life.drain(now)
+                self.lifecycle.drain(now)
             case steps_of.Undrain(machine):
-                self.life.restore()
+                self.lifecycle.restore()
             case steps_of.Ready(machine, epoch):
                 self.ready[machine] = epoch
                 self.note("swap_ready", machine=machine, epoch=epoch)
--- a/cottonhold/node/installation.py
+++ b/cottonhold/node/installation.py
@@ -180,7 +180,7 @@
                 membership.instance.swim,
                 fleet.fleet,
                 self.recovery.census,
-                self.life,
+                self.lifecycle,
                 self.driver.clock,
                 hop,
                 membership.say,
@@ -479,7 +479,7 @@
         """The entry goes first, so that fronts which read Consul send their clients elsewhere."""
         if self.membership is not None:
             self.membership.leave()
-        left_s = (self.life.closes_at() - self.driver.clock.now()) / 1000
+        left_s = (self.lifecycle.closes_at() - self.driver.clock.now()) / 1000
         return () if self.entry is None else (asyncio.wait_for(self.entry.leave(), min(LEAVE_S, left_s)),)
 
     async def run(self) -> None:
--- a/cottonhold/node/life.py
+++ b/cottonhold/node/lifecycle.py
@@ -29,7 +29,7 @@
     LEAVING = "leaving"
 
 
-class Life:
+class Lifecycle:
     """The one owner of serving, draining and leaving."""
 
     def __init__(self) -> None:
--- a/cottonhold/node/mysql.py
+++ b/cottonhold/node/mysql.py
@@ -11,7 +11,7 @@
 from cottonhold.decide import interface as io
 from cottonhold.node.clock import Clock
 from cottonhold.node.gateway import DuplicateRef, Gateway, Request, Taken
-from cottonhold.node.life import Life
+from cottonhold.node.lifecycle import Lifecycle
 from cottonhold.node.resp import Rows
 from cottonhold.node.seats import Ids
 from cottonhold.node.statement import FieldError, Statement, parse
@@ -116,9 +116,15 @@
     """What all sessions share: the gateway, the classes' names, and the sessions by connection id."""
 
     def __init__(
-        self, gateway: Gateway, clock: Clock, counters: Counters, life: Life, most: int, ids: Ids = ANY_IDS
+        self,
+        gateway: Gateway,
+        clock: Clock,
+        counters: Counters,
+        lifecycle: Lifecycle,
+        most: int,
+        ids: Ids = ANY_IDS,
     ) -> None:
-        self.gateway, self.clock, self.counters, self.life = gateway, clock, counters, life
+        self.gateway, self.clock, self.counters, self.lifecycle = gateway, clock, counters, lifecycle
         self.most, self.ids = most, ids
         self.sessions: dict[int, Session] = {}
         self.last_id = ids.base
@@ -313,7 +319,7 @@
         self.used = True
         if command == QUERY:
             self._query(argument, at)
-        elif command == PING and not self.front.life.ready():
+        elif command == PING and not self.front.lifecycle.ready():
             self._error(SHUTDOWN, "this dispatcher is drained")
             self._after_answer()
         elif command in (PING, RESET):
@@ -341,9 +347,9 @@
             return
         try:
             statement = parse(text)
-            if not self.front.life.takes(at, at + statement.allow):
+            if not self.front.lifecycle.takes(at, at + statement.allow):
                 self.front.counters.add("queries_turned_away")
-                phase = self.front.life.phase().value
+                phase = self.front.lifecycle.phase().value
                 self._error(REFUSED, f"query refused, it did not run: this dispatcher is {phase}")
                 self._after_answer()
                 return
@@ -419,14 +425,14 @@
         """Close a connection that only costs a descriptor; the client hears why where it can."""
         if self.closing:
             return
-        if self.front.life.ends_all(now):
+        if self.front.lifecycle.ends_all(now):
             self._end()
         elif now - self.partial_at > PARTIAL_MS or not self.used and now - self.opened_at > LOGIN_MS:
             # Danger: such a client was kept for as long as it liked, in mid-packet for good.
             self.front.counters.add(f"clients_late_{self.standing()}")
             self._broken(ProtocolError(TIMED_OUT, "the client's packet did not come in time"))
         elif self.partial_at == math.inf and now - self.idle_at(now) > (
-            SETTLE_MS if self.front.life.ends_idle(now) else IDLE_MS
+            SETTLE_MS if self.front.lifecycle.ends_idle(now) else IDLE_MS
         ):
             self._leave_unheard()
 
@@ -491,7 +497,7 @@
     def _after_answer(self) -> None:
         if self.commands:
             self.front.clock.call_soon(self._resume)
-        elif self.front.life.ends_answered(self.front.clock.now()):
+        elif self.front.lifecycle.ends_answered(self.front.clock.now()):
             self._leave_unheard()
 
     def owes(self) -> bool:
--- a/cottonhold/node/ops.py
+++ b/cottonhold/node/ops.py
@@ -7,7 +7,7 @@
 import httptools
 
 from cottonhold.node.clock import Clock, Timer
-from cottonhold.node.life import Life, Phase
+from cottonhold.node.lifecycle import Lifecycle, Phase
 from cottonhold.node.mysql import Line
 from cottonhold.observe.counters import Counters
 
@@ -32,9 +32,15 @@
     """What all calls share: the state that they ask and change, and how many there may be at once."""
 
     def __init__(
-        self, life: Life, clock: Clock, counters: Counters, note: Callable[..., None], most: int
+        self, lifecycle: Lifecycle, clock: Clock, counters: Counters, note: Callable[..., None], most: int
     ) -> None:
-        self.life, self.clock, self.counters, self.note, self.most = life, clock, counters, note, most
+        self.lifecycle, self.clock, self.counters, self.note, self.most = (
+            lifecycle,
+            clock,
+            counters,
+            note,
+            most,
+        )
         self.held: dict[Call, None] = {}  # oldest first
         self.handlers: dict[bytes, tuple[bytes, Callable[[], Answer]]] = {
             b"/healthcheck": (b"GET", self._health),
@@ -65,20 +71,20 @@
         return handler[1]()
 
     def _health(self) -> Answer:
-        phase = self.life.phase()
+        phase = self.lifecycle.phase()
         return (200 if phase is Phase.SERVING else 503), phase.value
 
     def _fail(self) -> Answer:
-        if self.life.drain(self.clock.now()):
+        if self.lifecycle.drain(self.clock.now()):
             self.counters.add("drains")
-            self.note("drain", phase=self.life.phase().value)
-        return 200, self.life.phase().value
+            self.note("drain", phase=self.lifecycle.phase().value)
+        return 200, self.lifecycle.phase().value
 
     def _ok(self) -> Answer:
-        if not self.life.restore():
+        if not self.lifecycle.restore():
             return 409, Phase.LEAVING.value
-        self.note("drain_ended", phase=self.life.phase().value)
-        return 200, self.life.phase().value
+        self.note("drain_ended", phase=self.lifecycle.phase().value)
+        return 200, self.lifecycle.phase().value
 
 
 class Call:
--- a/tests/conformance/test_tables.py
+++ b/tests/conformance/test_tables.py
@@ -9,7 +9,7 @@
 
 from cottonhold.decide import retry, slow_start
 from cottonhold.decide.state import Query
-from cottonhold.node import driver, life, peers
+from cottonhold.node import driver, lifecycle, peers
 from cottonhold.node.engines import Engines
 from cottonhold.node.gateway import Gateway
 from tests.conformance import protocol, sockets, wire
@@ -49,7 +49,7 @@
     (Query, "window_end", lambda self: math.inf, "pro-window-connect wire-keyed-window-over"),
     (peers, "MOST_BYTES", 300, "pro-peer-most"),
     (driver, "LACKING", frozenset(), "pro-sock-whole"),
-    (life, "KILL_MARGIN_MS", -3000.0, "pro-term-short"),
+    (lifecycle, "KILL_MARGIN_MS", -3000.0, "pro-term-short"),
 ]
 
 
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -20,7 +20,7 @@
 from cottonhold.node.descriptors import Descriptors
 from cottonhold.node.engines import Connection, Engines
 from cottonhold.node.gateway import Gateway
-from cottonhold.node.life import Life
+from cottonhold.node.lifecycle import Lifecycle
 from cottonhold.node.mysql import Front, Session
 from cottonhold.node.resp import RespReader, encode
 from cottonhold.observe.counters import Counters
@@ -166,11 +166,11 @@
     def __init__(self, settings: io.Settings = SETTINGS, engines: str = "a b", sockets: int = 256) -> None:
         self.clock, self.counters, self.log = FakeClock(), Counters(), list[str]()
         links = Links(idle_ms=15000.0, connect_ms=250.0, streams=32)
-        self.life, parts = Life(), Descriptors.divide(sockets)
+        self.lifecycle, parts = Lifecycle(), Descriptors.divide(sockets)
         self.engines = Engines(links, self.clock, self.counters, self.log.append, parts.engines)
         self.engines.connect = self.connect
         self.gateway = Gateway(settings, 1, self.clock, self.engines, self.counters, self.log.append)
-        self.front = Front(self.gateway, self.clock, self.counters, self.life, parts.clients)
+        self.front = Front(self.gateway, self.clock, self.counters, self.lifecycle, parts.clients)
         self.lines: list[FakeLine] = []
         self.behaviour: dict[str, str] = {}
         self.clients: dict[str, Client] = {}
@@ -329,18 +329,18 @@
         self.gateway.retune(replace(SETTINGS, classes=tuple(classes), permits=permits))
 
     def ops_drain(self, who: str, rest: str) -> None:
-        self.life.drain(self.clock.now())
+        self.lifecycle.drain(self.clock.now())
 
     def ops_leave(self, who: str, rest: str) -> None:
-        self.life.leave(self.clock.now(), max(cls.deadline for cls in self.gateway.settings.classes))
+        self.lifecycle.leave(self.clock.now(), max(cls.deadline for cls in self.gateway.settings.classes))
 
     def ops_terminate(self, who: str, rest: str) -> None:
         """As a dispatcher does on SIGTERM: the gateway is told by when all has to have its answer."""
         self.ops_leave(who, rest)
-        self.gateway.leave(self.life.ends_at())
+        self.gateway.leave(self.lifecycle.ends_at())
 
     def ops_restore(self, who: str, rest: str) -> None:
-        assert self.life.restore()
+        assert self.lifecycle.restore()
 
     def time_wait(self, who: str, rest: str) -> None:
         self.wait(float(rest))
--- a/tests/test_bad_bytes.py
+++ b/tests/test_bad_bytes.py
@@ -180,7 +180,7 @@
 @given(st.lists(CALL, min_size=1, max_size=3), st.integers(1, 50))
 def test_an_operators_bytes(parts: list[bytes], pieces: int) -> None:
     world, clock = World(), FakeClock()
-    calls = Calls(world.life, clock, world.counters, lambda event, **fields: None, 4)
+    calls = Calls(world.lifecycle, clock, world.counters, lambda event, **fields: None, 4)
     call, data = calls.open(), b"".join(parts)
     for at in range(0, len(data), pieces):
         call.receive(data[at : at + pieces])
--- a/tests/test_client_sockets.py
+++ b/tests/test_client_sockets.py
@@ -16,7 +16,7 @@
 from cottonhold.node.driver import Driver, Wire
 from cottonhold.node.engines import Connection, Engines
 from cottonhold.node.gateway import Gateway
-from cottonhold.node.life import Life
+from cottonhold.node.lifecycle import Lifecycle
 from cottonhold.node.mysql import EOF, Front
 from cottonhold.node.resp import RespReader, encode
 from cottonhold.observe.counters import Counters
@@ -36,7 +36,7 @@
         self.engines = Engines(Links(15000.0, 60_000.0, 32), clock, counters, print, 64)
         self.engines.connect = self.connect
         self.gateway = Gateway(SITES["little allowed"], 1, clock, self.engines, counters, print)
-        self.front = Front(self.gateway, clock, counters, Life(), 64)
+        self.front = Front(self.gateway, clock, counters, Lifecycle(), 64)
         self.listener = socket.create_server(("127.0.0.1", 0))
         self.connecting: list[Connection] = []
         self.clients: list[socket.socket] = []
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -14,7 +14,7 @@
 
 from cottonhold.node.dispatcher import Dispatcher
 from cottonhold.node.driver import Driver
-from cottonhold.node.life import SETTLED_MS
+from cottonhold.node.lifecycle import SETTLED_MS
 from cottonhold.node.mysql import IDLE_MS, SETTLE_MS, Session
 from cottonhold.observe.counters import Counters
 from tests.scenario import LOGIN, World, packet
@@ -154,7 +154,7 @@
 
 def ended(here: Here) -> None:
     here.world.run("ops terminate")
-    here.world.clock.at = here.world.life.closes_at()
+    here.world.clock.at = here.world.lifecycle.closes_at()
 
 
 def crowded(here: Here) -> None:
@@ -393,7 +393,7 @@
     here.world.run("ops terminate")
     parts = SimpleNamespace(
         driver=SimpleNamespace(clock=here.world.clock),
-        life=here.world.life,
+        lifecycle=here.world.lifecycle,
         front=here.world.front,
         gateway=here.world.gateway,
     )
@@ -438,10 +438,10 @@
         here.world.clock.at += SETTLED_MS + SETTLE_MS
         await here.turns()
         assert idle.session.closing and not end.done()
-        here.world.clock.at = here.world.life.closes_at()
+        here.world.clock.at = here.world.lifecycle.closes_at()
         await here.turns()
         assert stuck.session.closing and not end.done()
-        here.world.clock.at = here.world.life.ends_at()
+        here.world.clock.at = here.world.lifecycle.ends_at()
         await here.turns()
         assert end.done()
 
@@ -454,7 +454,7 @@
         client.write(query(1, allow=60000))
         await here.sent(1)
         end = process(here)
-        here.world.wait(here.world.life.ends_at() - here.world.clock.now() - 100.0)
+        here.world.wait(here.world.lifecycle.ends_at() - here.world.clock.now() - 100.0)
         await here.turns()
         assert not end.done() and not client.session.closing
         here.world.wait(100.0)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -8,7 +8,7 @@
 
 from cottonhold.decide.interface import Outcome
 from cottonhold.node.engines import IDLE_MARGIN_MS, MOST_GIVEN_UP
-from cottonhold.node.life import LEAVE_MS
+from cottonhold.node.lifecycle import LEAVE_MS
 from cottonhold.node.mysql import CHECK_MS, MOST_PACKET
 from tests.scenario import LOGIN, Client, World, packet
 
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -1,4 +1,4 @@
-"""The operators' calls, the life cycle, and a drain as clients meet it."""
+"""The operators' calls, the lifecycle cycle, and a drain as clients meet it."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 from cottonhold.config.relay import decode
 from cottonhold.discovery.model import Address
 from cottonhold.node.driver import Driver
-from cottonhold.node.life import IDLE_MS, LEAVE_MS, LONG_MS, SETTLED_MS, TAKE_MS, Life, Phase
+from cottonhold.node.lifecycle import IDLE_MS, LEAVE_MS, LONG_MS, SETTLED_MS, TAKE_MS, Lifecycle, Phase
 from cottonhold.node.ops import CALL_MS, MOST_BODY, MOST_HEAD, Call, Calls
 from cottonhold.observe.counters import Counters
 from cottonhold.wire import WireError
@@ -113,18 +113,18 @@
 
 
 def test_one_that_leaves_does_not_come_back_and_stays_drained() -> None:
-    life = Life()
-    assert life.drain(0.0) and not life.drain(50.0) and life.drained_at == 0.0
-    assert life.restore() and life.restore() and life.phase() is Phase.SERVING
-    life.leave(100.0, 25000.0)
-    assert life.ready() and life.takes(1e9, 0.0) and not life.ends_idle(100.0 + SETTLED_MS - 1)
-    assert life.takes(100.0 + LONG_MS - 1, 1e9) and not life.takes(100.0 + LONG_MS, 1e9)
-    assert life.takes(100.0 + LEAVE_MS, 3800.0) and not life.takes(100.0 + LEAVE_MS, 3801.0)
-    assert (life.killed_at, life.ends_at(), life.door_at()) == (3800.0, 3600.0, 900.0)
-    assert not life.restore() and life.phase() is Phase.LEAVING
-    life.drain(200.0)
-    assert not life.ready() and life.ends_answered(200.0) and life.ends_idle(200.0 + IDLE_MS)
-    assert life.takes(200.0 + TAKE_MS - 1, 0.0) and not life.takes(200.0 + TAKE_MS, 0.0)
+    lifecycle = Lifecycle()
+    assert lifecycle.drain(0.0) and not lifecycle.drain(50.0) and lifecycle.drained_at == 0.0
+    assert lifecycle.restore() and lifecycle.restore() and lifecycle.phase() is Phase.SERVING
+    lifecycle.leave(100.0, 25000.0)
+    assert lifecycle.ready() and lifecycle.takes(1e9, 0.0) and not lifecycle.ends_idle(100.0 + SETTLED_MS - 1)
+    assert lifecycle.takes(100.0 + LONG_MS - 1, 1e9) and not lifecycle.takes(100.0 + LONG_MS, 1e9)
+    assert lifecycle.takes(100.0 + LEAVE_MS, 3800.0) and not lifecycle.takes(100.0 + LEAVE_MS, 3801.0)
+    assert (lifecycle.killed_at, lifecycle.ends_at(), lifecycle.door_at()) == (3800.0, 3600.0, 900.0)
+    assert not lifecycle.restore() and lifecycle.phase() is Phase.LEAVING
+    lifecycle.drain(200.0)
+    assert not lifecycle.ready() and lifecycle.ends_answered(200.0) and lifecycle.ends_idle(200.0 + IDLE_MS)
+    assert lifecycle.takes(200.0 + TAKE_MS - 1, 0.0) and not lifecycle.takes(200.0 + TAKE_MS, 0.0)
 
 
 SOURCE = {"listen": "127.0.0.1:1", "bus": "127.0.0.1:2", "known": {"offset": 0}, "settings": PARAMS}
@@ -146,7 +146,9 @@
 
 
 def calls(world: World, most: int = 4) -> Calls:
-    return Calls(world.life, world.clock, world.counters, lambda event, **_: world.log.append(event), most)
+    return Calls(
+        world.lifecycle, world.clock, world.counters, lambda event, **_: world.log.append(event), most
+    )
 
 
 FAIL = b"POST /healthcheck/fail HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\nbody!"
@@ -196,7 +198,7 @@
         return Caller(shared.open()).status(f"{method} {path} HTTP/1.1\r\nHost: x\r\n\r\n".encode())[:3]
 
     asked = [ask("POST", "/healthcheck/fail"), ask("POST", "/healthcheck/fail")]
-    drained = ask("GET", "/healthcheck"), world.life.phase(), world.counters.counts["drains"]
+    drained = ask("GET", "/healthcheck"), world.lifecycle.phase(), world.counters.counts["drains"]
     asked += [ask("POST", "/healthcheck/ok"), ask("POST", "/healthcheck/ok"), ask("GET", "/healthcheck")]
     assert asked == ["200"] * 5 and drained == ("503", Phase.DRAINING, 1)
     world.run("ops leave")
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -19,7 +19,7 @@
 from cottonhold.discovery.model import Address
 from cottonhold.node.dispatcher import STARTING_MS, Dispatcher
 from cottonhold.node.driver import Driver
-from cottonhold.node.life import Life
+from cottonhold.node.lifecycle import Lifecycle
 from cottonhold.node.seats import Record, Seats
 from cottonhold.observe.counters import Counters
 from tests.scenario import READ, SETTINGS, World, packet
@@ -93,28 +93,28 @@
 
 @pytest.mark.parametrize("deadline", DEADLINES)
 def test_the_times_of_the_end_follow_from_the_settings(deadline: float) -> None:
-    life = Life()
-    life.leave(1000.0, deadline)
+    lifecycle = Lifecycle()
+    lifecycle.leave(1000.0, deadline)
     killed = 1000.0 + killed_in(deadline)
-    assert life.killed_at == killed and life.ends_at() <= killed - 200.0
-    assert 1000.0 + 400.0 <= life.door_at() <= life.closes_at() < life.ends_at()
+    assert lifecycle.killed_at == killed and lifecycle.ends_at() <= killed - 200.0
+    assert 1000.0 + 400.0 <= lifecycle.door_at() <= lifecycle.closes_at() < lifecycle.ends_at()
     # What comes by the rules can be taken, however late, if its client can wait no longer than a deadline.
-    assert life.takes(1000.0 + COMING_MS, 1000.0 + COMING_MS + min(deadline, 3000.0))
-    assert not life.takes(1000.0 + COMING_MS, killed + 1.0)
+    assert lifecycle.takes(1000.0 + COMING_MS, 1000.0 + COMING_MS + min(deadline, 3000.0))
+    assert not lifecycle.takes(1000.0 + COMING_MS, killed + 1.0)
 
 
 def test_a_second_order_or_other_settings_change_nothing() -> None:
     """Danger: a second SIGTERM, or a SIGHUP between two, must not put the end off beyond SIGKILL."""
-    life = Life()
-    life.leave(1000.0, 400.0)
-    life.leave(1500.0, 5000.0)
-    assert (life.leaving_at, life.killed_at) == (1000.0, 2100.0)
+    lifecycle = Lifecycle()
+    lifecycle.leave(1000.0, 400.0)
+    lifecycle.leave(1500.0, 5000.0)
+    assert (lifecycle.leaving_at, lifecycle.killed_at) == (1000.0, 2100.0)
 
 
 def test_a_drain_before_the_end_holds_on_through_it() -> None:
     w = world(400.0).run("ops drain\ntime wait 1600\nops terminate\nc1 query lookup r1 allow=400")
     w.run("c1 expect error 1226 *did not run*\nc1 closing\nc2 send 010000000e\nc2 expect error 1053 *drained")
-    assert not w.life.restore() and not w.life.ready()
+    assert not w.lifecycle.restore() and not w.lifecycle.ready()
 
 
 # --- signals ---
@@ -172,7 +172,7 @@
         node = dispatcher(tmp_path, monkeypatch, listen="127.0.0.1:1", **with_deadline(2000.0))
         for signal in signals:
             signal(node, tmp_path, 400.0)
-        assert node.life.killed_at - node.life.leaving_at == pytest.approx(deadline + 700.0)
+        assert node.lifecycle.killed_at - node.lifecycle.leaving_at == pytest.approx(deadline + 700.0)
         assert node.stop.is_set()
 
     asyncio.run(scenario())
@@ -214,10 +214,12 @@
         return True
 
     parts = SimpleNamespace(
-        driver=SimpleNamespace(clock=w.clock), life=w.life, seats=SimpleNamespace(newer_starts=starts)
+        driver=SimpleNamespace(clock=w.clock),
+        lifecycle=w.lifecycle,
+        seats=SimpleNamespace(newer_starts=starts),
     )
     asyncio.run(Dispatcher.stay_for_newer(cast(Dispatcher, parts)))
-    assert began + most <= w.clock.now() <= min(began + most + 10.0, w.life.ends_at())
+    assert began + most <= w.clock.now() <= min(began + most + 10.0, w.lifecycle.ends_at())
 
 
 # --- two processes, and the folder between them ---
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -85,7 +85,7 @@
 
 def test_ids_in_use_are_passed_over_when_they_come_round() -> None:
     world = World()
-    front = Front(world.gateway, world.clock, world.counters, world.life, 99, Ids(1 << 20, 3))
+    front = Front(world.gateway, world.clock, world.counters, world.lifecycle, 99, Ids(1 << 20, 3))
     held = front.open()
     numbers = [held.number]
     for _ in range(4):
