Accept on operators' listeners in one place

driver.answer_calls and status.serve had the same loop of accepting, counting and waiting, each with sock_accept, which hands over a turn later than it accepts. Driver.next_connection serves both, and accepts in the step that hands over, as the clients' listener does.

--- a/cottonhold/node/driver.py
+++ b/cottonhold/node/driver.py
@@ -427,9 +427,9 @@
                     self._admit(client, front.open())
             except OSError as error:
                 failed += 1
-                await self.accept_failed(error, failed, "accept", "accept")
+                await self._accept_failed(error, failed, "accept", "accept")
 
-    async def accept_failed(self, error: OSError, in_a_row: int, counted: str, what: str) -> None:
+    async def _accept_failed(self, error: OSError, in_a_row: int, counted: str, what: str) -> None:
         """Count a failure of accept and wait as long as it asks for.
 
         Danger: without a free descriptor accept fails at once: it must not spin or end. One connection that
@@ -487,21 +487,26 @@
             except OSError as error:
                 failed += 1
                 pauses += error.errno not in OF_ONE_CONNECTION or failed % MOST_BROKEN == 0
-                await self.accept_failed(error, failed, "accept", "accept")
+                await self._accept_failed(error, failed, "accept", "accept")
 
     # --- operators ---
 
-    async def answer_calls(self, sock: socket.socket, calls: Calls) -> None:
-        """Take in operators' calls until cancelled."""
+    async def next_connection(self, listener: socket.socket, counted: str, what: str) -> socket.socket:
+        """The next one that comes; what fails meanwhile is counted, told and waited out."""
         failed = 0  # in a row
         while True:
             try:
-                caller, _ = await self.loop.sock_accept(sock)
+                await self._readable(listener)
+                if (caller := self._next_client(listener)) is not None:
+                    return caller
             except OSError as error:
                 failed += 1
-                await self.accept_failed(error, failed, "ops_accept", "operators' calls")
-                continue
-            failed = 0
+                await self._accept_failed(error, failed, counted, what)
+
+    async def answer_calls(self, sock: socket.socket, calls: Calls) -> None:
+        """Take in operators' calls until cancelled."""
+        while True:
+            caller = await self.next_connection(sock, "ops_accept", "operators' calls")
             call = calls.open()
             call.line = wire = Wire(self, call, CLIENT_BYTES)
             wire.start(caller)
--- a/cottonhold/node/status.py
+++ b/cottonhold/node/status.py
@@ -54,18 +54,10 @@
 
 async def serve(driver: Driver, sock: socket.socket, answer: Answer) -> None:
     """Answer until cancelled. One that doesn't read costs itself only: it is given a second."""
-    failed = 0  # in a row
     try:
         while True:
-            try:
-                client, _ = await driver.loop.sock_accept(sock)
-            except OSError as error:
-                # Danger: one moment without a descriptor closed this socket for the program's life.
-                failed += 1
-                await driver.accept_failed(error, failed, "status_accept", "local calls")
-                continue
-            failed = 0
-            client.setblocking(False)
+            # Danger: one moment without a descriptor closed this socket for the program's life.
+            client = await driver.next_connection(sock, "status_accept", "local calls")
             driver.spawn(_serve_one(driver, client, answer))
     finally:
         sock.close()
