--- a/cottonhold/node/gateway.py
+++ b/cottonhold/node/gateway.py
@@ -148,10 +148,9 @@
         counters: Counters,
         say: Callable[[str], None],
     ) -> None:
-        self.settings, self.clock, self.engines = settings, clock, engines
+        self.clock, self.engines = clock, engines
+        self._adopt(settings)
         self.counters, self.say = counters, say
-        self.kinds = {cls.name: place for place, cls in enumerate(settings.classes)}
-        self.tenants = {tenant.name: place for place, tenant in enumerate(settings.tenants)}
         self.scheduler = Scheduler(settings, seed)
         self.requests: dict[str, Request] = {}
         self.events: list[io.Event] = []
@@ -167,10 +166,14 @@
 
     def retune(self, settings: io.Settings) -> None:
         """Other settings from now on; requests that are open keep what they were taken under."""
+        self._adopt(settings)
+        self.push(io.Retune(settings))
+
+    def _adopt(self, settings: io.Settings) -> None:
+        """The settings in force, and the places of their classes and tenants by name."""
         self.settings = settings
         self.kinds = {cls.name: place for place, cls in enumerate(settings.classes)}
         self.tenants = {tenant.name: place for place, tenant in enumerate(settings.tenants)}
-        self.push(io.Retune(settings))
 
     def leave(self, until: float) -> None:
         """This process ends: what has no answer by then (own clock) never gets one.
