KILL during an upgrade is passed on to the process that holds the session

Cause: new connections go to the newer process, which looked for the connection id among its own sessions only; nothing passed the call on. Evidence: the record shows id 4194306 (slot 0) refused by a session of slot 1, and the older process counts no kill. The new test fails before the change in both directions (error 1094). Change: a process with siblings opens a named pipe in $TMPDIR; KILL goes to the slot that the id names, and the client is answered once the owner has executed it. A new process accepts clients only once the older one's pipe is open, so no call falls between them.

--- a/cottonhold/frontend/client_sessions.py
+++ b/cottonhold/frontend/client_sessions.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import heapq
-from collections.abc import Iterable
-from typing import NamedTuple
+from collections.abc import Callable, Iterable
+from typing import NamedTuple, Protocol
 
 from cottonhold.frontend.connection_ids import ConnectionIdRange
 from cottonhold.frontend.mysql_session import Activity, Session
@@ -33,6 +33,13 @@
     session: Session
 
 
+class KillForwarder(Protocol):
+    """Passes KILL on to other processes of this dispatcher."""
+
+    def forward_kill(self, connection_id: int, only_query: bool, on_result: Callable[[bool], None]) -> bool:
+        """Pass KILL on to the process that assigned an id; return False if there is no such process."""
+
+
 def eviction_order(sessions: Iterable[Session], now: float, count: int) -> list[Session]:
     """Return at most `count` sessions to evict, in this order.
 
@@ -76,6 +83,7 @@
         self.sessions: dict[int, Session] = {}
         self.last_id = connection_ids.base
         self.evicted_count = 0  # evicted sessions whose descriptors are still open
+        self.kill_forwarder: KillForwarder | None = None  # None if this process has no siblings
         clock.call_in(CHECK_INTERVAL_MS, self._check_periodically)
 
     def _check_periodically(self) -> None:
@@ -132,6 +140,19 @@
         """Return the session with this connection id, or None."""
         return self.sessions.get(connection_id)
 
+    def kill(self, connection_id: int, only_query: bool) -> bool:
+        """Execute the KILL of another process's client; return whether the session exists."""
+        session = self.find(connection_id)
+        if session is not None:
+            self.counters.add("kills")
+            session.on_killed(only_query)
+        return session is not None
+
+    def forward_kill(self, connection_id: int, only_query: bool, on_result: Callable[[bool], None]) -> bool:
+        """Pass KILL on to the process that assigned an id; return False if there is no such process."""
+        forwarder = self.kill_forwarder
+        return forwarder is not None and forwarder.forward_kill(connection_id, only_query, on_result)
+
     def on_session_closed(self, session: Session) -> None:
         """Remove a session whose connection has ended."""
         self.sessions.pop(session.connection_id, None)
--- a/cottonhold/frontend/connection_ids.py
+++ b/cottonhold/frontend/connection_ids.py
@@ -14,7 +14,8 @@
     """The ids that a process assigns to its client connections: from base + 1 to base + count.
 
     KILL QUERY may reach another process of the dispatcher. If both had assigned the same id, it would cancel
-    another client's query, so processes that run at the same time use disjoint ranges.
+    another client's query, so processes that run at the same time use disjoint ranges. Ids of a process with
+    a slot tell the slot, so that another process can pass the call on.
     """
 
     base: int = 0
@@ -45,3 +46,8 @@
     def next_id(self, connection_id: int) -> int:
         """Return the id that follows another one; the first id of the range follows the last."""
         return self.base + (connection_id - self.base) % self.count + 1
+
+
+def slot_of(connection_id: int) -> int:
+    """Return the slot of the process that assigned an id, if that process has a slot."""
+    return (connection_id >> COUNT_BITS) % SLOTS
--- a/cottonhold/frontend/mysql_session.py
+++ b/cottonhold/frontend/mysql_session.py
@@ -85,6 +85,12 @@
     def find(self, connection_id: int) -> Session | None:
         """Return the session with this connection id, or None."""
 
+    def forward_kill(self, connection_id: int, only_query: bool, on_result: Callable[[bool], None]) -> bool:
+        """Pass KILL on to the process that assigned an id; return False if there is no such process.
+
+        `on_result` is called later, with whether the session exists.
+        """
+
     def on_session_closed(self, session: Session) -> None:
         """Remove a session; called when its connection has ended."""
 
@@ -103,7 +109,8 @@
         self.opened_at = self.last_received_at = registry.clock.now()
         self.partial_since = math.inf  # when the first byte of an incomplete packet arrived
         self.sequence = 0  # sequence number of the next packet to the client
-        self.withdraw_request: Callable[[], None] | None = None  # set while a request is open
+        # Set while a response is due: to a request, or to a KILL that another process executes.
+        self.withdraw_request: Callable[[], None] | None = None
         self._send(encode_greeting(connection_id))
         registry.counters.add("client_connections")
 
@@ -240,15 +247,45 @@
     def _kill(self, kill: KillCommand) -> None:
         target = self.registry.find(kill.connection_id)
         if target is None:
-            self._send_error(NO_SUCH_THREAD, f"unknown thread id: {kill.connection_id}")
+            self._forward_kill(kill)
             return
         self.registry.counters.add("kills")
         if target is not self:
-            target.interrupt()
-            if not kill.only_query:
-                target._close()
+            target.on_killed(kill.only_query)
         self._send(OK)
 
+    def _forward_kill(self, kill: KillCommand) -> None:
+        """Let the process that assigned the id execute KILL; until its result, no command is executed.
+
+        Otherwise a client that was told of the success could send its next query to the session before KILL
+        takes effect there, and that query would be interrupted.
+        """
+
+        def withdraw() -> None:
+            """Do nothing: KILL is executed even if its client disconnects."""
+
+        def on_result(is_known: bool) -> None:
+            if self.withdraw_request is withdraw and self._finish_request():
+                self._send_kill_result(kill, is_known)
+                self._after_response()
+
+        if self.registry.forward_kill(kill.connection_id, kill.only_query, on_result):
+            self.withdraw_request = withdraw
+        else:
+            self._send_kill_result(kill, False)
+
+    def _send_kill_result(self, kill: KillCommand, is_known: bool) -> None:
+        if is_known:
+            self._send(OK)
+        else:
+            self._send_error(NO_SUCH_THREAD, f"unknown thread id: {kill.connection_id}")
+
+    def on_killed(self, only_query: bool) -> None:
+        """Interrupt the open query, and unless `only_query` close the connection: another session's KILL."""
+        self.interrupt()
+        if not only_query:
+            self._close()
+
     def interrupt(self) -> None:
         """Interrupt the open query, if any, and report that to the client; the session continues."""
         if self._withdraw_open_request():
--- a/cottonhold/node/dispatcher.py
+++ b/cottonhold/node/dispatcher.py
@@ -34,6 +34,7 @@
 from cottonhold.node.gateway import Gateway
 from cottonhold.node.lifecycle import Lifecycle
 from cottonhold.node.peer_datagrams import PeerDatagrams
+from cottonhold.node.sibling_channel import SiblingChannel
 from cottonhold.node.sibling_processes import ProcessRecord, SiblingProcesses
 from cottonhold.observe.counters import Counters
 from cottonhold.scheduler.actions import SendToPeer
@@ -100,6 +101,11 @@
             self.descriptor_quotas.clients,
             self.sibling_processes.connection_ids(),
         )
+        self.sibling_channel = SiblingChannel(
+            self.sibling_processes, self.event_loop, clock, counters, log_line
+        )
+        self.sibling_channel.kill_handler = self.sessions
+        self.sessions.kill_forwarder = self.sibling_channel
         self.admin_api = AdminApi(self.lifecycle, clock, counters, log.note, self.descriptor_quotas.admin)
         self.peer_datagrams = PeerDatagrams(config.peers, config.peers_all, counters, log_line)
         self.gateway.send_to_peer = self.send_to_peer
@@ -175,6 +181,8 @@
     def update_siblings(self) -> None:
         """Publish this process's connection counts, and limit them to the descriptors that siblings leave."""
         others = self.sibling_processes.others()
+        if others:
+            self.sibling_channel.open()
         record = ProcessRecord(
             self.sibling_processes.record.start_number,
             len(self.sessions.sessions),
@@ -214,6 +222,7 @@
         self.event_stream.on_complete_answer()
         await self._open_datagrams()
         admin_socket = await self._open_admin_socket()
+        await self._open_sibling_channel()
         client_socket = await listeners.open_with_retry(
             lambda: listeners.listen(self.config.listen, is_shared=True)
         )
@@ -242,6 +251,12 @@
         if message := self.peer_datagrams.decode(data, (sender.host, sender.port)):
             self.gateway.push(message)
 
+    async def _open_sibling_channel(self) -> None:
+        """If this is not the dispatcher's only process, wait until all of them receive each other's calls."""
+        if self.sibling_processes.others():
+            self.sibling_channel.open()
+            await self.sibling_channel.wait_for_pipes()
+
     async def _open_admin_socket(self) -> socket.socket | None:
         address = self.config.admin_listen
         if address is None:
@@ -357,6 +372,7 @@
         try:
             await self.run()
         finally:
+            self.sibling_channel.close()
             self.print_counters()
 
     def handle_signals(self, loop: asyncio.AbstractEventLoop) -> None:
--- a/cottonhold/node/sibling_processes.py
+++ b/cottonhold/node/sibling_processes.py
@@ -119,9 +119,17 @@
         if was_published and not self.is_published:
             self.log(f"slot in $TMPDIR: this process's record can't be written: {reason}")
 
+    def pipe_path(self, slot: int) -> str:
+        """Return the path of the named pipe on which the process of a slot receives calls."""
+        return os.path.join(self.folder or "", f"cottonhold-{self.name}.pipe{slot}")
+
     def others(self) -> list[ProcessRecord]:
         """Return the records of the other running processes."""
-        records = []
+        return list(self.others_by_slot().values())
+
+    def others_by_slot(self) -> dict[int, ProcessRecord]:
+        """Return the records of the other running processes by their slots."""
+        records = {}
         for slot in range(SLOTS if self.file != NO_FILE else 0):
             if slot == self.slot:
                 continue
@@ -131,7 +139,7 @@
                 continue
             try:
                 if not try_lock(file, fcntl.LOCK_SH):
-                    records.append(read_record(file) or ProcessRecord(0))
+                    records[slot] = read_record(file) or ProcessRecord(0)
             finally:
                 os.close(file)
         return records
--- a/tests/node/test_upgrade.py
+++ b/tests/node/test_upgrade.py
@@ -295,6 +295,61 @@
     run_scenario(scenario())
 
 
+class MysqlClient:
+    """A client's connection to a dispatcher process, with its connection id."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.reader, self.writer, self.connection_id = reader, writer, 0
+
+    @classmethod
+    async def connect(cls, at: str) -> MysqlClient:
+        host, _, port = at.partition(":")
+        client = cls(*await asyncio.open_connection(host, int(port)))
+        greeting = await client.read()
+        id_at = greeting.index(b"\0") + 1
+        client.connection_id = int.from_bytes(greeting[id_at : id_at + 4], "little")
+        client.writer.write(packet(1, LOGIN))
+        await client.read()
+        return client
+
+    async def read(self) -> bytes:
+        """Return the payload of the next packet."""
+        head = await self.reader.readexactly(4)
+        return await self.reader.readexactly(int.from_bytes(head[:3], "little"))
+
+    def send(self, text: str) -> None:
+        self.writer.write(packet(0, b"\x03" + text.encode()))
+
+
+@pytest.mark.parametrize("owner, killer", [(0, 1), (1, 0)], ids=["older owns", "newer owns"])
+def test_a_query_cancelled_through_the_other_process_of_an_upgrade_ends(
+    tmp_path: Path, owner: int, killer: int
+) -> None:
+    """Guards against a query that starts or goes on though its client cancelled it.
+
+    New connections go to the newer process, which used to answer KILL QUERY with "unknown thread id".
+    """
+
+    async def scenario() -> None:
+        async with running_site(tmp_path, work_ms=20000.0) as site:
+            clients = []
+            for _ in range(2):
+                await site.start()
+                clients.append(await MysqlClient.connect(site.listen))
+            clients[owner].send("/* service=lookup,ref=00000000000000a1,allow=20000 */ SELECT a FROM s_7.t")
+            while not site.engine.in_flight:
+                await asyncio.sleep(0.005)
+            clients[killer].send(f"KILL QUERY {clients[owner].connection_id}")
+            assert (await clients[killer].read()).startswith(b"\0")  # OK
+            assert (await clients[owner].read()).startswith(b"\xff\x25\x05")  # error 1317, interrupted
+            while site.engine.in_flight:
+                await asyncio.sleep(0.005)
+            for client in clients:
+                client.writer.close()
+
+    run_scenario(scenario())
+
+
 @pytest.mark.parametrize("end_signal", [signal.SIGKILL, signal.SIGTERM])
 def test_the_remaining_process_serves_on(tmp_path: Path, end_signal: signal.Signals) -> None:
     """If the newer process is killed or shut down, the older one continues to serve."""
