A drain that is called during an upgrade reaches both processes

Cause: as with KILL, the call changed only the process that received it. Evidence: the new test fails before the change, called at either process. Change: operators' drains and their ends are passed on over the siblings' pipes and repeated until sent.

--- a/cottonhold/node/admin_api.py
+++ b/cottonhold/node/admin_api.py
@@ -63,6 +63,8 @@
     ) -> None:
         self.lifecycle, self.clock, self.counters = lifecycle, clock, counters
         self.log_event, self.max_connections = log_event, max_connections
+        # Tells the other processes of this dispatcher that a drain has begun or ended.
+        self.share_drain: Callable[[bool], None] = lambda is_draining: None
         self.connections: dict[AdminConnection, None] = {}  # oldest first
         self.routes = {
             b"/healthcheck": Route(b"GET", self._check_health),
@@ -97,17 +99,27 @@
         return Response(200 if phase is Phase.SERVING else 503, phase.value)
 
     def _drain(self) -> Response:
-        if self.lifecycle.drain(self.clock.now()):
-            self.counters.add("drains")
-            self.log_event("drain_started", phase=self.lifecycle.phase().value)
+        self.share_drain(True)
+        self.set_draining(True)
         return Response(200, self.lifecycle.phase().value)
 
     def _restore(self) -> Response:
-        if not self.lifecycle.restore():
+        self.share_drain(False)
+        if not self.set_draining(False):
             return Response(409, Phase.SHUTTING_DOWN.value)
-        self.log_event("drain_ended", phase=self.lifecycle.phase().value)
         return Response(200, self.lifecycle.phase().value)
 
+    def set_draining(self, is_draining: bool) -> bool:
+        """Begin or end the drain of this process; return False if it shuts down and the drain can't end."""
+        if is_draining and self.lifecycle.drain(self.clock.now()):
+            self.counters.add("drains")
+            self.log_event("drain_started", phase=self.lifecycle.phase().value)
+        elif not is_draining:
+            if not self.lifecycle.restore():
+                return False
+            self.log_event("drain_ended", phase=self.lifecycle.phase().value)
+        return True
+
 
 class AdminConnection:
     """The state machine of one connection, which accepts one call."""
--- a/cottonhold/node/dispatcher.py
+++ b/cottonhold/node/dispatcher.py
@@ -107,6 +107,8 @@
         self.sibling_channel.kill_handler = self.sessions
         self.sessions.kill_forwarder = self.sibling_channel
         self.admin_api = AdminApi(self.lifecycle, clock, counters, log.note, self.descriptor_quotas.admin)
+        self.admin_api.share_drain = self.sibling_channel.share_drain
+        self.sibling_channel.drain_handler = self.admin_api
         self.peer_datagrams = PeerDatagrams(config.peers, config.peers_all, counters, log_line)
         self.gateway.send_to_peer = self.send_to_peer
         self.engine_catalog = EngineCatalog(sources, config.seed, clock.unix_offset)
--- a/cottonhold/node/sibling_channel.py
+++ b/cottonhold/node/sibling_channel.py
@@ -1,7 +1,8 @@
 """Passes calls on to the other processes of the same dispatcher, over named pipes in $TMPDIR.
 
 In an upgrade, all new connections go to the newest process. A call on one of them may concern an older
-process, such as KILL QUERY for one of its sessions.
+process, such as KILL QUERY for one of its sessions. An operator's drain concerns all processes, but reaches
+the one whose address was called.
 """
 
 from __future__ import annotations
@@ -14,7 +15,14 @@
 from typing import Protocol
 
 from cottonhold.frontend.connection_ids import slot_of
-from cottonhold.node.sibling_messages import KillCall, KillResult, SiblingMessage, decode, encode
+from cottonhold.node.sibling_messages import (
+    DrainCall,
+    KillCall,
+    KillResult,
+    SiblingMessage,
+    decode,
+    encode,
+)
 from cottonhold.node.sibling_processes import SiblingProcesses
 from cottonhold.observe.counters import Counters
 from cottonhold.transport.clock import Clock, Timer
@@ -34,6 +42,13 @@
         """Execute KILL; return whether the session exists."""
 
 
+class DrainHandler(Protocol):
+    """Begins and ends the drain of this process."""
+
+    def set_draining(self, is_draining: bool) -> bool:
+        """Begin or end the drain; return False if it can't end."""
+
+
 @dataclass(slots=True)
 class PendingCall:
     """A call to another process whose result has not arrived."""
@@ -64,8 +79,10 @@
     ) -> None:
         self.processes, self.clock, self.counters, self.log = processes, clock, counters, log
         self.kill_handler: KillHandler | None = None
+        self.drain_handler: DrainHandler | None = None
         self.call_numbers = itertools.cycle(range(1 << 32))
         self.pending: dict[int, PendingCall] = {}
+        self.last_drain_call: DrainCall | None = None
         self.pipe = NamedPipe(context, processes.pipe_path(processes.slot), self._on_data)
         self.has_failed = False  # whether the last attempt to open the pipe failed
 
@@ -120,26 +137,55 @@
         timer = self.clock.call_in(RESULT_TIMEOUT_MS, lambda: self._on_timeout(number))
         self.pending[number] = PendingCall(on_result, timer)
         try:
-            self._send_call(slot, call)
+            self._send_with_retries(
+                slot, call, lambda: number in self.pending, lambda: self._on_call_sent(number)
+            )
         except NoReaderError:
             self._take_pending(number)
             return False
         self.counters.add("kills_forwarded")
         return True
 
-    def _send_call(self, slot: int, call: KillCall) -> None:
-        """Send a call; if that is not possible now, retry until its time is over. Raises NoReaderError."""
-        if (pending := self.pending.get(call.call_number)) is None:
+    def share_drain(self, is_draining: bool) -> None:
+        """Tell the other processes that an operator began or ended a drain."""
+        call = self.last_drain_call = DrainCall(self.processes.slot, is_draining)
+        for slot in self.processes.others_by_slot():
+            with contextlib.suppress(NoReaderError):  # it has ended, or is of a build without this call
+                self._send_with_retries(slot, call, lambda: self.last_drain_call is call)
+
+    def _on_call_sent(self, number: int) -> None:
+        if (pending := self.pending.get(number)) is not None:
+            pending.is_sent = True
+
+    def _send_with_retries(
+        self,
+        slot: int,
+        message: SiblingMessage,
+        is_current: Callable[[], bool],
+        on_sent: Callable[[], None] = lambda: None,
+    ) -> None:
+        """Send a message; if that is not possible now, retry later.
+
+        Args:
+            slot: The slot of the process that the message is for.
+            message: The message.
+            is_current: Returns whether the message must still be sent.
+            on_sent: Called once the message is sent.
+
+        Raises:
+            NoReaderError: The process has ended, or does not receive calls.
+        """
+        if not is_current():
+            return
+        if self._send(slot, message):
+            on_sent()
             return
-        pending.is_sent = self._send(slot, call)
-        if not pending.is_sent:
-            self.clock.call_in(SEND_RETRY_MS, lambda: self._send_call_again(slot, call))
 
-    def _send_call_again(self, slot: int, call: KillCall) -> None:
-        try:
-            self._send_call(slot, call)
-        except NoReaderError:
-            self._end(call.call_number, False)
+        def retry() -> None:
+            with contextlib.suppress(NoReaderError):  # it has ended meanwhile
+                self._send_with_retries(slot, message, is_current, on_sent)
+
+        self.clock.call_in(SEND_RETRY_MS, retry)
 
     def _send(self, slot: int, message: SiblingMessage) -> bool:
         """Send a message; return whether that succeeded. Raises NoReaderError."""
@@ -171,6 +217,9 @@
                     self._execute_kill(message)
                 case KillResult(_, number, is_known):
                     self._end(number, is_known)
+                case DrainCall(_, is_draining):
+                    if self.drain_handler is not None:
+                        self.drain_handler.set_draining(is_draining)
                 case None:
                     self.counters.add("sibling_malformed")
 
--- a/cottonhold/node/sibling_messages.py
+++ b/cottonhold/node/sibling_messages.py
@@ -9,7 +9,7 @@
 MAGIC = b"CHM1"
 # Magic, kind, sender's slot, flag, padding, call number, connection id. The size divides a pipe's read.
 MESSAGE = struct.Struct(">4sBB?xII")
-KILL_CALL, KILL_RESULT = 1, 2  # kinds
+KILL_CALL, KILL_RESULT, DRAIN_CALL = 1, 2, 3  # kinds
 
 
 @dataclass(slots=True, frozen=True)
@@ -31,7 +31,15 @@
     is_known: bool  # whether a session with this connection id exists
 
 
-SiblingMessage = KillCall | KillResult
+@dataclass(slots=True, frozen=True)
+class DrainCall:
+    """Tells that an operator began or ended a drain of the dispatcher."""
+
+    sender_slot: int
+    is_draining: bool
+
+
+SiblingMessage = KillCall | KillResult | DrainCall
 
 
 def encode(message: SiblingMessage) -> bytes:
@@ -41,6 +49,8 @@
             return MESSAGE.pack(MAGIC, KILL_CALL, slot, only_query, number, connection_id)
         case KillResult(slot, number, is_known):
             return MESSAGE.pack(MAGIC, KILL_RESULT, slot, is_known, number, 0)
+        case DrainCall(slot, is_draining):
+            return MESSAGE.pack(MAGIC, DRAIN_CALL, slot, is_draining, 0, 0)
 
 
 def decode(data: bytes) -> Iterator[SiblingMessage | None]:
@@ -57,4 +67,6 @@
         return KillCall(slot, number, connection_id, flag)
     if kind == KILL_RESULT:
         return KillResult(slot, number, flag)
+    if kind == DRAIN_CALL:
+        return DrainCall(slot, flag)
     return None
--- a/tests/node/test_sibling_channel.py
+++ b/tests/node/test_sibling_channel.py
@@ -12,8 +12,10 @@
 
 from cottonhold.frontend.connection_ids import slot_of
 from cottonhold.node import sibling_channel
+from cottonhold.node.admin_api import AdminApi
+from cottonhold.node.lifecycle import Lifecycle, Phase
 from cottonhold.node.sibling_channel import SiblingChannel
-from cottonhold.node.sibling_messages import KillCall, KillResult, SiblingMessage, decode, encode
+from cottonhold.node.sibling_messages import DrainCall, KillCall, KillResult, SiblingMessage, decode, encode
 from cottonhold.node.sibling_processes import SiblingProcesses
 from cottonhold.observe.counters import Counters
 from cottonhold.transport import named_pipe
@@ -174,6 +176,33 @@
     run_processes(tmp_path, 2, scenario)
 
 
+def test_a_drain_is_shared_with_every_process_though_the_first_write_fails(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    real, failures = named_pipe.write_to_pipe, list[str]()
+
+    def write(path: str, data: bytes) -> None:
+        if path not in failures:
+            failures.append(path)
+            raise OSError(errno.EAGAIN, "full")
+        real(path, data)
+
+    async def scenario(processes: list[Process]) -> None:
+        apis = []
+        for process in processes:
+            process.channel.open()
+            api = AdminApi(Lifecycle(), process.world.clock, process.counters, lambda *_, **__: None, 4)
+            api.share_drain, process.channel.drain_handler = process.channel.share_drain, api
+            apis.append(api)
+        monkeypatch.setattr(sibling_channel, "write_to_pipe", write)
+        for path, phase in ((b"/healthcheck/fail", Phase.DRAINING), (b"/healthcheck/ok", Phase.SERVING)):
+            assert apis[1].respond(b"POST", path).status == 200
+            await until(lambda: all(api.lifecycle.phase() is phase for api in apis))  # noqa: B023
+        assert len(failures) == 2  # both others
+
+    run_processes(tmp_path, 3, scenario)
+
+
 def test_malformed_messages_are_counted_and_others_are_read(tmp_path: Path) -> None:
     async def scenario(processes: list[Process]) -> None:
         receiver = processes[0]
@@ -187,7 +216,11 @@
         receiver.world.run("time wait 0\nc1 expect error 1317 *")
 
     run_processes(tmp_path, 1, scenario)
-    messages: list[SiblingMessage] = [KillCall(2, 7, 1 << 31, False), KillResult(0, 4294967295, True)]
+    messages: list[SiblingMessage] = [
+        KillCall(2, 7, 1 << 31, False),
+        KillResult(0, 4294967295, True),
+        DrainCall(3, True),
+    ]
     assert list(decode(b"".join(map(encode, messages)))) == messages
 
 
--- a/tests/node/test_upgrade.py
+++ b/tests/node/test_upgrade.py
@@ -350,6 +350,28 @@
     run_scenario(scenario())
 
 
+@pytest.mark.parametrize("called", [0, 1], ids=["at the older", "at the newer"])
+def test_a_drain_during_an_upgrade_reaches_both_processes(tmp_path: Path, called: int) -> None:
+    """Guards against a drained dispatcher that still says yes, or holds clients, in its other process."""
+
+    async def scenario() -> None:
+        async with running_site(tmp_path, work_ms=1.0) as site:
+            clients = []
+            for _ in range(2):
+                await site.start()
+                clients.append(await MysqlClient.connect(site.listen))
+            assert (await admin_call(site.ops[called], "POST /healthcheck/fail")).startswith("HTTP/1.1 200")
+            assert b"\xff\x1d\x04#08S01" in await send_ping(site.listen)
+            for client in clients:  # idle connections are closed by both
+                assert await client.reader.read() == b""
+            assert (await admin_call(site.ops[called], "POST /healthcheck/ok")).startswith("HTTP/1.1 200")
+            assert (await send_ping(site.listen)).endswith(b"\0\0\0\x02\0\0\0")
+            for ops in site.ops[:2]:
+                assert (await admin_call(ops, "GET /healthcheck")).startswith("HTTP/1.1 200")
+
+    run_scenario(scenario())
+
+
 @pytest.mark.parametrize("end_signal", [signal.SIGKILL, signal.SIGTERM])
 def test_the_remaining_process_serves_on(tmp_path: Path, end_signal: signal.Signals) -> None:
     """If the newer process is killed or shut down, the older one continues to serve."""
