Requests count their time from arrival, and the listener's queue moves on behind a crowd

Cause: a request's time counted from when it was read, not from its last byte; and a halted client keeps its place for 0.4 s, so that 441 queued connections wait 1.7 s for 122 places. Change: TCP_INFO gives the age of the last data at each read (0.7 us) and the length of the queue, from which the silence follows after which clients are evicted; lacking descriptors are taken from inactive clients, also while the listener closes.

--- a/cottonhold/frontend/client_sessions.py
+++ b/cottonhold/frontend/client_sessions.py
@@ -2,37 +2,21 @@
 
 from __future__ import annotations
 
-import heapq
-from collections.abc import Callable, Iterable
-from typing import NamedTuple, Protocol
+from collections.abc import Callable
+from typing import Protocol
 
 from cottonhold.frontend.connection_ids import ConnectionIdRange
-from cottonhold.frontend.mysql_session import Activity, Session
+from cottonhold.frontend.eviction import QueuePressure, eviction_order
+from cottonhold.frontend.mysql_session import Session
 from cottonhold.frontend.query_service import QueryService, ServingState
 from cottonhold.observe.counters import Counters
 from cottonhold.transport.clock import Clock
 
 CHECK_INTERVAL_MS = 200.0
 HEADROOM_FRACTION = 8  # 1/8 of the maximum number of sessions is kept free for new connections
-EVICTABLE_AFTER_MS = 50.0  # near the limit, a connection that sent nothing for this long may be evicted
-# The same limit for a connection that stopped within a packet. It is longer, since slow clients pause there.
-HALTED_EVICTABLE_AFTER_MS = 400.0
-EVICTION_ORDER = {Activity.SILENT: 0, Activity.IDLE: 1, Activity.HALTED: 2}
 ALL_IDS = ConnectionIdRange()
 
 
-class EvictionCandidate(NamedTuple):
-    """A session that may be evicted, ordered by who is evicted first.
-
-    Connection ids are unique, so comparing two candidates never compares their sessions.
-    """
-
-    rank: int
-    idle_since: float
-    connection_id: int
-    session: Session
-
-
 class KillForwarder(Protocol):
     """Passes KILL on to other processes of this dispatcher."""
 
@@ -40,22 +24,6 @@
         """Pass KILL on to the process that assigned an id; return False if there is no such process."""
 
 
-def eviction_order(sessions: Iterable[Session], now: float, count: int) -> list[Session]:
-    """Return at most `count` sessions to evict, in this order.
-
-    Sessions that never sent anything come first, then idle ones, then those that stopped within a packet;
-    within each group the longest idle come first. Sessions with a response outstanding are never included.
-    """
-    candidates = []
-    for session in sessions:
-        idle_since, activity = session.idle_since(now), session.activity()
-        after_ms = HALTED_EVICTABLE_AFTER_MS if activity is Activity.HALTED else EVICTABLE_AFTER_MS
-        if not session.is_closing and idle_since < now - after_ms:
-            rank = EVICTION_ORDER[activity]
-            candidates.append(EvictionCandidate(rank, idle_since, session.connection_id, session))
-    return [candidate.session for candidate in heapq.nsmallest(count, candidates)]
-
-
 class ClientSessions:
     """The client sessions by connection id, and the services that they share."""
 
@@ -83,6 +51,7 @@
         self.sessions: dict[int, Session] = {}
         self.last_id = connection_ids.base
         self.evicted_count = 0  # evicted sessions whose descriptors are still open
+        self.pressure = QueuePressure()
         self.kill_forwarder: KillForwarder | None = None  # None if this process has no siblings
         clock.call_in(CHECK_INTERVAL_MS, self._check_periodically)
 
@@ -106,23 +75,38 @@
         """Return whether the process must keep running: a client may await a response or send a request."""
         return any(session.is_unfinished() for session in self.sessions.values())
 
-    def has_capacity(self) -> bool:
+    def has_capacity(self, count_queued: Callable[[], int] = lambda: 0) -> bool:
         """Return whether another client may be accepted; near the limit, first evict inactive sessions.
 
         If silent and idle connections held all descriptors, new clients would wait in the listener's queue,
         and no connection to an engine could be opened.
+
+        Args:
+            count_queued: Returns how many connections wait in the listener's queue.
         """
-        headroom = max(self.max_sessions // HEADROOM_FRACTION, 1)
-        if len(self.sessions) - self.evicted_count > self.max_sessions - headroom:
-            self._evict(headroom)
+        if len(self.sessions) - self.evicted_count > self.max_sessions - self._headroom():
+            self.evict_inactive(count_queued)
         return len(self.sessions) < self.max_sessions
 
+    def _headroom(self) -> int:
+        return max(self.max_sessions // HEADROOM_FRACTION, 1)
+
+    def evict_inactive(self, count_queued: Callable[[], int]) -> None:
+        """Evict some inactive sessions; `count_queued` returns the length of the listener's queue."""
+        self.pressure.on_queued(count_queued())
+        self._evict(self._headroom())
+
+    def on_queue_empty(self) -> None:
+        """Record that no connection waits in the listener's queue."""
+        self.pressure.on_empty()
+
     def is_evicting(self) -> bool:
         """Return whether descriptors of evicted sessions are about to be released."""
         return self.evicted_count > 0
 
     def _evict(self, count: int) -> None:
-        for session in eviction_order(self.sessions.values(), self.clock.now(), count):
+        pressure_ms = self.pressure.evictable_after_ms(self.max_sessions)
+        for session in eviction_order(self.sessions.values(), self.clock.now(), count, pressure_ms):
             activity = session.activity()
             if session.evict():
                 self.counters.add(f"clients_pushed_out_{activity.value}")
--- /dev/null
+++ b/cottonhold/frontend/eviction.py
@@ -0,0 +1,82 @@
+"""Which client sessions are closed so that others can be accepted. Free of I/O."""
+
+from __future__ import annotations
+
+import heapq
+import math
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from cottonhold.frontend.mysql_session import Activity, Session
+
+# Near the limit on sessions, a connection that sent nothing for this long may be evicted.
+EVICTABLE_AFTER_MS = 50.0
+# The same limit for a connection that stopped within a packet. It is longer, since slow clients pause there.
+HALTED_EVICTABLE_AFTER_MS = 400.0
+# Longest time that a connection shall wait in the listener's queue. A request with hardly any time left has
+# to get its answer within 0.5 s after its time, and the queue is only a part of that.
+MAX_QUEUE_WAIT_MS = 300.0
+MIN_EVICTABLE_AFTER_MS = 10.0  # a client that was just accepted needs this time to send something
+EVICTION_ORDER = {Activity.SILENT: 0, Activity.IDLE: 1, Activity.HALTED: 2}
+
+
+class EvictionCandidate(NamedTuple):
+    """A session that may be evicted, ordered by who is evicted first.
+
+    Connection ids are unique, so comparing two candidates never compares their sessions.
+    """
+
+    rank: int
+    idle_since: float
+    connection_id: int
+    session: Session
+
+
+class QueuePressure:
+    """How many connections have waited in the listener's queue at the same time since it was last empty."""
+
+    def __init__(self) -> None:
+        self.max_queued = 0
+
+    def on_queued(self, count: int) -> None:
+        """Record the length of the queue."""
+        self.max_queued = max(self.max_queued, count)
+
+    def on_empty(self) -> None:
+        """Record that the queue is empty."""
+        self.max_queued = 0
+
+    def evictable_after_ms(self, max_sessions: int) -> float:
+        """Return after which silence a session may be evicted whatever its state; infinite without a queue.
+
+        If all sessions are inactive, the queue advances by `max_sessions` after each such time, so that its
+        last connection is accepted after MAX_QUEUE_WAIT_MS.
+        """
+        if not self.max_queued:
+            return math.inf
+        rounds = math.ceil(self.max_queued / max_sessions)
+        return max(MAX_QUEUE_WAIT_MS / rounds, MIN_EVICTABLE_AFTER_MS)
+
+
+def eviction_order(
+    sessions: Iterable[Session], now: float, count: int, pressure_ms: float = math.inf
+) -> list[Session]:
+    """Return the sessions to evict, in this order.
+
+    Sessions that never sent anything come first, then idle ones, then those that stopped within a packet;
+    within each group the longest idle come first. Sessions with a response outstanding are never included.
+
+    Args:
+        sessions: All sessions.
+        now: The time, in ms of the clock.
+        count: The largest number of sessions to return.
+        pressure_ms: The result of `QueuePressure.evictable_after_ms`.
+    """
+    candidates = []
+    for session in sessions:
+        idle_since, activity = session.idle_since(now), session.activity()
+        usual_ms = HALTED_EVICTABLE_AFTER_MS if activity is Activity.HALTED else EVICTABLE_AFTER_MS
+        if not session.is_closing and idle_since < now - min(usual_ms, pressure_ms):
+            rank = EVICTION_ORDER[activity]
+            candidates.append(EvictionCandidate(rank, idle_since, session.connection_id, session))
+    return [candidate.session for candidate in heapq.nsmallest(count, candidates)]
--- a/cottonhold/frontend/mysql_session.py
+++ b/cottonhold/frontend/mysql_session.py
@@ -71,7 +71,7 @@
 
     sequence: int
     payload: bytes
-    arrived_at: float  # in ms of the clock
+    arrived_at: float  # when its last byte arrived at this machine, in ms of the clock
 
 
 class SessionRegistry(Protocol):
@@ -115,14 +115,19 @@
         registry.counters.add("client_connections")
 
     def receive(self, data: bytes) -> None:
-        """Process bytes from the client; a request is accepted when its last byte has arrived."""
+        """Process bytes from the client; a request is accepted when its last byte has arrived.
+
+        Its time counts from the arrival of the last byte at this machine. It may be read much later: after a
+        wait in the listener's queue, or because this process was stopped.
+        """
         if self.is_closing:
             return
         self.buffer += data
         now = self.last_received_at = self.registry.clock.now()
         self.has_received = True
+        arrived_at = now - (self.stream.last_data_age_ms() if self.stream is not None else 0.0)
         try:
-            while packet := self._decode_packet(now):
+            while packet := self._decode_packet(arrived_at):
                 self.commands.append(packet)
                 self.partial_since = math.inf
             if self.buffer:
@@ -131,7 +136,7 @@
         except ProtocolError as error:
             self._on_malformed(error)
 
-    def _decode_packet(self, now: float) -> Command | None:
+    def _decode_packet(self, arrived_at: float) -> Command | None:
         """Remove and return the first packet of the buffer; None if incomplete. Raises ProtocolError."""
         buffer = self.buffer
         if len(buffer) < HEADER_BYTES:
@@ -147,7 +152,7 @@
         end = HEADER_BYTES + size
         if len(buffer) < end:
             return None
-        packet = Command(buffer[3], bytes(buffer[HEADER_BYTES:end]), now)
+        packet = Command(buffer[3], bytes(buffer[HEADER_BYTES:end]), arrived_at)
         del buffer[:end]
         return packet
 
--- a/cottonhold/transport/interface.py
+++ b/cottonhold/transport/interface.py
@@ -32,6 +32,9 @@
     def read_available(self) -> bool:
         """Read what has already arrived; return whether the protocol received bytes."""
 
+    def last_data_age_ms(self) -> float:
+        """Return how long ago data last arrived at this machine, read or not, in ms; 0 if not known."""
+
     def close_gracefully(self) -> None:
         """Write the remaining output, then close the stream."""
 
--- a/cottonhold/transport/listener.py
+++ b/cottonhold/transport/listener.py
@@ -13,6 +13,7 @@
 from cottonhold.transport.socket_factory import CONNECTION_ERRORS, RESOURCE_ERRORS
 from cottonhold.transport.sockets import bind, family_of, steer_to_newest, tcp_socket
 from cottonhold.transport.stream import Stream, StreamSet
+from cottonhold.transport.tcp_info import queued_connections
 
 CLIENT_READ_BYTES = 4096  # largest size of one read
 BACKLOG = 512
@@ -20,7 +21,7 @@
 EVICTION_PAUSE_S = 0.001  # pause while descriptors of evicted connections are about to be released
 OPEN_TIMEOUT_S = 3.0  # longest wait for a resource at a start, which has to be ready within 6 s
 MAX_BROKEN_CONNECTIONS = 64  # consecutive broken connections in the queue until the next pause
-MAX_QUEUE_PAUSES = 25  # pauses after which a closing listener drops the rest of its queue
+MAX_QUEUE_DELAY_S = 0.5  # time after which a closing listener drops the rest of its queue
 
 
 class ServerProtocol(StreamProtocol, Protocol):
@@ -39,8 +40,17 @@
 class LimitingProtocolFactory(ProtocolFactory, Protocol):
     """A protocol factory that limits the number of connections."""
 
-    def has_capacity(self) -> bool:
-        """Return whether another connection may be accepted."""
+    def has_capacity(self, count_queued: Callable[[], int], /) -> bool:
+        """Return whether another connection may be accepted.
+
+        `count_queued` returns how many connections wait in the listener's queue.
+        """
+
+    def evict_inactive(self, count_queued: Callable[[], int], /) -> None:
+        """Close some inactive connections, to release their descriptors."""
+
+    def on_queue_empty(self) -> None:
+        """Record that no connection waits in the listener's queue."""
 
     def is_evicting(self) -> bool:
         """Return whether descriptors of evicted connections are about to be released."""
@@ -101,21 +111,43 @@
         busy loop would read their requests after their deadlines.
         """
         failures = 0  # consecutive failures
+
+        def count_queued() -> int:
+            return queued_connections(sock)
+
         while True:
-            if not sessions.has_capacity():
+            if not sessions.has_capacity(count_queued):
                 await asyncio.sleep(EVICTION_PAUSE_S if sessions.is_evicting() else ACCEPT_PAUSE_S)
                 continue
             try:
                 await self.context.wait_until_readable(sock)
-                while sessions.has_capacity() and (client := self._accept_now(sock)) is not None:
+                while sessions.has_capacity(count_queued):
+                    client = self._accept_now(sock)
+                    if client is None:
+                        sessions.on_queue_empty()
+                        break
                     failures = 0
                     self.admit(client, sessions.open())
             except OSError as error:
                 failures += 1
-                await self._on_accept_failed(error, failures, "accept", "accept")
+                await self._on_client_accept_failed(error, failures, sock, sessions)
+
+    async def _on_client_accept_failed(
+        self, error: OSError, failures: int, sock: socket.socket, sessions: LimitingProtocolFactory
+    ) -> None:
+        """Handle a failure of accept at the clients' address; lacking descriptors are taken from others."""
+        if error.errno in RESOURCE_ERRORS:
+            sessions.evict_inactive(lambda: queued_connections(sock))
+        pause_s = EVICTION_PAUSE_S if sessions.is_evicting() else ACCEPT_PAUSE_S
+        await self._on_accept_failed(error, failures, "accept", "accept", pause_s)
 
     async def _on_accept_failed(
-        self, error: OSError, failures: int, counter_prefix: str, log_prefix: str
+        self,
+        error: OSError,
+        failures: int,
+        counter_prefix: str,
+        log_prefix: str,
+        pause_s: float = ACCEPT_PAUSE_S,
     ) -> None:
         """Count a failure of accept, log it if it is the first in a row, and pause if necessary.
 
@@ -127,12 +159,13 @@
             failures: Number of consecutive failures.
             counter_prefix: Beginning of the counter's name.
             log_prefix: Beginning of the log line.
+            pause_s: The pause.
         """
         self.context.counters.add(f"{counter_prefix}_failed")
         is_of_connection = error.errno in CONNECTION_ERRORS
         if failures == 1 and not is_of_connection:
             self.context.log(f"{log_prefix}: {error}")
-        await asyncio.sleep(0 if is_of_connection and failures % MAX_BROKEN_CONNECTIONS else ACCEPT_PAUSE_S)
+        await asyncio.sleep(0 if is_of_connection and failures % MAX_BROKEN_CONNECTIONS else pause_s)
 
     def _accept_now(self, sock: socket.socket) -> socket.socket | None:
         """Accept a connection that has already arrived; return None if there is none. Raises OSError."""
@@ -159,18 +192,19 @@
         protocol.stream = stream
         stream.start(client)
 
-    async def accept_queued(self, sock: socket.socket, sessions: ProtocolFactory) -> None:
+    async def accept_queued(self, sock: socket.socket, sessions: LimitingProtocolFactory) -> None:
         """Accept all queued connections of a listener that is about to close, which would reset them."""
-        failures = pauses = 0
-        while pauses < MAX_QUEUE_PAUSES:
+        failures, deadline = 0, self.context.loop.time() + MAX_QUEUE_DELAY_S
+        while True:
             try:
                 while (client := self._accept_now(sock)) is not None:
                     self.admit(client, sessions.open())
                 return
             except OSError as error:
                 failures += 1
-                pauses += error.errno not in CONNECTION_ERRORS or failures % MAX_BROKEN_CONNECTIONS == 0
-                await self._on_accept_failed(error, failures, "accept", "accept")
+                await self._on_client_accept_failed(error, failures, sock, sessions)
+            if self.context.loop.time() >= deadline:
+                return
 
     async def accept_one(self, sock: socket.socket, counter_prefix: str, log_prefix: str) -> socket.socket:
         """Wait for the next connection and return it; failures are counted, logged and retried.
--- a/cottonhold/transport/stream.py
+++ b/cottonhold/transport/stream.py
@@ -11,6 +11,7 @@
 from cottonhold.transport.interface import StreamProtocol
 from cottonhold.transport.io_context import RESOURCE_RETRY_S, IoContext
 from cottonhold.transport.socket_factory import RESOURCE_ERRORS
+from cottonhold.transport.tcp_info import last_data_age_ms
 
 SWEEP_INTERVAL_S = 5.0
 STUCK_S = 30.0  # longest time of a write; then the connection is closed, since its peer does not read
@@ -195,6 +196,10 @@
             self.protocol.on_closed()
         return False
 
+    def last_data_age_ms(self) -> float:
+        """Return how long ago data last arrived at this machine, read or not, in ms; 0 if not known."""
+        return last_data_age_ms(self.sock) if self.sock is not None else 0.0
+
     def _receive(self, sock: socket.socket, ended: asyncio.Future[None]) -> bool:
         """Read once; return whether the protocol received bytes.
 
--- a/tests/support/faulty_sockets.py
+++ b/tests/support/faulty_sockets.py
@@ -8,7 +8,7 @@
     assert faults.calls["accept"] < 10 and not faults.open
 
 Calls have the names of the socket's methods. `socket` is the creation of a socket, `so_error` the error with
-which a connect ends. A connect that a signal interrupts continues, as on Linux.
+which a connect ends, `tcp_info` a query of TCP_INFO. A connect that a signal interrupts continues.
 """
 
 from __future__ import annotations
@@ -118,6 +118,8 @@
             step = self.faults.next("so_error", self.role)
             if isinstance(step, int):
                 return step
+        if args[:2] == (socket.IPPROTO_TCP, socket.TCP_INFO):
+            self.faults.step("tcp_info", self.role)
         return super().getsockopt(*args)
 
     def setsockopt(self, *args: Any) -> None:
--- a/tests/support/loopback.py
+++ b/tests/support/loopback.py
@@ -29,11 +29,11 @@
 class Client:
     """A client with its connection to the gateway."""
 
-    def __init__(self, address: Any) -> None:
+    def __init__(self, address: Any, first_data: bytes = packet(1, LOGIN)) -> None:
         self.sock = socket.create_connection(address)
         self.sock.setblocking(False)
         self.buffer, self.ended = b"", False
-        self.sock.send(packet(1, LOGIN))
+        self.sock.send(first_data)
 
     def send_query(self, number: int, service: str = "lookup", allow: int = 5000) -> None:
         text = f"/* service={service},ref={number:016x},allow={allow} */ SELECT a FROM s_7.t"
@@ -132,8 +132,8 @@
         )
         self.clients: list[Client] = []
 
-    def client(self) -> Client:
-        client = Client(self.address)
+    def client(self, first_data: bytes = packet(1, LOGIN)) -> Client:
+        client = Client(self.address, first_data)
         self.clients.append(client)
         return client
 
--- a/tests/support/scenario.py
+++ b/tests/support/scenario.py
@@ -99,6 +99,9 @@
     def read_available(self) -> bool:
         return False
 
+    def last_data_age_ms(self) -> float:
+        return 0.0
+
     def close_gracefully(self) -> None:
         pass
 
@@ -126,6 +129,7 @@
         )  # each packet that is sent starts an answer with the next number
         self.rows: list[str] | None = None
         self.definitions = 0
+        self.data_age_ms = 0.0  # for how long the data that is sent next has waited to be read
         session.stream = self
 
     def flush(self) -> None:
@@ -137,6 +141,9 @@
     def read_available(self) -> bool:
         return False
 
+    def last_data_age_ms(self) -> float:
+        return self.data_age_ms
+
     def close_gracefully(self) -> None:
         pass
 
