Divide the process's own limit on descriptors where it is below the configured one

Callers would see: behind a crowd, accept and connects to engines fail for lack of descriptors. Cause: quotas came from the configured number alone, whatever ulimit -n allows. Evidence: found while looking for other paths to the wait in the listener's queue; the new test fails before the change (accept_failed; the first log line names 1024). Change: the lower of the two numbers is divided. Result: tests of upgrades and starts pass.

--- a/cottonhold/node/descriptors.py
+++ b/cottonhold/node/descriptors.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import resource
 from collections.abc import Sequence
 from dataclasses import dataclass
 
@@ -15,6 +16,12 @@
 ADMIN_FRACTION, MIN_ADMIN, MAX_ADMIN = 1 / 16, 4, 16
 
 
+def usable_descriptors(configured: int) -> int:
+    """Return how many descriptors this process may use: as configured, or fewer if its own limit is lower."""
+    soft_limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return configured if soft_limit == resource.RLIM_INFINITY else min(configured, soft_limit)
+
+
 @dataclass(slots=True, frozen=True)
 class DescriptorQuotas:
     """Numbers of descriptors; the rest is for listeners, event stream, peers, log and the event loop."""
--- a/cottonhold/node/dispatcher.py
+++ b/cottonhold/node/dispatcher.py
@@ -30,7 +30,7 @@
 )
 from cottonhold.frontend.client_sessions import ClientSessions
 from cottonhold.node.admin_api import AdminApi
-from cottonhold.node.descriptors import DescriptorQuotas
+from cottonhold.node.descriptors import DescriptorQuotas, usable_descriptors
 from cottonhold.node.gateway import Gateway
 from cottonhold.node.lifecycle import Lifecycle
 from cottonhold.node.peer_datagrams import PeerDatagrams
@@ -85,7 +85,8 @@
         self.event_loop = EventLoop(loop, counters, log_line, make_socket)
         self.event_loop.connector.timeout_s = config.connections.connect_timeout_ms / 1000
         clock = self.event_loop.clock
-        self.lifecycle, self.descriptor_quotas = Lifecycle(), DescriptorQuotas.divide(config.max_descriptors)
+        self.max_descriptors = usable_descriptors(config.max_descriptors)
+        self.lifecycle, self.descriptor_quotas = Lifecycle(), DescriptorQuotas.divide(self.max_descriptors)
         self.sibling_processes = SiblingProcesses(os.environ.get("TMPDIR"), str(config.listen), log_line)
         self.sibling_count = 0
         self.engines = EngineConnections(
@@ -267,7 +268,7 @@
         return await listeners.open_with_retry(lambda: listeners.listen(address))
 
     def _log_serving(self) -> None:
-        quotas, max_descriptors = self.descriptor_quotas, self.config.max_descriptors
+        quotas, max_descriptors = self.descriptor_quotas, self.max_descriptors
         self.log.note(
             "serving",
             listen=self.config.listen,
--- a/tests/node/test_upgrade.py
+++ b/tests/node/test_upgrade.py
@@ -4,9 +4,10 @@
 
 import asyncio
 import os
+import resource
 import signal
 import socket
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from pathlib import Path
 from typing import Any
@@ -189,6 +190,7 @@
         self.listen, self.bus, self.engine_at, *self.ops = addresses
         self.programs: list[asyncio.subprocess.Process] = []
         self.limits: dict[str, Any] = {}
+        self.preexec: Callable[[], None] | None = None  # called in a new process before the program
 
     async def start(self) -> asyncio.subprocess.Process:
         """Start one more dispatcher process; return once its health check succeeds."""
@@ -202,6 +204,7 @@
             *PROGRAM,
             env={**os.environ, **environ, "TMPDIR": str(self.folder)},
             stderr=asyncio.subprocess.PIPE,
+            preexec_fn=self.preexec,
         )
         self.programs.append(program)
         while not (await admin_call(ops, "GET /healthcheck")).startswith("HTTP/1.1 200"):
@@ -430,6 +433,30 @@
     run_scenario(scenario())
 
 
+def test_a_lower_limit_of_the_process_is_divided_in_place_of_the_configured_one(tmp_path: Path) -> None:
+    """Guards against a crowd that takes every descriptor, so that none is left for engines and operators."""
+
+    async def scenario() -> None:
+        async with running_site(tmp_path, work_ms=1.0) as site:
+            site.limits = {"sockets": 1024}
+            hard_limit = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
+            site.preexec = lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (64, hard_limit))
+            program = await site.start()
+            host, _, port = site.listen.partition(":")
+            crowd = [await asyncio.open_connection(host, int(port)) for _ in range(100)]
+            assert (await admin_call(site.ops[0], "GET /healthcheck")).startswith("HTTP/1.1 200")
+            assert b"s-1" in await send_query(site.listen, 1)
+            assert program.stderr is not None
+            assert b"max_descriptors=64 " in await program.stderr.readline()
+            for _, writer in crowd:
+                writer.close()
+            program.terminate()
+            _, errors = await program.communicate()
+            assert b"accept_failed" not in errors
+
+    run_scenario(scenario())
+
+
 async def send_ping(at: str) -> bytes:
     host, _, port = at.partition(":")
     reader, writer = await asyncio.open_connection(host, int(port))
