An overdue poll of the event stream stays open while another connection is polled

Cause: a poll was given up 1 s after its wait, and the next one waited at the bus anew; no answer was ever received. The limit is needed for dead links, which look the same. Change: an overdue poll stays open, another connection is polled beside it at the times of before, four at the most, and the first answer ends the others. The client runs on the streams of the transport, so that it stops at once when the address moves.

--- a/cottonhold/node/dispatcher.py
+++ b/cottonhold/node/dispatcher.py
@@ -116,7 +116,6 @@
         self.catalog_timer: Timer | None = None
         self.event_stream = self._new_event_stream()
         self.shutdown_requested, self.is_serving = asyncio.Event(), False
-        self.event_stream_task: asyncio.Task[None] | None = None
 
     def _new_event_stream(self) -> EventStream:
         config = self.config
@@ -169,9 +168,7 @@
     def follow_sources(self) -> None:
         """Start following the sources of the engine list."""
         if self.config.event_stream is not None:
-            self.event_stream_task = self.event_loop.spawn(
-                self.event_loop.event_stream.follow(self.event_stream, self.config.event_stream)
-            )
+            self.event_loop.event_stream.follow(self.event_stream, self.config.event_stream)
 
     def on_other_datagram(self, data: bytes, sender: Address) -> bool:
         """Process a datagram of a subclass's protocols; return whether it is one. The base class has none."""
@@ -344,11 +341,8 @@
         if config.event_stream is None:
             return
         self.event_stream.host = config.event_stream.host
-        if self.event_stream_task is not None:
-            self.event_stream_task.cancel()
-            self.event_stream_task = self.event_loop.spawn(
-                self.event_loop.event_stream.follow(self.event_stream, config.event_stream)
-            )
+        if self.event_loop.event_stream.is_following():
+            self.event_loop.event_stream.follow(self.event_stream, config.event_stream)
 
     def _log_reload(self, config: Config) -> None:
         """Log which query classes the new configuration adds and removes."""
@@ -375,6 +369,7 @@
         try:
             await self.run()
         finally:
+            self.event_loop.event_stream.stop()
             self.sibling_channel.close()
             self.print_counters()
 
--- a/cottonhold/node/standalone/dispatcher.py
+++ b/cottonhold/node/standalone/dispatcher.py
@@ -355,14 +355,11 @@
         self.consul_sources.replace_changed(new.consul_sources)
         self._publish(self.engine_catalog.reload(self.event_loop.clock.now(), new.sources))
         self.consul_sources.follow_new(new.consul_sources)
-        if self.event_stream_task is not None:
-            self.event_stream_task.cancel()
-            self.event_stream_task = None
-        if new.config.event_stream is not None:
+        if new.config.event_stream is None:
+            self.event_loop.event_stream.stop()
+        else:
             self.event_stream.host = new.config.event_stream.host
-            self.event_stream_task = self.event_loop.spawn(
-                self.event_loop.event_stream.follow(self.event_stream, new.config.event_stream)
-            )
+            self.event_loop.event_stream.follow(self.event_stream, new.config.event_stream)
 
     def _reload_registration(self, old: Installation, new: Installation) -> None:
         """Apply changed settings of the same entry, such as a token.
--- a/cottonhold/transport/connector.py
+++ b/cottonhold/transport/connector.py
@@ -33,21 +33,41 @@
         self.context, self.streams = context, streams
         self.timeout_s = DEFAULT_TIMEOUT_S
 
-    def connect(self, address: Address, protocol: ClientProtocol) -> Stream:
+    def connect(
+        self,
+        address: Address,
+        protocol: ClientProtocol,
+        timeout_s: float | None = None,
+        failure_counter: str = "connect_failed",
+    ) -> Stream:
         """Open a connection in the background.
 
         The protocol's `on_connected` is called when the connection is established, `on_closed` if the connect
         fails.
+
+        Args:
+            address: The address to connect to.
+            protocol: The state machine of the connection.
+            timeout_s: Longest time of the connect, in s; None for `self.timeout_s`.
+            failure_counter: Name of the counter of failed connects.
         """
         stream = Stream(self.streams, protocol, ENGINE_READ_BYTES)
-        stream.task = self.context.spawn(self._connect(address, protocol, stream))
+        limit_s = self.timeout_s if timeout_s is None else timeout_s
+        stream.task = self.context.spawn(self._connect(address, protocol, stream, limit_s, failure_counter))
         return stream
 
-    async def _connect(self, address: Address, protocol: ClientProtocol, stream: Stream) -> None:
+    async def _connect(
+        self,
+        address: Address,
+        protocol: ClientProtocol,
+        stream: Stream,
+        timeout_s: float,
+        failure_counter: str,
+    ) -> None:
         try:
-            sock = await self.dial(address, self.timeout_s)
+            sock = await self.dial(address, timeout_s)
         except BaseException as error:
-            self.context.counters.add("connect_failed")
+            self.context.counters.add(failure_counter)
             is_local = isinstance(error, OSError) and error.errno in CONNECT_RESOURCE_ERRORS
             protocol.lacked_local_resources = is_local
             protocol.on_closed()
