The clients of the upgrade tests send a command before the second process starts

Cause: a client that has only logged in is closed after 2 s; beside load the second process took longer to start, and the test of KILL failed once in six runs (error 1159 in place of OK). Change: they ping after the login, so that the idle limit of 5 s counts. No assertion changed.

--- a/tests/node/test_upgrade.py
+++ b/tests/node/test_upgrade.py
@@ -311,8 +311,10 @@
         greeting = await client.read()
         id_at = greeting.index(b"\0") + 1
         client.connection_id = int.from_bytes(greeting[id_at : id_at + 4], "little")
-        client.writer.write(packet(1, LOGIN))
-        await client.read()
+        # A client that has sent a command may be idle for longer than one that has only logged in.
+        client.writer.write(packet(1, LOGIN) + packet(0, b"\x0e"))
+        for _ in range(2):
+            await client.read()
         return client
 
     async def read(self) -> bytes:
