A request may be written in 2 s, and the error to one that stalls can be read

Cause: 1.2 s for a packet, 2.0 s for login and first request, where some clients take 2 s; and the error continued the numbers of the last answer. Change: 2.4 s for both; each error to a packet that has begun takes its number from that packet.

--- a/cottonhold/frontend/mysql_session.py
+++ b/cottonhold/frontend/mysql_session.py
@@ -49,9 +49,10 @@
 MAX_UNREAD_BYTES = 32 * 1024  # size of the unread output above which no command is executed
 MAX_QUEUED_COMMANDS = 16  # limit per connection; clients usually send one at a time
 MAX_QUEUED_BYTES = 2 * MAX_PACKET_BYTES
-# A client that stalls must have its connection closed within 3 s of connecting, so these limits are shorter.
-LOGIN_TIMEOUT_MS = 2000.0  # longest time between connecting and the first command
-PARTIAL_PACKET_TIMEOUT_MS = 1200.0  # longest time between a packet's first and last byte
+# Slow clients take 2 s to write a request. A client that stalls before its first command must have its
+# connection closed within 3 s of connecting, which includes the wait in the listener's queue.
+LOGIN_TIMEOUT_MS = 2400.0  # longest time between connecting and the first command
+PARTIAL_PACKET_TIMEOUT_MS = 2400.0  # longest time between a packet's first and last byte
 IDLE_TIMEOUT_MS = 5000.0  # clients close an idle connection themselves after 4 s
 # While the process drains or shuts down, a connection stays open for this long after its last activity, since
 # another request may follow.
@@ -330,6 +331,7 @@
             self._close_for_shutdown()
         elif self._is_stalled(now):
             self.registry.counters.add(f"clients_late_{self.activity().value}")
+            self._begin_response_to_partial_packet()
             self._close_with_error(ProtocolError(READ_TIMEOUT, "the client's packet did not come in time"))
         elif self._is_idle(now):
             self._close_unless_received()
@@ -361,10 +363,20 @@
             return
         if self.buffer:
             self.registry.counters.add("queries_turned_away")
-            self.sequence = (self.buffer[3] + 1) & 0xFF if len(self.buffer) > 3 else 1
+            self._begin_response_to_partial_packet()
             self._send_error(REJECTED, "query refused, it did not run: this dispatcher is leaving")
         self._close()
 
+    def _begin_response_to_partial_packet(self) -> None:
+        """Let the next response follow the packet that has arrived in part, if there is one.
+
+        Clients check the sequence numbers, and can't read a response that continues an earlier one.
+        """
+        if len(self.buffer) >= HEADER_BYTES:
+            self.sequence = (self.buffer[3] + 1) & 0xFF
+        elif self.buffer or self.is_logged_in:
+            self.sequence = 1 if self.is_logged_in else 2  # a command has number 0, the login 1
+
     def complete(self, rows: ResultRows) -> None:
         """Send the result set."""
         if not self._finish_request():
--- a/tests/frontend/test_client_sessions.py
+++ b/tests/frontend/test_client_sessions.py
@@ -84,6 +84,57 @@
     assert session.is_closing and b"\xff\x87\x04#08S01" in session.pop_output()
 
 
+@pytest.mark.parametrize("size", [1, 3, 4, 5, 60])
+@pytest.mark.parametrize("has_query", [False, True], ids=["first command", "after an answer"])
+def test_the_error_to_a_request_that_stalls_follows_the_requests_packet(size: int, has_query: bool) -> None:
+    """Guards against an error that clients can't read: it had the number after that of the last answer.
+
+    `Client` checks the sequence numbers.
+    """
+    world = World()
+    world.client("c1")
+    if has_query:
+        world.run(
+            "c1 query lookup r1\ne1 expect GET r1 *\ne1 send r1 served count=1 a|b|c/\nc1 expect rows *"
+        )
+    client = world.clients["c1"]
+    client.first_sequence_numbers.append(1)
+    client.session.receive(QUERY[:size])
+    world.wait(3000)
+    world.run("c1 expect error 1159 *\nc1 closing")
+
+
+def test_the_error_to_a_login_that_stalls_follows_the_login() -> None:
+    world = World()
+    client = world.clients["c1"] = Client(world.sessions.open())
+    client.read_output()
+    client.first_sequence_numbers.append(2)
+    client.session.receive(LOGIN_PACKET[:2])
+    world.wait(3000)
+    assert client.received[-1].startswith("error 1159 ")
+
+
+@pytest.mark.parametrize("is_first", [True, False])
+def test_a_request_that_is_written_in_2_s_is_answered(is_first: bool) -> None:
+    """Guards against the close of a slow client's connection within its request."""
+    world = World()
+    if is_first:
+        data, numbers = LOGIN_PACKET + QUERY, [2, 1]
+        world.clients["c1"] = Client(world.sessions.open())
+    else:
+        data, numbers = QUERY, [1]
+        world.run(
+            "c1 query lookup r1\ne1 expect GET r1 *\ne1 send r1 served count=1 a|b|c/\nc1 expect rows *"
+        )
+    client = world.clients["c1"]
+    client.first_sequence_numbers.extend(numbers)
+    pieces = 20
+    for number in range(pieces + 1):
+        client.session.receive(data[len(data) * number // pieces : len(data) * (number + 1) // pieces])
+        world.wait(2000 / pieces)
+    world.run("e1 expect GET 00000000000000aa *")
+
+
 def test_a_connection_stays_open_during_slow_requests_and_short_pauses() -> None:
     world = World().run("c1 query load r1 allow=20000\ne1 expect GET *\ntime wait 9000\nc1 expect nothing")
     world.run("e1 send r1 served count=1 a|b|c/\nc1 expect rows a|b|c\ntime wait 4500")
