A work report to peers has 256 bytes at most

Callers saw nothing directly; from 28 engines with work on, the sender dropped its own reports (peer_too_long) and its peers planned without its work. Cause: the limit was written as 28 entries, 257 bytes. Evidence: read by the review; the new test fails before the change for 28 and 60 engines. Change: the limit follows from the sizes of datagram, header and entry (27).

--- a/cottonhold/scheduler/peer_messages.py
+++ b/cottonhold/scheduler/peer_messages.py
@@ -18,7 +18,8 @@
 MAX_STEPS = 65535
 MAX_THREADS = 255
 TABLE_GROUP_MASK = 0xFFFF
-MAX_ENTRIES = 28  # entries of one message, which has 256 bytes at most
+MAX_MESSAGE_BYTES = 256  # longer datagrams between gateways are not permitted
+MAX_ENTRIES = (MAX_MESSAGE_BYTES - WORK_HEADER.size) // WORK_ENTRY.size  # engines in one message
 
 
 class LoadSent(NamedTuple):
--- a/tests/scheduler/test_peer_reports.py
+++ b/tests/scheduler/test_peer_reports.py
@@ -9,7 +9,7 @@
 import pytest
 
 from cottonhold import Scheduler
-from cottonhold.scheduler import peer_load
+from cottonhold.scheduler import peer_load, peer_messages
 from cottonhold.scheduler.actions import Action, SendToPeer
 from cottonhold.scheduler.events import (
     Outcome,
@@ -65,6 +65,17 @@
     )
 
 
+@pytest.mark.parametrize("count", [0, 1, 27, 28, 60])
+def test_a_work_report_fits_into_a_datagram_on_however_many_engines_there_is_work(count: int) -> None:
+    """Guards against a report that is one byte too long, which the sender drops, from 28 engines on."""
+    scheduler = Scheduler(settings(gateway_count=3, features=WITH_PEER_MESSAGES), 1)
+    scheduler.step(0.0, [fleet(60)])
+    payload = peer_messages.encode_work(1.0, list(scheduler.engines.values())[:count])
+    report = peer_messages.decode_work(0.0, payload)
+    assert len(payload) <= 256
+    assert report is not None and len(report.work_by_engine_hash) == min(count, 27)
+
+
 def receive_work_report(
     scheduler: Scheduler, now: float, peer: int, *engines: tuple[str, int, float, float]
 ) -> list[Action]:
