Connection ids of a process begin at a random number of its range

Callers could see: a KILL QUERY that a front leads to another dispatcher ends a stranger's query, since all dispatchers assign the same ids. Cause: an empty $TMPDIR always gives start number 1, and ids were counted from the first one. Evidence: read by the review; the new test finds the same ids at eight dispatchers before the change. Change: the first id is drawn with the configured seed.

--- a/cottonhold/frontend/connection_ids.py
+++ b/cottonhold/frontend/connection_ids.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from random import Random
 
 SLOTS = 4  # processes of one dispatcher that may run at the same time
 # An id has 32 bits: the start number of the process, two bits for its slot, and a counter.
@@ -43,6 +44,14 @@
         bits = 32 - (max_pids - 1).bit_length()
         return cls(pid << bits, (1 << bits) - 1)
 
+    def random_id(self, generator: Random) -> int:
+        """Return an id of the range at random.
+
+        A process starts there, so that its ids differ from those of other dispatchers. A KILL QUERY that is
+        led to another dispatcher then names no session there.
+        """
+        return self.base + generator.randrange(self.count)
+
     def next_id(self, connection_id: int) -> int:
         """Return the id that follows another one; the first id of the range follows the last."""
         return self.base + (connection_id - self.base) % self.count + 1
--- a/cottonhold/node/dispatcher.py
+++ b/cottonhold/node/dispatcher.py
@@ -7,6 +7,7 @@
 import gc
 import math
 import os
+import random
 import signal
 import socket
 import sys
@@ -94,14 +95,16 @@
         )
         self.engines.connect = self.event_loop.connector.connect
         self.gateway = Gateway(config.settings, config.seed, clock, self.engines, counters, log_line)
+        connection_ids = self.sibling_processes.connection_ids()
         self.sessions = ClientSessions(
             self.gateway,
             clock,
             counters,
             self.lifecycle,
             self.descriptor_quotas.clients,
-            self.sibling_processes.connection_ids(),
+            connection_ids,
         )
+        self.sessions.last_id = connection_ids.random_id(random.Random(config.seed))
         self.sibling_channel = SiblingChannel(
             self.sibling_processes, self.event_loop, clock, counters, log_line
         )
--- a/tests/node/test_upgrade.py
+++ b/tests/node/test_upgrade.py
@@ -14,14 +14,17 @@
 
 import pytest
 
+from cottonhold.config.relay import load_config
 from cottonhold.discovery.model import Address
 from cottonhold.emulator.engine import StandInEngine
 from cottonhold.emulator.process_fleet import free_ports
 from cottonhold.frontend.client_sessions import ClientSessions
-from cottonhold.frontend.connection_ids import ConnectionIdRange
+from cottonhold.frontend.connection_ids import ConnectionIdRange, slot_of
 from cottonhold.node.descriptors import MIN_QUOTA, SIBLING_OVERHEAD, DescriptorQuotas
+from cottonhold.node.dispatcher import Dispatcher
 from cottonhold.node.sibling_processes import ProcessRecord, SiblingProcesses
 from cottonhold.observe.counters import Counters
+from cottonhold.observe.log import Log
 from cottonhold.transport.event_loop import EventLoop
 from tests.node.test_small_parts import ENTRY, PROGRAM, write
 from tests.support.scenario import LOGIN, World, packet
@@ -92,6 +95,30 @@
     )
 
 
+def test_connection_ids_of_two_dispatchers_begin_apart(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a KILL QUERY that a front leads to another dispatcher, where it ends a stranger's query.
+
+    Each dispatcher has an empty $TMPDIR, so all have the same start number and slot.
+    """
+
+    async def first_ids(seed: int) -> list[int]:
+        folder = tmp_path / str(seed)
+        folder.mkdir()
+        monkeypatch.setenv("TMPDIR", str(folder))
+        config = load_config(write(folder, listen="127.0.0.1:80", seed=f"{seed:x}"), Counters())
+        dispatcher = Dispatcher(config, Counters(), asyncio.get_running_loop(), Log())
+        try:
+            return [dispatcher.sessions.open().connection_id for _ in range(100)]
+        finally:
+            os.close(dispatcher.sibling_processes.file)
+
+    given = [asyncio.run(first_ids(seed)) for seed in range(1, 9)]
+    assert len({connection_id for ids in given for connection_id in ids}) == 800
+    assert {slot_of(connection_id) for ids in given for connection_id in ids} == {0}
+
+
 def test_a_kill_at_the_wrong_process_kills_nothing(tmp_path: Path) -> None:
     worlds = [World(), World()]
     for world in worlds:
