--- a/cottonhold/frontend/eviction.py
+++ b/cottonhold/frontend/eviction.py
@@ -16,7 +16,7 @@
 # Longest time that a connection shall wait in the listener's queue. A request with hardly any time left has
 # to get its answer within 0.5 s after its time, and the queue is only a part of that.
 MAX_QUEUE_WAIT_MS = 300.0
-MIN_EVICTABLE_AFTER_MS = 10.0  # a client that was just accepted needs this time to send something
+MIN_EVICTABLE_AFTER_MS = 5.0  # a client that was just accepted needs this time to send something
 EVICTION_ORDER = {Activity.SILENT: 0, Activity.IDLE: 1, Activity.HALTED: 2}
 
 
