Session: packet framing and interfaces in modules of their own; shorter Dispatcher constructor

Change: client_commands.py takes commands from received bytes, session_registry.py has the interfaces of a session, observe/operator_log.py that of the log; the dispatcher makes its sessions and its channel to sibling processes in functions of their own. Behaviour is unchanged.

--- a/cottonhold/fleet_adapters/engine_drain.py
+++ b/cottonhold/fleet_adapters/engine_drain.py
@@ -33,8 +33,8 @@
 )
 from cottonhold.fleet_adapters.write_queue import OrderedWriteQueue
 from cottonhold.membership.codec import member_id
-from cottonhold.node.dispatcher import OperatorLog
 from cottonhold.observe.counters import Counters
+from cottonhold.observe.operator_log import OperatorLog
 from cottonhold.store.ledger import Ledger
 from cottonhold.store.records import RecordKind
 
--- a/cottonhold/frontend/eviction.py
+++ b/cottonhold/frontend/eviction.py
@@ -7,7 +7,8 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from cottonhold.frontend.mysql_session import Activity, Session
+from cottonhold.frontend.mysql_session import Session
+from cottonhold.frontend.session_registry import Activity
 
 # Near the limit on sessions, a connection that sent nothing for this long may be evicted.
 EVICTABLE_AFTER_MS = 50.0
--- a/cottonhold/frontend/mysql_session.py
+++ b/cottonhold/frontend/mysql_session.py
@@ -5,9 +5,8 @@
 import math
 from collections import deque
 from collections.abc import Callable
-from enum import Enum
-from typing import NamedTuple, Protocol
 
+from cottonhold.frontend.client_commands import Command, take_command
 from cottonhold.frontend.mysql_handshake import DATABASE, check_login, decode_login, encode_greeting
 from cottonhold.frontend.mysql_packets import (
     COM_INIT_DB,
@@ -40,15 +39,11 @@
     printable,
 )
 from cottonhold.frontend.query_comment import FieldError, parse
-from cottonhold.frontend.query_service import DuplicateRequestIdError, QueryService, ServingState
-from cottonhold.observe.counters import Counters
-from cottonhold.transport.clock import Clock
+from cottonhold.frontend.query_service import DuplicateRequestIdError
+from cottonhold.frontend.session_registry import Activity, SessionRegistry
 from cottonhold.transport.interface import StreamHandle
 
-MAX_PACKET_BYTES = 64 * 1024  # limit of a client's packet, since many clients share the memory
 MAX_UNREAD_BYTES = 32 * 1024  # size of the unread output above which no command is executed
-MAX_QUEUED_COMMANDS = 16  # limit per connection; clients usually send one at a time
-MAX_QUEUED_BYTES = 2 * MAX_PACKET_BYTES
 # Slow clients take 2 s to write a request. A client that stalls before its first command must have its
 # connection closed within 3 s of connecting, which includes the wait in the listener's queue.
 LOGIN_TIMEOUT_MS = 2400.0  # longest time between connecting and the first command
@@ -59,43 +54,6 @@
 SETTLE_MS = 100.0
 
 
-class Activity(Enum):
-    """State of a client without an open request; the values are part of counters' names."""
-
-    SILENT = "silent"  # the client has sent nothing yet
-    IDLE = "idle"  # the client is between two commands
-    HALTED = "halted"  # the client stopped within a packet or its login
-
-
-class Command(NamedTuple):
-    """A received packet that has not been executed yet."""
-
-    sequence: int
-    payload: bytes
-    arrived_at: float  # when its last byte arrived at this machine, in ms of the clock
-
-
-class SessionRegistry(Protocol):
-    """The services that all sessions share."""
-
-    service: QueryService
-    clock: Clock
-    counters: Counters
-    lifecycle: ServingState
-
-    def find(self, connection_id: int) -> Session | None:
-        """Return the session with this connection id, or None."""
-
-    def forward_kill(self, connection_id: int, only_query: bool, on_result: Callable[[bool], None]) -> bool:
-        """Pass KILL on to the process that assigned an id; return False if there is no such process.
-
-        `on_result` is called later, with whether the session exists.
-        """
-
-    def on_session_closed(self, session: Session) -> None:
-        """Remove a session; called when its connection has ended."""
-
-
 class Session:
     """The protocol state of one client connection."""
 
@@ -128,35 +86,17 @@
         self.has_received = True
         arrived_at = now - (self.stream.last_data_age_ms() if self.stream is not None else 0.0)
         try:
-            while packet := self._decode_packet(arrived_at):
-                self.commands.append(packet)
+            while command := take_command(self.buffer, self.commands, arrived_at):
+                self.commands.append(command)
                 self.partial_since = math.inf
             if self.buffer:
                 self.partial_since = min(self.partial_since, now)
             self._execute_commands()
         except ProtocolError as error:
+            if error.code is PACKET_TOO_LARGE:
+                self._begin_response_to_partial_packet()
             self._on_malformed(error)
 
-    def _decode_packet(self, arrived_at: float) -> Command | None:
-        """Remove and return the first packet of the buffer; None if incomplete. Raises ProtocolError."""
-        buffer = self.buffer
-        if len(buffer) < HEADER_BYTES:
-            return None
-        size = int.from_bytes(buffer[:3], "little")
-        if size > MAX_PACKET_BYTES:
-            self.sequence = (buffer[3] + 1) & 0xFF
-            text = f"a packet of {size} bytes; at most {MAX_PACKET_BYTES} are taken"
-            raise ProtocolError(PACKET_TOO_LARGE, text)
-        queued_bytes = size + sum(len(command.payload) for command in self.commands)
-        if len(self.commands) > MAX_QUEUED_COMMANDS or self.commands and queued_bytes > MAX_QUEUED_BYTES:
-            raise ProtocolError(PACKETS_OUT_OF_ORDER, "commands are taken one at a time")
-        end = HEADER_BYTES + size
-        if len(buffer) < end:
-            return None
-        packet = Command(buffer[3], bytes(buffer[HEADER_BYTES:end]), arrived_at)
-        del buffer[:end]
-        return packet
-
     def pop_output(self) -> bytes:
         """Remove and return the bytes to write, and schedule the execution of queued commands."""
         data = bytes(self.output)
--- a/cottonhold/node/dispatcher.py
+++ b/cottonhold/node/dispatcher.py
@@ -12,7 +12,6 @@
 import socket
 import sys
 from collections.abc import Awaitable, Callable, Iterable, Sequence
-from typing import Protocol
 
 import uvloop
 
@@ -38,6 +37,7 @@
 from cottonhold.node.sibling_channel import SiblingChannel
 from cottonhold.node.sibling_processes import ProcessRecord, SiblingProcesses
 from cottonhold.observe.counters import Counters
+from cottonhold.observe.operator_log import OperatorLog
 from cottonhold.scheduler.actions import SendToPeer
 from cottonhold.transport.clock import Timer
 from cottonhold.transport.event_loop import EventLoop
@@ -50,16 +50,6 @@
 EVENT_STREAM_ONLY = ((SOURCE, SourceGuard(is_trusted=True)),)
 
 
-class OperatorLog(Protocol):
-    """The operators' log."""
-
-    def write_line(self, text: str) -> None:
-        """Write a line of text."""
-
-    def note(self, event: str, **fields: object) -> None:
-        """Write an event with its fields."""
-
-
 class Dispatcher:
     """A dispatcher process: owns its parts and connects them.
 
@@ -95,24 +85,9 @@
         )
         self.engines.connect = self.event_loop.connector.connect
         self.gateway = Gateway(config.settings, config.seed, clock, self.engines, counters, log_line)
-        connection_ids = self.sibling_processes.connection_ids()
-        self.sessions = ClientSessions(
-            self.gateway,
-            clock,
-            counters,
-            self.lifecycle,
-            self.descriptor_quotas.clients,
-            connection_ids,
-        )
-        self.sessions.last_id = connection_ids.random_id(random.Random(config.seed))
-        self.sibling_channel = SiblingChannel(
-            self.sibling_processes, self.event_loop, clock, counters, log_line
-        )
-        self.sibling_channel.kill_handler = self.sessions
-        self.sessions.kill_forwarder = self.sibling_channel
+        self.sessions = self._new_sessions()
         self.admin_api = AdminApi(self.lifecycle, clock, counters, log.note, self.descriptor_quotas.admin)
-        self.admin_api.share_drain = self.sibling_channel.share_drain
-        self.sibling_channel.drain_handler = self.admin_api
+        self.sibling_channel = self._new_sibling_channel()
         self.peer_datagrams = PeerDatagrams(config.peers, config.peers_all, counters, log_line)
         self.gateway.send_to_peer = self.send_to_peer
         self.engine_catalog = EngineCatalog(sources, config.seed, clock.unix_offset)
@@ -120,6 +95,32 @@
         self.event_stream = self._new_event_stream()
         self.shutdown_requested, self.is_serving = asyncio.Event(), False
 
+    def _new_sessions(self) -> ClientSessions:
+        connection_ids = self.sibling_processes.connection_ids()
+        sessions = ClientSessions(
+            self.gateway,
+            self.event_loop.clock,
+            self.counters,
+            self.lifecycle,
+            self.descriptor_quotas.clients,
+            connection_ids,
+        )
+        sessions.last_id = connection_ids.random_id(random.Random(self.config.seed))
+        return sessions
+
+    def _new_sibling_channel(self) -> SiblingChannel:
+        """Return the channel to sibling processes, connected with the sessions and the admin API."""
+        channel = SiblingChannel(
+            self.sibling_processes,
+            self.event_loop,
+            self.event_loop.clock,
+            self.counters,
+            self.log.write_line,
+        )
+        channel.kill_handler, self.sessions.kill_forwarder = self.sessions, channel
+        channel.drain_handler, self.admin_api.share_drain = self.admin_api, channel.share_drain
+        return channel
+
     def _new_event_stream(self) -> EventStream:
         config = self.config
         event_stream = EventStream(
--- a/tests/conformance/test_malformed_bytes.py
+++ b/tests/conformance/test_malformed_bytes.py
@@ -20,7 +20,7 @@
 )
 from cottonhold.discovery.event_stream import EventStream, PollConnection
 from cottonhold.discovery.model import Address, ConfiguredNames
-from cottonhold.frontend.mysql_session import MAX_PACKET_BYTES
+from cottonhold.frontend.client_commands import MAX_PACKET_BYTES
 from cottonhold.frontend.query_comment import FieldError, parse
 from cottonhold.node.admin_api import AdminApi
 from cottonhold.node.peer_datagrams import PeerDatagrams
--- a/tests/frontend/test_client_sessions.py
+++ b/tests/frontend/test_client_sessions.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from cottonhold.frontend.mysql_session import MAX_PACKET_BYTES
+from cottonhold.frontend.client_commands import MAX_PACKET_BYTES
 from tests.support.scenario import LOGIN, Client, World, packet
 
 
