Test an engine that drops an idle connection without notice

Cause: the table of races listed it as without a test. Change: a load on such a connection may have run and goes nowhere else; a lookup does.

--- a/tests/node/test_retries.py
+++ b/tests/node/test_retries.py
@@ -134,3 +134,23 @@
         world.run(f"c1 expect nothing\n{stream.engine} send r1 overload -")
     world.run("c1 expect error 1226 *\ntime wait 1000\nany nothing there")
     assert_no_leftovers(world)
+
+
+@pytest.mark.parametrize("name", ["lookup", "load"])
+def test_a_request_on_an_idle_connection_that_was_dropped_without_notice_may_have_run(name: str) -> None:
+    """Guards against a load that is sent again: nothing tells whether the engine received it."""
+    world = World().run("""
+        c1 query lookup r1
+        e1 expect GET r1 *
+        e1 send r1 served count=1 a|b|c/
+        c1 expect rows a|b|c
+        time wait 5000
+        e1 will mute
+    """)
+    world.run(f"c1 query {name} r2 allow=20000\ne1 expect GET r2 *\ntime wait 600")
+    if name == "lookup":  # it may run again, and goes elsewhere
+        world.run(
+            "e1 expect DROP r2\ne2 expect GET r2 *\ne2 send r2 served count=1 a|b|c/\nc1 expect rows a|b|c"
+        )
+    else:
+        world.run("time wait 1500\nc1 expect error 1105 *may have run*\ne2 expect nothing")
