A packet that stalls behind an open request no longer ends that request

Callers could see: a client that sent half of its next request and stopped lost the answer to the request before it; the connection was closed and the request withdrawn. Evidence: the new test fails before the change. Change: the time limits of packets apply once the open and queued requests are answered. Result: tests of frontend, transport, node and conformance pass.

--- a/cottonhold/frontend/mysql_session.py
+++ b/cottonhold/frontend/mysql_session.py
@@ -277,7 +277,12 @@
             self._close_unless_received()
 
     def _is_stalled(self, now: float) -> bool:
-        """Return whether the client has exceeded the time for sending a packet or for logging in."""
+        """Return whether the client has exceeded the time for sending a packet or for logging in.
+
+        A packet that stalls behind a request must not end that request, which is answered first.
+        """
+        if self.withdraw_request is not None or self.commands:
+            return False
         if now - self.partial_since > PARTIAL_PACKET_TIMEOUT_MS:
             return True
         return not self.has_sent_command and now - self.opened_at > LOGIN_TIMEOUT_MS
--- a/tests/frontend/test_client_sessions.py
+++ b/tests/frontend/test_client_sessions.py
@@ -104,6 +104,16 @@
     world.run("c1 expect error 1159 *\nc1 closing")
 
 
+def test_a_request_is_answered_though_the_next_packet_stalls_behind_it() -> None:
+    """Guards against an accepted request that is withdrawn, and gets no answer, for a packet behind it."""
+    world = World().run("c1 query load r1 allow=20000\ne1 expect GET r1 *")
+    client = world.clients["c1"]
+    client.first_sequence_numbers.append(1)
+    client.session.receive(QUERY[:30])
+    world.run("time wait 5000\nc1 expect nothing\ne1 send r1 served count=1 a|b|c/\nc1 expect rows a|b|c")
+    world.run("time wait 300\nc1 expect error 1159 *\nc1 closing")
+
+
 def test_the_error_to_a_login_that_stalls_follows_the_login() -> None:
     world = World()
     client = world.clients["c1"] = Client(world.sessions.open())
