A crowd is evicted as fast as its queue is long, where few places are left too

Callers could see: in an upgrade beside a crowd (8 places for the new process) a request with a timeout of 100 ms was answered 0.65 s after its last byte, too late. Cause: one eviction at a time with 8 places, and pauses of 20 ms between checks for capacity. Change: as many sessions are evicted as connections wait; the pause follows from the allowed silence.

--- a/cottonhold/frontend/client_sessions.py
+++ b/cottonhold/frontend/client_sessions.py
@@ -13,6 +13,9 @@
 from cottonhold.transport.clock import Clock
 
 CHECK_INTERVAL_MS = 200.0
+MAX_CAPACITY_PAUSE_MS = 20.0  # longest pause between checks for capacity, if nobody may be evicted yet
+PAUSE_FRACTION = 0.2  # the same as a share of the silence after which sessions may be evicted
+EVICTION_PAUSE_MS = 1.0  # the same while descriptors of evicted connections are about to be released
 HEADROOM_FRACTION = 8  # 1/8 of the maximum number of sessions is kept free for new connections
 ALL_IDS = ConnectionIdRange()
 
@@ -92,17 +95,25 @@
         return max(self.max_sessions // HEADROOM_FRACTION, 1)
 
     def evict_inactive(self, count_queued: Callable[[], int]) -> None:
-        """Evict some inactive sessions; `count_queued` returns the length of the listener's queue."""
-        self.pressure.on_queued(count_queued())
-        self._evict(self._headroom())
+        """Evict some inactive sessions, or as many as connections wait in the listener's queue.
+
+        Args:
+            count_queued: Returns how many connections wait there.
+        """
+        queued = count_queued()
+        self.pressure.on_queued(queued)
+        self._evict(max(self._headroom(), queued))
 
     def on_queue_empty(self) -> None:
         """Record that no connection waits in the listener's queue."""
         self.pressure.on_empty()
 
-    def is_evicting(self) -> bool:
-        """Return whether descriptors of evicted sessions are about to be released."""
-        return self.evicted_count > 0
+    def capacity_pause_ms(self) -> float:
+        """Return when to check again whether there is capacity, in ms."""
+        if self.evicted_count > 0:
+            return EVICTION_PAUSE_MS
+        evictable_after_ms = self.pressure.evictable_after_ms(self.max_sessions)
+        return min(MAX_CAPACITY_PAUSE_MS, evictable_after_ms * PAUSE_FRACTION)
 
     def _evict(self, count: int) -> None:
         pressure_ms = self.pressure.evictable_after_ms(self.max_sessions)
--- a/cottonhold/transport/listener.py
+++ b/cottonhold/transport/listener.py
@@ -17,8 +17,7 @@
 
 CLIENT_READ_BYTES = 4096  # largest size of one read
 BACKLOG = 512
-ACCEPT_PAUSE_S = 0.02  # pause after a failure, or while there is no capacity
-EVICTION_PAUSE_S = 0.001  # pause while descriptors of evicted connections are about to be released
+ACCEPT_PAUSE_S = 0.02  # pause after a failure
 OPEN_TIMEOUT_S = 3.0  # longest wait for a resource at a start, which has to be ready within 6 s
 MAX_BROKEN_CONNECTIONS = 64  # consecutive broken connections in the queue until the next pause
 MAX_QUEUE_DELAY_S = 0.5  # time after which a closing listener drops the rest of its queue
@@ -52,8 +51,8 @@
     def on_queue_empty(self) -> None:
         """Record that no connection waits in the listener's queue."""
 
-    def is_evicting(self) -> bool:
-        """Return whether descriptors of evicted connections are about to be released."""
+    def capacity_pause_ms(self) -> float:
+        """Return when to check again whether there is capacity, in ms."""
 
 
 class Listener:
@@ -117,7 +116,7 @@
 
         while True:
             if not sessions.has_capacity(count_queued):
-                await asyncio.sleep(EVICTION_PAUSE_S if sessions.is_evicting() else ACCEPT_PAUSE_S)
+                await asyncio.sleep(sessions.capacity_pause_ms() / 1000)
                 continue
             try:
                 await self.context.wait_until_readable(sock)
@@ -138,7 +137,7 @@
         """Handle a failure of accept at the clients' address; lacking descriptors are taken from others."""
         if error.errno in RESOURCE_ERRORS:
             sessions.evict_inactive(lambda: queued_connections(sock))
-        pause_s = EVICTION_PAUSE_S if sessions.is_evicting() else ACCEPT_PAUSE_S
+        pause_s = sessions.capacity_pause_ms() / 1000
         await self._on_accept_failed(error, failures, "accept", "accept", pause_s)
 
     async def _on_accept_failed(
