--- a/cottonhold/node/sibling_messages.py
+++ b/cottonhold/node/sibling_messages.py
@@ -17,7 +17,7 @@
     """Asks the process that assigned a connection id to execute KILL."""
 
     sender_slot: int
-    call_number: int  # chosen by the sender, repeated in the result
+    call_number: int  # differs between the open calls of a sender; the result has the same
     connection_id: int
     only_query: bool  # KILL QUERY, which does not end the session
 
