--- /dev/null
+++ b/cottonhold/emulator/platform/hostile_clients.py
@@ -0,0 +1,126 @@
+"""Clients that cost a dispatcher memory or time: slow, halted, unsound, or never reading."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+from collections.abc import Awaitable, Callable
+
+from cottonhold.emulator.platform.client import (
+    COM_QUERY,
+    HEADER_BYTES,
+    Client,
+    encode_login,
+    encode_packet,
+    encode_query,
+    new_request_id,
+)
+
+MAX_PACKET_BYTES = 65536
+HOLD_S = 0.3  # pause after each part of a halted packet
+
+
+async def _connect(address: str) -> Client:
+    client = Client(address)
+    await client.open()
+    client.writer.write(encode_login())
+    return client
+
+
+async def halt_in_packet(address: str, size: int) -> None:
+    """Announce a request of `size` bytes, send all but the last byte, and stop until closed."""
+    client = await _connect(address)
+    head = size.to_bytes(3, "little") + b"\x00"
+    client.writer.write(head + COM_QUERY + b"/* " + b"x" * (size - HEADER_BYTES - 1))
+    await client.reader.read()
+    client.close()
+
+
+async def write_slowly(address: str, size: int) -> None:
+    """Send a request of `size` bytes in parts, over 2 s."""
+    client = await _connect(address)
+    packet = encode_query("lookup", new_request_id(), 3000, padding=max(size - 200, 1))
+    parts = 10
+    for number in range(parts):
+        start, end = len(packet) * number // parts, len(packet) * (number + 1) // parts
+        client.writer.write(packet[start:end])
+        await client.writer.drain()
+        await asyncio.sleep(2.0 / parts)
+    await client.reader.read()
+    client.close()
+
+
+async def send_many_fields(address: str, size: int) -> None:
+    """Send requests whose heads have as many short fields as fit into `size` bytes, one after another."""
+    client = await _connect(address)
+    fields = ",".join(f"a{number}=1" for number in range(size // 8))[: size - 100]
+    packet = encode_packet(COM_QUERY + f"/* service=lookup,{fields} */ SELECT 1".encode())
+    await client.read_login_answer()
+    while True:
+        client.writer.write(packet)
+        await client.read_answer()
+
+
+async def send_unsound_requests(address: str) -> None:
+    """Send small unsound requests on one connection at full speed, each under a new name."""
+    client = await _connect(address)
+    await client.read_login_answer()
+    number = 0
+    while True:
+        number += 1
+        text = f"/* service=class{number},ref={new_request_id()},allow=1000,project=p{number} */ SELECT 1"
+        client.writer.write(encode_packet(COM_QUERY + text.encode()))
+        await client.read_answer()
+
+
+async def send_sound_requests(address: str) -> None:
+    """Send small requests on one connection at full speed, each with a new key and group of tables."""
+    client = await _connect(address)
+    await client.read_login_answer()
+    number = 0
+    while True:
+        number += 1
+        request_id = new_request_id()
+        text = f"/* service=lookup,ref={request_id},allow=2000,lookup={request_id * 4} */"
+        text += f" SELECT a FROM s_{number}.t"
+        client.writer.write(encode_packet(COM_QUERY + text.encode()))
+        await client.read_answer()
+
+
+async def never_read(address: str, count: int) -> None:
+    """Send requests, one at a time on average, and read no answer."""
+    client = await _connect(address)
+    for _ in range(count):
+        client.writer.write(encode_query("lookup", new_request_id(), 3000))
+        await asyncio.sleep(0.05)
+    await asyncio.sleep(5.0)
+    client.close()
+
+
+async def pipeline(address: str, count: int, padding: int) -> None:
+    """Send many requests at once, and read what comes."""
+    client = await _connect(address)
+    packets = [encode_query("lookup", new_request_id(), 3000, padding=padding) for _ in range(count)]
+    client.writer.write(b"".join(packets))
+    await client.reader.read()
+    client.close()
+
+
+async def stay_silent(address: str) -> None:
+    """Connect and send nothing, until closed."""
+    client = Client(address)
+    await client.open()
+    await client.reader.read()
+    client.close()
+
+
+Behaviour = Callable[[str], Awaitable[None]]
+
+
+async def repeat(behaviour: Behaviour, address: str) -> None:
+    """Repeat a behaviour on new connections until cancelled."""
+    while True:
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError, ConnectionError):
+            await behaviour(address)
+        await asyncio.sleep(random.uniform(0.01, 0.05))
