--- a/cottonhold/config/installation.py
+++ b/cottonhold/config/installation.py
@@ -149,6 +149,7 @@
         listen=parse_address(file.listen),
         seed=secrets.randbits(64) if file.seed is None else file.seed,
         max_descriptors=file.max_descriptors,
+        memory_limit_bytes=None,
         admin_listen=None,
         peer_listen=parse_address(peers.listen) if peers else None,
         peers=tuple(parse_address(a) for a in peers.all) if peers else (),
--- a/cottonhold/config/relay.py
+++ b/cottonhold/config/relay.py
@@ -35,6 +35,7 @@
 }
 REQUIRED_CLASS_KEYS = "name aim hard_limit effect worth late_worth"
 MAX_NUMBER = 1e12  # upper limit of every number in the settings
+BYTES_PER_MB = 1_000_000  # the smaller reading of MB, so that a limit holds by either
 MAX_FILE_BYTES = 4 << 20  # a file with 3,200 engines is smaller than 1 MiB
 
 
@@ -68,6 +69,7 @@
         listen: Address on which clients connect.
         seed: Seed of the random generators.
         max_descriptors: Largest number of file descriptors that the process may use.
+        memory_limit_bytes: Largest memory of all processes of the dispatcher; None if none is configured.
         admin_listen: Address of the admin API; None disables it.
         peer_listen: Address on which messages from the other dispatchers are received; None to receive none.
         peers: Addresses of all dispatchers by their index.
@@ -84,6 +86,7 @@
     listen: Address
     seed: int
     max_descriptors: int
+    memory_limit_bytes: int | None
     admin_listen: Address | None
     peer_listen: Address | None
     peers: tuple[Address, ...]
@@ -225,6 +228,7 @@
         listen=listen,
         seed=int(read(source, "seed", str, "0"), 16),
         max_descriptors=read(limits, "sockets", int, 1024),
+        memory_limit_bytes=_memory_limit_bytes(limits),
         admin_listen=_read_address(source, "ops", environ.get("RELAY_OPS")),
         peer_listen=_read_address(source, "peer_listen"),
         peers=tuple(Address.parse(p) for p in read_list(source, "peers", str)),
@@ -243,6 +247,16 @@
     )
 
 
+def _memory_limit_bytes(limits: Json) -> int | None:
+    """Return the limit on memory; None if there is none. Raises WireError if it is not over 0."""
+    limit_mb = read(limits, "memory_mb", NUMBER, None)
+    if limit_mb is None:
+        return None
+    if not 0 < limit_mb <= MAX_NUMBER:
+        raise WireError(f"field 'limits.memory_mb' is {limit_mb!r}, not over 0")
+    return int(limit_mb * BYTES_PER_MB)
+
+
 def _read_address(source: Json, key: str, default: str | None = None) -> Address | None:
     """Return the address in a field, else the default; None without both. Raises WireError."""
     text = read(source, key, str, None) or default
--- a/cottonhold/frontend/mysql_session.py
+++ b/cottonhold/frontend/mysql_session.py
@@ -270,7 +270,10 @@
         if self.registry.lifecycle.closes_all(now):
             self._close_for_shutdown()
         elif self._is_stalled(now):
-            self.registry.counters.add(f"clients_late_{self.activity().value}")
+            activity = self.activity().value
+            self.registry.counters.add(f"clients_late_{activity}")
+            held = len(self.buffer)
+            self.registry.service.log(f"client {self.connection_id}: {activity} too long, {held} bytes held")
             self._begin_response_to_partial_packet()
             self._close_with_error(ProtocolError(READ_TIMEOUT, "the client's packet did not come in time"))
         elif self._is_idle(now):
--- a/cottonhold/node/dispatcher.py
+++ b/cottonhold/node/dispatcher.py
@@ -33,6 +33,7 @@
 from cottonhold.node.descriptors import DescriptorQuotas, usable_descriptors
 from cottonhold.node.gateway import Gateway
 from cottonhold.node.lifecycle import Lifecycle
+from cottonhold.node.memory_monitor import MemoryMonitor
 from cottonhold.node.peer_datagrams import PeerDatagrams
 from cottonhold.node.sibling_channel import SiblingChannel
 from cottonhold.node.sibling_processes import ProcessRecord, SiblingProcesses
@@ -88,6 +89,9 @@
         self.sessions = self._new_sessions()
         self.admin_api = AdminApi(self.lifecycle, clock, counters, log.note, self.descriptor_quotas.admin)
         self.sibling_channel = self._new_sibling_channel()
+        self.memory_monitor = MemoryMonitor(
+            config.memory_limit_bytes, clock, counters, log.note, self._memory_use
+        )
         self.peer_datagrams = PeerDatagrams(config.peers, config.peers_all, counters, log_line)
         self.gateway.send_to_peer = self.send_to_peer
         self.engine_catalog = EngineCatalog(sources, config.seed, clock.unix_offset)
@@ -236,6 +240,7 @@
             self.event_loop.spawn(listeners.serve_admin_api(admin_socket, self.admin_api))
         self.is_serving = True
         self._log_serving()
+        self.memory_monitor.start()
         self.update_siblings()
         await self.shutdown_requested.wait()
         await self._shut_down(client_socket, accepting)
@@ -274,6 +279,7 @@
             "serving",
             listen=self.config.listen,
             admin_listen=self.config.admin_listen,
+            memory_limit_bytes=self.config.memory_limit_bytes,
             max_descriptors=max_descriptors,
             client_descriptors=quotas.clients,
             engine_descriptors=quotas.engines,
@@ -361,8 +367,17 @@
         self.lifecycle.begin_shutdown(self.event_loop.clock.now(), max_deadline_ms)
         self.shutdown_requested.set()
 
+    def _memory_use(self) -> dict[str, object]:
+        """Return what the memory is used for, as fields of the log."""
+        return {
+            "client_connections": len(self.sessions.sessions),
+            "open_requests": self.gateway.open_count,
+            "engine_connections": self.engines.open_connections,
+        }
+
     def print_counters(self) -> None:
         """Print the counters to stderr, regardless of the log's rate limit."""
+        self.memory_monitor.publish()
         print(self.counters.format_line(), file=sys.stderr, flush=True)
 
     async def run_until_stopped(self) -> None:
--- a/cottonhold/observe/counters.py
+++ b/cottonhold/observe/counters.py
@@ -15,6 +15,10 @@
         """Increase a counter."""
         self.counts[name] += amount
 
+    def set(self, name: str, value: int) -> None:
+        """Set the value of a gauge, which is printed with the counters."""
+        self.counts[name] = value
+
     def format_line(self) -> str:
         """Return all counters on one line, sorted by name."""
         return "counters " + " ".join(f"{name}={n}" for name, n in sorted(self.counts.items()))
