--- /dev/null
+++ b/tests/node/test_memory_limit.py
@@ -0,0 +1,58 @@
+"""The memory of one process with 32 MB and 1,024 descriptors, the least and the most that the pages name.
+
+Real processes on loopback: `run` of the deploy file, with sound clients beside hostile ones. Sound clients
+get their answers throughout.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from functools import partial
+from pathlib import Path
+
+import pytest
+
+from cottonhold.emulator.platform import hostile_clients
+from cottonhold.emulator.platform.configuration import Limits
+from cottonhold.emulator.platform.hostile_clients import Behaviour, repeat
+from cottonhold.emulator.platform.site import Site, running_site
+from cottonhold.emulator.platform.sound_clients import SoundClients
+
+pytestmark = [pytest.mark.processes, pytest.mark.xdist_group("memory")]
+
+LIMIT_MB = 32
+LIMIT_BYTES = LIMIT_MB * 1_000_000
+DURATION_S = 4.0
+SOUND_CLIENTS = 10
+TIMEOUT_MS = 3000
+
+
+async def play(site: Site, behaviour: Behaviour, count: int) -> Counter[str]:
+    """Let `count` hostile clients beside sound ones act for some seconds; return the sound ones' answers."""
+    sound = SoundClients(site.address, TIMEOUT_MS)
+    hostile = [asyncio.create_task(repeat(behaviour, site.address)) for _ in range(count)]
+    await sound.run(SOUND_CLIENTS, DURATION_S)
+    for task in hostile:
+        task.cancel()
+    await asyncio.gather(*hostile, return_exceptions=True)
+    return sound.verdicts
+
+
+def peak_memory(folder: Path, behaviour: Behaviour, count: int) -> tuple[int, Counter[str]]:
+    """Return the peak of the process's memory in bytes, and the answers of sound clients."""
+
+    async def scenario() -> tuple[int, Counter[str]]:
+        async with running_site(folder / "site", Limits(memory_mb=LIMIT_MB)) as site:
+            verdicts = await play(site, behaviour, count)
+            assert site.processes[0].is_running()
+            return site.memory.largest_one, verdicts
+
+    return asyncio.run(asyncio.wait_for(scenario(), 60))
+
+
+def test_memory_with_clients_that_halt_in_large_packets(tmp_path: Path) -> None:
+    """Guards against the incident: 480 clients halted in packets of 64 KB took 179 MB of 32."""
+    peak, verdicts = peak_memory(tmp_path, partial(hostile_clients.halt_in_packet, size=65_000), 480)
+    assert peak <= LIMIT_BYTES
+    assert verdicts.keys() == {"served"}
