Ended connections are released at once, not by a later garbage collection

What callers saw: nothing directly; a process passed its limit while a crowd came and went. Cause: stream, protocol, task and the exception of a reset refer to one another. Each ended connection with its buffers stayed in memory until a full collection, which comes late since the program's own objects are frozen. Change: a stream that has ended drops its protocol, its task and its future; so does a failed connect.

--- a/cottonhold/transport/connector.py
+++ b/cottonhold/transport/connector.py
@@ -70,7 +70,7 @@
             self.context.counters.add(failure_counter)
             is_local = isinstance(error, OSError) and error.errno in CONNECT_RESOURCE_ERRORS
             protocol.lacked_local_resources = is_local
-            protocol.on_closed()
+            stream.end_protocol()
             if not isinstance(error, OSError):  # TimeoutError is an OSError
                 raise
             return
--- a/cottonhold/transport/stream.py
+++ b/cottonhold/transport/stream.py
@@ -19,6 +19,25 @@
 LINGER_S, MAX_LINGER_S = 1.0, 5.0
 
 
+class EndedProtocol:
+    """The protocol of a stream that has ended: nothing is received or written any more."""
+
+    is_closing = True
+
+    def receive(self, data: bytes) -> None:
+        """Discard bytes."""
+
+    def pop_output(self) -> bytes:
+        """Return nothing to write."""
+        return b""
+
+    def on_closed(self) -> None:
+        """Do nothing: the end has been processed."""
+
+
+ENDED_PROTOCOL = EndedProtocol()
+
+
 class StreamSet:
     """All open streams; closes those whose peer does not read."""
 
@@ -54,7 +73,8 @@
     def __init__(self, streams: StreamSet, protocol: StreamProtocol, read_size: int) -> None:
         """Create a stream that is not started yet; `read_size` is the largest size of one read, in bytes."""
         self.streams, self.context = streams, streams.context
-        self.protocol, self.read_size = protocol, read_size
+        self.protocol: StreamProtocol = protocol
+        self.read_size = read_size
         self.sock: socket.socket | None = None
         self.writer: asyncio.Task[None] | None = None
         self.task: asyncio.Task[None] | None = None
@@ -160,7 +180,17 @@
         self.sock = None
         self.streams.discard(self)
         sock.close()
-        self.protocol.on_closed()
+        self.end_protocol()
+
+    def end_protocol(self) -> None:
+        """Tell the protocol that the stream has ended, and release what the stream refers to.
+
+        Streams, protocols, tasks and exceptions refer to one another. Without the release, ended connections
+        would stay in memory until the next full garbage collection, which may be minutes away.
+        """
+        protocol, self.protocol = self.protocol, ENDED_PROTOCOL
+        self.task = self.ended = None
+        protocol.on_closed()
 
     async def _read(self, sock: socket.socket) -> None:
         assert self.ended is not None
