Clients' packets, queued commands and statements share a bound that follows from the limit

What callers saw: a process passed its memory limit and was killed, with all that it had taken on. Cause: limits.memory_mb was not used. Each of up to 491 clients could hold an incomplete packet of 64 KB, 128 KB of queued commands and a statement, 94 MB in all, whatever the limit. Evidence: 480 clients halted in packets of 65,000 bytes: 179 MB; with the garbage of ended connections gone, the size of the packets times their number remains. Change: divide_memory gives each process quotas of what remains beside its idle memory. All clients share one pool: a client may grow up to a quarter of what is free, and the first 2 KB are its own. A packet beyond the share is discarded as it arrives, and rejected (1226) in its turn; first the packets of clients that have stalled are discarded. Nothing that was taken on yields. With two processes each has half. A client's reader of commands is a class of its own, and so are the process's quotas.

--- a/cottonhold/backend/resp.py
+++ b/cottonhold/backend/resp.py
@@ -25,10 +25,14 @@
 
 
 class RespReader:
-    """Decodes a stream of bytes into arrays."""
+    """Decodes a stream of bytes into arrays.
 
-    def __init__(self) -> None:
-        self.buffer = bytearray()
+    Args:
+        max_element_bytes: Largest size of an element, in bytes.
+    """
+
+    def __init__(self, max_element_bytes: int = MAX_ELEMENT_BYTES) -> None:
+        self.buffer, self.max_element_bytes = bytearray(), max_element_bytes
 
     def has_partial(self) -> bool:
         """Return whether part of an array has been received."""
@@ -62,7 +66,7 @@
         count, position = header
         elements = []
         for _ in range(count):
-            header = self._decode_length(position, b"$", MAX_ELEMENT_BYTES)
+            header = self._decode_length(position, b"$", self.max_element_bytes)
             if header is None:
                 return None
             size, position = header
--- a/cottonhold/emulator/serving.py
+++ b/cottonhold/emulator/serving.py
@@ -12,6 +12,7 @@
 from cottonhold.backend.resp import RespReader
 
 READ_BYTES = 65536
+MAX_CALL_BYTES = 64 * 1024  # longest statement of a call
 
 
 class Listener:
@@ -68,7 +69,7 @@
 
 async def engine_calls(reader: asyncio.StreamReader) -> AsyncIterator[list[bytes]]:
     """Yield the calls of one connection to an engine, in order. Raises OSError and RespError."""
-    calls = RespReader()
+    calls = RespReader(MAX_CALL_BYTES)
     while data := await reader.read(READ_BYTES):
         for call in calls.feed(data):
             yield call
--- a/cottonhold/frontend/client_sessions.py
+++ b/cottonhold/frontend/client_sessions.py
@@ -2,14 +2,17 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from typing import Protocol
 
 from cottonhold.frontend.connection_ids import ConnectionIdRange
-from cottonhold.frontend.eviction import QueuePressure, eviction_order
+from cottonhold.frontend.eviction import QueuePressure, eviction_order, reclaim_order
 from cottonhold.frontend.mysql_session import Session
 from cottonhold.frontend.query_service import QueryService, ServingState
 from cottonhold.observe.counters import Counters
+from cottonhold.scheduler.byte_pool import BytePool
+from cottonhold.scheduler.memory_quotas import UNLIMITED_BYTES
 from cottonhold.transport.clock import Clock
 
 CHECK_INTERVAL_MS = 200.0
@@ -17,6 +20,7 @@
 PAUSE_FRACTION = 0.2  # the same as a share of the silence after which sessions may be evicted
 EVICTION_PAUSE_MS = 1.0  # the same while descriptors of evicted connections are about to be released
 HEADROOM_FRACTION = 8  # 1/8 of the maximum number of sessions is kept free for new connections
+RECLAIM_INTERVAL_MS = 20.0  # shortest time between two searches for stalled clients
 ALL_IDS = ConnectionIdRange()
 
 
@@ -51,6 +55,8 @@
         """
         self.service, self.clock, self.counters, self.lifecycle = service, clock, counters, lifecycle
         self.max_sessions, self.connection_ids = max_sessions, connection_ids
+        self.client_memory = BytePool(UNLIMITED_BYTES)
+        self.reclaimed_at = -math.inf  # when memory was last taken back, in ms of the clock
         self.sessions: dict[int, Session] = {}
         self.last_id = connection_ids.base
         self.evicted_count = 0  # evicted sessions whose descriptors are still open
@@ -104,6 +110,18 @@
         self.pressure.on_queued(queued)
         self._evict(max(self._headroom(), queued))
 
+    def reclaim_client_memory(self) -> None:
+        """Discard incomplete packets of stalled clients, until half of the memory for packets is free."""
+        now, pool = self.clock.now(), self.client_memory
+        if now - self.reclaimed_at < RECLAIM_INTERVAL_MS:
+            return
+        self.reclaimed_at = now
+        for session in reclaim_order(self.sessions.values(), now, pool.share()):
+            if pool.used <= pool.capacity // 2:
+                return
+            if session.input.discard_partial():
+                self.counters.add("client_packets_discarded")
+
     def on_queue_empty(self) -> None:
         """Record that no connection waits in the listener's queue."""
         self.pressure.on_empty()
--- a/cottonhold/frontend/eviction.py
+++ b/cottonhold/frontend/eviction.py
@@ -9,6 +9,7 @@
 
 from cottonhold.frontend.mysql_session import Session
 from cottonhold.frontend.session_registry import Activity
+from cottonhold.scheduler.memory_quotas import ALLOWANCE_BYTES
 
 # Near the limit on sessions, a connection that sent nothing for this long may be evicted.
 EVICTABLE_AFTER_MS = 50.0
@@ -18,6 +19,7 @@
 # to get its answer within 0.5 s after its time, and the queue is only a part of that.
 MAX_QUEUE_WAIT_MS = 300.0
 MIN_EVICTABLE_AFTER_MS = 5.0  # a client that was just accepted needs this time to send something
+STALLED_AFTER_MS = 100.0  # a large packet arrives in less time, unless its client has stopped
 EVICTION_ORDER = {Activity.SILENT: 0, Activity.IDLE: 1, Activity.HALTED: 2}
 
 
@@ -59,6 +61,26 @@
         return max(MAX_QUEUE_WAIT_MS / rounds, MIN_EVICTABLE_AFTER_MS)
 
 
+def reclaim_order(sessions: Iterable[Session], now: float, share: int) -> list[Session]:
+    """Return the sessions whose incomplete packets are discarded when memory for packets is short.
+
+    These are clients that have stalled while they hold more than the share that others may have; those that
+    hold most come first. Slow clients write small requests, and hold less.
+
+    Args:
+        sessions: All sessions.
+        now: The time, in ms of the clock.
+        share: What one client may hold now, in bytes.
+    """
+    stalled = [
+        session
+        for session in sessions
+        if len(session.buffer) > max(share, ALLOWANCE_BYTES)
+        and now - session.last_received_at >= STALLED_AFTER_MS
+    ]
+    return sorted(stalled, key=lambda session: len(session.buffer), reverse=True)
+
+
 def eviction_order(
     sessions: Iterable[Session], now: float, count: int, pressure_ms: float = math.inf
 ) -> list[Session]:
--- a/cottonhold/frontend/mysql_session.py
+++ b/cottonhold/frontend/mysql_session.py
@@ -6,7 +6,7 @@
 from collections import deque
 from collections.abc import Callable
 
-from cottonhold.frontend.client_commands import Command, take_command
+from cottonhold.frontend.client_commands import CommandReader, DiscardedCommand, QueuedCommand
 from cottonhold.frontend.mysql_handshake import DATABASE, check_login, decode_login, encode_greeting
 from cottonhold.frontend.mysql_packets import (
     COM_INIT_DB,
@@ -15,7 +15,6 @@
     COM_QUIT,
     COM_RESET_CONNECTION,
     EOF,
-    HEADER_BYTES,
     NO_SUCH_THREAD,
     OK,
     PACKET_TOO_LARGE,
@@ -60,8 +59,10 @@
     def __init__(self, registry: SessionRegistry, connection_id: int) -> None:
         self.registry, self.connection_id = registry, connection_id
         self.stream: StreamHandle | None = None
-        self.buffer, self.output = bytearray(), bytearray()
-        self.commands: deque[Command] = deque()
+        self.input, self.output = (
+            CommandReader(registry.client_memory, registry.reclaim_client_memory),
+            bytearray(),
+        )
         self.is_logged_in = self.is_closing = self.is_closed = False
         self.has_received = self.has_sent_command = False
         self.was_evicted = False
@@ -73,6 +74,16 @@
         self._send(encode_greeting(connection_id))
         registry.counters.add("client_connections")
 
+    @property
+    def buffer(self) -> bytearray:
+        """The bytes of the packet that has arrived in part."""
+        return self.input.buffer
+
+    @property
+    def commands(self) -> deque[QueuedCommand]:
+        """The commands that wait to be executed."""
+        return self.input.commands
+
     def receive(self, data: bytes) -> None:
         """Process bytes from the client; a request is accepted when its last byte has arrived.
 
@@ -81,15 +92,13 @@
         """
         if self.is_closing:
             return
-        self.buffer += data
         now = self.last_received_at = self.registry.clock.now()
         self.has_received = True
         arrived_at = now - (self.stream.last_data_age_ms() if self.stream is not None else 0.0)
         try:
-            while command := take_command(self.buffer, self.commands, arrived_at):
-                self.commands.append(command)
+            if self.input.feed(data, arrived_at):
                 self.partial_since = math.inf
-            if self.buffer:
+            if self.input.has_partial():
                 self.partial_since = min(self.partial_since, now)
             self._execute_commands()
         except ProtocolError as error:
@@ -116,12 +125,14 @@
         if self.is_closed:
             return
         self.is_closed = self.is_closing = True
+        self.input.clear()
         self.registry.on_session_closed(self)
         self._withdraw_open_request()
 
     def _withdraw_open_request(self) -> bool:
         """Withdraw the open request, which gets no response; return false if there is none."""
         withdraw, self.withdraw_request = self.withdraw_request, None
+        self.input.hold_statement(0)
         if withdraw is not None:
             withdraw()
         return withdraw is not None
@@ -134,14 +145,27 @@
             and not self.is_closing
             and len(self.output) < MAX_UNREAD_BYTES
         ):
-            sequence, payload, arrived_at = self.commands.popleft()
+            command = self.input.pop()
+            sequence, payload, arrived_at = command
             self.sequence = (sequence + 1) & 0xFF
             if sequence != (0 if self.is_logged_in else 1):
                 raise ProtocolError(PACKETS_OUT_OF_ORDER, "packets out of order")
             if not self.is_logged_in:
                 self._log_in(payload)
                 continue
+            if isinstance(command, DiscardedCommand):
+                self._reject_for_memory()
+                continue
             self._execute(payload[0] if payload else -1, payload[1:], arrived_at)
+        self.input.account()
+
+    def _reject_for_memory(self) -> None:
+        """Reject a command whose packet was discarded because it exceeded its client's share of memory."""
+        self.has_sent_command = True
+        self.registry.counters.add("queries_over_memory")
+        self.registry.service.log(f"client {self.connection_id}: a command exceeds its share of the memory")
+        self._send_error(REJECTED, "query refused, it did not run: there is no memory for it now")
+        self._after_response()
 
     def _execute(self, command: int, argument: bytes, arrived_at: float) -> None:
         self.has_sent_command = True
@@ -183,6 +207,7 @@
                 self._after_response()
                 return
             self.withdraw_request = self.registry.service.submit(statement, arrived_at, self)
+            self.input.hold_statement(len(statement.body))
         except FieldError as error:
             self.registry.counters.add("requests_unusable")
             self._send_error(QUERY_FAILED, str(error))
@@ -272,7 +297,7 @@
         elif self._is_stalled(now):
             activity = self.activity().value
             self.registry.counters.add(f"clients_late_{activity}")
-            held = len(self.buffer)
+            held = self.input.held_bytes()
             self.registry.service.log(f"client {self.connection_id}: {activity} too long, {held} bytes held")
             self._begin_response_to_partial_packet()
             self._close_with_error(ProtocolError(READ_TIMEOUT, "the client's packet did not come in time"))
@@ -309,7 +334,7 @@
             self.stream.read_available()
         if self.withdraw_request is not None or self.commands or self.is_closing:
             return
-        if self.buffer:
+        if self.input.has_partial():
             self.registry.counters.add("queries_turned_away")
             self._begin_response_to_partial_packet()
             self._send_error(REJECTED, "query refused, it did not run: this dispatcher is leaving")
@@ -320,8 +345,9 @@
 
         Clients check the sequence numbers, and can't read a response that continues an earlier one.
         """
-        if len(self.buffer) >= HEADER_BYTES:
-            self.sequence = (self.buffer[3] + 1) & 0xFF
+        sequence = self.input.partial_sequence()
+        if sequence is not None:
+            self.sequence = (sequence + 1) & 0xFF
         elif self.buffer or self.is_logged_in:
             self.sequence = 1 if self.is_logged_in else 2  # a command has number 0, the login 1
 
@@ -352,6 +378,7 @@
     def _finish_request(self) -> bool:
         """Mark the open request as finished before its response is sent; return false if there is none."""
         is_open, self.withdraw_request = self.withdraw_request is not None, None
+        self.input.hold_statement(0)
         self.last_received_at = self.registry.clock.now()
         return is_open
 
@@ -369,7 +396,7 @@
     def _close_unless_received(self) -> None:
         """Close, unless all or part of another request has arrived, which has to be answered."""
         has_received = self.stream is not None and self.stream.read_available()
-        if not (has_received or self.buffer or self.is_closing):
+        if not (has_received or self.input.has_partial() or self.is_closing):
             self._close()
 
     def _close(self) -> None:
--- a/cottonhold/frontend/session_registry.py
+++ b/cottonhold/frontend/session_registry.py
@@ -8,6 +8,7 @@
 
 from cottonhold.frontend.query_service import QueryService, ServingState
 from cottonhold.observe.counters import Counters
+from cottonhold.scheduler.byte_pool import BytePool
 from cottonhold.transport.clock import Clock
 
 if TYPE_CHECKING:
@@ -29,6 +30,7 @@
     clock: Clock
     counters: Counters
     lifecycle: ServingState
+    client_memory: BytePool  # what clients have sent
 
     def find(self, connection_id: int) -> Session | None:
         """Return the session with this connection id, or None."""
@@ -39,5 +41,8 @@
         `on_result` is called later, with whether the session exists.
         """
 
+    def reclaim_client_memory(self) -> None:
+        """Take back memory of clients that have stopped within large packets."""
+
     def on_session_closed(self, session: Session) -> None:
         """Remove a session; called when its connection has ended."""
--- a/cottonhold/node/dispatcher.py
+++ b/cottonhold/node/dispatcher.py
@@ -30,11 +30,11 @@
 )
 from cottonhold.frontend.client_sessions import ClientSessions
 from cottonhold.node.admin_api import AdminApi
-from cottonhold.node.descriptors import DescriptorQuotas, usable_descriptors
 from cottonhold.node.gateway import Gateway
 from cottonhold.node.lifecycle import Lifecycle
 from cottonhold.node.memory_monitor import MemoryMonitor
 from cottonhold.node.peer_datagrams import PeerDatagrams
+from cottonhold.node.process_quotas import ProcessQuotas
 from cottonhold.node.sibling_channel import SiblingChannel
 from cottonhold.node.sibling_processes import ProcessRecord, SiblingProcesses
 from cottonhold.observe.counters import Counters
@@ -77,17 +77,17 @@
         self.event_loop = EventLoop(loop, counters, log_line, make_socket)
         self.event_loop.connector.timeout_s = config.connections.connect_timeout_ms / 1000
         clock = self.event_loop.clock
-        self.max_descriptors = usable_descriptors(config.max_descriptors)
-        self.lifecycle, self.descriptor_quotas = Lifecycle(), DescriptorQuotas.divide(self.max_descriptors)
+        self.lifecycle = Lifecycle()
+        self.quotas = ProcessQuotas(config.max_descriptors, config.memory_limit_bytes)
         self.sibling_processes = SiblingProcesses(os.environ.get("TMPDIR"), str(config.listen), log_line)
         self.sibling_count = 0
         self.engines = EngineConnections(
-            config.connections, clock, counters, log_line, self.descriptor_quotas.engines
+            config.connections, clock, counters, log_line, self.quotas.descriptors.engines
         )
         self.engines.connect = self.event_loop.connector.connect
         self.gateway = Gateway(config.settings, config.seed, clock, self.engines, counters, log_line)
         self.sessions = self._new_sessions()
-        self.admin_api = AdminApi(self.lifecycle, clock, counters, log.note, self.descriptor_quotas.admin)
+        self.admin_api = AdminApi(self.lifecycle, clock, counters, log.note, self.quotas.descriptors.admin)
         self.sibling_channel = self._new_sibling_channel()
         self.memory_monitor = MemoryMonitor(
             config.memory_limit_bytes, clock, counters, log.note, self._memory_use
@@ -106,7 +106,7 @@
             self.event_loop.clock,
             self.counters,
             self.lifecycle,
-            self.descriptor_quotas.clients,
+            self.quotas.descriptors.clients,
             connection_ids,
         )
         sessions.last_id = connection_ids.random_id(random.Random(self.config.seed))
@@ -198,8 +198,7 @@
             self.is_serving,
         )
         self.sibling_processes.publish(record)
-        quotas = self.descriptor_quotas.remaining_after(others)
-        self.sessions.max_sessions, self.engines.max_connections = quotas.clients, quotas.engines
+        quotas = self.quotas.apply(others, self.sessions, self.engines)
         if len(others) != self.sibling_count:
             self.sibling_count = len(others)
             self.apply_settings()
@@ -239,6 +238,7 @@
         if admin_socket is not None:
             self.event_loop.spawn(listeners.serve_admin_api(admin_socket, self.admin_api))
         self.is_serving = True
+        self.quotas.measure_idle()
         self._log_serving()
         self.memory_monitor.start()
         self.update_siblings()
@@ -274,17 +274,11 @@
         return await listeners.open_with_retry(lambda: listeners.listen(address))
 
     def _log_serving(self) -> None:
-        quotas, max_descriptors = self.descriptor_quotas, self.max_descriptors
         self.log.note(
             "serving",
             listen=self.config.listen,
             admin_listen=self.config.admin_listen,
-            memory_limit_bytes=self.config.memory_limit_bytes,
-            max_descriptors=max_descriptors,
-            client_descriptors=quotas.clients,
-            engine_descriptors=quotas.engines,
-            admin_descriptors=quotas.admin,
-            other_descriptors=max_descriptors - quotas.clients - quotas.engines - quotas.admin,
+            **self.quotas.log_fields(),
         )
 
     async def _shut_down(self, client_socket: socket.socket, accepting: asyncio.Task[None]) -> None:
--- /dev/null
+++ b/tests/frontend/test_client_memory.py
@@ -0,0 +1,107 @@
+"""The memory that clients' packets take, and whose packets are discarded when it is short."""
+
+from __future__ import annotations
+
+import pytest
+
+from cottonhold.frontend.client_commands import MAX_PACKET_BYTES
+from cottonhold.frontend.eviction import STALLED_AFTER_MS
+from cottonhold.frontend.mysql_session import Session
+from tests.support.scenario import World, packet
+
+CAPACITY = 300_000
+
+
+def crowded_world(halted: int, size: int) -> tuple[World, list[Session]]:
+    """Return a world with little memory for packets, and clients that have stopped within a packet."""
+    world = World()
+    world.sessions.client_memory.capacity = CAPACITY
+    sessions = []
+    for number in range(halted):
+        session = world.client(f"c{100 + number}").session
+        session.receive((size + 1).to_bytes(3, "little") + b"\x00" + bytes(size))
+        sessions.append(session)
+    return world, sessions
+
+
+def long_query(number: int, size: int) -> bytes:
+    text = f"/* service=lookup,ref={number:016x},allow=5000 */ SELECT a FROM s_7.t /* {'x' * size} */"
+    return packet(0, b"\x03" + text.encode())
+
+
+def held(world: World) -> int:
+    return sum(session.input.held_bytes() for session in world.sessions.sessions.values())
+
+
+@pytest.mark.parametrize("size", [3_000, 30_000, 65_000])
+def test_packets_of_halted_clients_are_bounded_together(size: int) -> None:
+    """Guards against the incident: each client had 64 KB of its own, and hundreds passed the limit."""
+    world, sessions = crowded_world(100, size)
+    allowances = 2048 * len(sessions)
+    assert held(world) <= CAPACITY + allowances
+    assert world.sessions.client_memory.used <= CAPACITY
+
+
+def test_a_usual_request_is_served_beside_halted_clients() -> None:
+    world, _ = crowded_world(100, 30_000)
+    world.run("c1 query lookup r1\nany expect GET r1 *")
+    world.run("c2 query load r2 lookup=k\nc1 expect nothing")
+
+
+def test_a_long_request_is_served_once_halted_clients_are_known_to_have_stalled() -> None:
+    """The hostile yield before the sound: packets of stalled clients are discarded first."""
+    world, sessions = crowded_world(100, 30_000)
+    world.wait(STALLED_AFTER_MS + 1)
+    world.client("c1")
+    world.send_bytes("c1", long_query(1, 40_000))
+    world.run("any expect GET r1 *")
+    assert world.counters.counts["client_packets_discarded"] > 0
+    assert not any(session.is_closing for session in sessions)
+
+
+@pytest.mark.parametrize("pieces", [1000, 4096, 70_000])
+def test_a_packet_without_memory_is_rejected_once_it_is_complete(pieces: int) -> None:
+    world, _ = crowded_world(100, 30_000)
+    world.client("c1")
+    data = long_query(1, 60_000) + long_query(2, 10)
+    for at in range(0, len(data), pieces):
+        world.send_bytes("c1", data[at : at + pieces])
+    received = world.clients["c1"].received
+    assert received == ["error 1226 query refused, it did not run: there is no memory for it now"]
+    world.run("any expect GET r2 *")
+    assert world.counters.counts["queries_over_memory"] == 1
+
+
+def test_the_statement_of_an_open_request_counts_until_it_is_answered() -> None:
+    world = World().run("c1 send 010000000e\nc1 expect ok")
+    world.send_bytes("c1", long_query(1, 20_000))
+    pool = world.sessions.client_memory
+    assert pool.used > 17_000
+    world.run("any expect GET r1 *\ne1 send r1 served count=1 a|b|c/\nc1 expect rows *")
+    assert pool.used == 0
+
+
+def test_a_client_that_disconnects_releases_its_memory() -> None:
+    world, sessions = crowded_world(5, 30_000)
+    world.client("c1")
+    world.send_bytes("c1", long_query(1, 20_000))
+    for session in [*sessions, world.clients["c1"].session]:
+        session.on_closed()
+    assert world.sessions.client_memory.used == 0
+
+
+def test_queued_commands_count_and_the_latest_are_rejected_first() -> None:
+    world = World().run("c1 query lookup r1\nany expect GET r1 *")
+    world.sessions.client_memory.capacity = CAPACITY
+    for number in range(2, 14):
+        world.clients["c1"].send(long_query(number, 8_000))
+    assert world.sessions.client_memory.used <= CAPACITY // 4
+    world.run("e1 send r1 served count=1 a|b|c/")
+    assert world.clients["c1"].received == ["rows a|b|c"]
+    assert world.gateway.requests.keys() == {f"{2:016x}"}
+
+
+def test_a_packet_over_the_largest_size_is_an_error_as_before() -> None:
+    world = World().run("c1 send 010000000e\nc1 expect ok")
+    world.send_bytes("c1", (MAX_PACKET_BYTES + 1).to_bytes(3, "little") + b"\x00abc")
+    world.run("c1 expect error 1153 *\nc1 closing")
--- a/tests/node/test_memory_limit.py
+++ b/tests/node/test_memory_limit.py
@@ -51,13 +51,24 @@
     return asyncio.run(asyncio.wait_for(scenario(), 60))
 
 
-def test_memory_with_clients_that_halt_in_large_packets(tmp_path: Path) -> None:
-    """Guards against the incident: 480 clients halted in packets of 64 KB took 179 MB of 32."""
-    peak, verdicts = peak_memory(tmp_path, partial(hostile_clients.halt_in_packet, size=65_000), 480)
+def check(folder: Path, behaviour: Behaviour, count: int) -> None:
+    """Check that the limit holds beside hostile clients, and that each sound request is served."""
+    peak, verdicts = peak_memory(folder, behaviour, count)
     assert peak <= LIMIT_BYTES
     assert verdicts.keys() == {"served"}
 
 
+@pytest.mark.parametrize("size", [3_000, 30_000, 65_000])
+def test_memory_with_clients_that_halt_in_large_packets(tmp_path: Path, size: int) -> None:
+    """Guards against the incident: 480 clients halted in packets of 64 KB took 179 MB of 32."""
+    check(tmp_path, partial(hostile_clients.halt_in_packet, size=size), 480)
+
+
+def test_memory_with_clients_that_write_large_requests_slowly(tmp_path: Path) -> None:
+    """Guards against the incident: hundreds of clients that wrote large requests over two seconds."""
+    check(tmp_path, partial(hostile_clients.write_slowly, size=60_000), 300)
+
+
 def test_the_program_maps_no_tls_library(tmp_path: Path) -> None:
     """Guards against 5 MB of the least memory for a library that the platform's program never uses."""
 
--- a/tests/support/scenario.py
+++ b/tests/support/scenario.py
@@ -26,6 +26,7 @@
 from cottonhold.backend.resp import RespReader, encode_array
 from cottonhold.config.relay import ConnectionSettings
 from cottonhold.discovery.model import Address, EngineListChange
+from cottonhold.frontend.client_commands import MAX_PACKET_BYTES
 from cottonhold.frontend.client_sessions import ClientSessions
 from cottonhold.frontend.mysql_session import Session
 from cottonhold.node.descriptors import DescriptorQuotas
@@ -93,7 +94,7 @@
     """A connection's stream that stores requests; the scenario collects its output when it settles."""
 
     def __init__(self, connection: Connection, engine: str) -> None:
-        self.connection, self.engine, self.reader = connection, engine, RespReader()
+        self.connection, self.engine, self.reader = connection, engine, RespReader(MAX_PACKET_BYTES)
         self.received: list[list[bytes]] = []
 
     def read_available(self) -> bool:
