Results share a bound that follows from the limit, while they are collected and until they are read

What callers saw: a process passed its memory limit. Cause: the pages of each result were held as decoded rows, many times their size, for all open requests at once (MAX_PAGES allowed 384 KB each), and a client that reads nothing kept results for 30 s. The C library kept freed buffers of 16 to 128 KB between others in its heap. Evidence (trials, limit 32 MB): 300 clients with results of 48,000 bytes 32.8 MB, with 16,000 rows of empty cells 59.8 MB; 300 clients that never read 37.4 MB, with live objects of under 5 MB. Change: pages are checked and kept as bytes, and decoded one by one when the result is passed on. The pages after the first are requested once there is memory for the whole result, in order. A result has 96,000 bytes at most (the protocol: 48,000). Unread output counts in the same pool; when it is full, connections whose clients have not read for 200 ms and have no open request are closed. A sent attempt and a request whose client has left drop their statement.

--- a/cottonhold/backend/attempt.py
+++ b/cottonhold/backend/attempt.py
@@ -4,10 +4,12 @@
 
 import math
 from collections import deque
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 from typing import Protocol
 
-from cottonhold.backend.resp import Rows
+from cottonhold.backend.resp import decode_rows
+from cottonhold.backend.result_memory import Collection
 from cottonhold.transport.clock import Timer
 
 
@@ -48,13 +50,24 @@
     is_written: bool = False
     first_response_at: float = 0.0
     response_fields: dict[str, str] = field(default_factory=dict)
-    pages: list[Rows | None] = field(default_factory=list)  # empty until page 0 was received
+    pages: list[bytes | None] = field(default_factory=list)  # empty until page 0 was received
+    collection: Collection | None = None  # the memory of a result of several pages
 
     @property
     def engine_request_id(self) -> bytes:
         """The request id as sent to engines."""
         return self.request_id.encode()
 
-    def all_rows(self) -> Rows:
-        """Return the rows of all pages that were received."""
-        return [row for page in self.pages if page is not None for row in page]
+    def all_rows(self) -> Iterator[list[bytes]]:
+        """Yield the rows of all pages, which are decoded one after another."""
+        for page in self.pages:
+            if page is not None:
+                yield from decode_rows(page)
+
+    def has_requested_pages(self) -> bool:
+        """Return whether the pages after the first one were requested."""
+        return self.collection is not None and self.collection.is_started
+
+    def received_bytes(self) -> int:
+        """Return the size of the pages that were received."""
+        return sum(len(page) for page in self.pages if page is not None)
--- a/cottonhold/backend/connection_pool.py
+++ b/cottonhold/backend/connection_pool.py
@@ -25,17 +25,22 @@
 from cottonhold.backend.health_check import LivenessBudget
 from cottonhold.backend.health_checker import HealthChecker
 from cottonhold.backend.liveness_monitor import LivenessMonitor
-from cottonhold.backend.resp import decode_count, decode_rows
+from cottonhold.backend.resp import MAX_PAGE_BYTES, RespError, check_page, decode_count
+from cottonhold.backend.result_memory import ResultMemory
 from cottonhold.config.relay import ConnectionSettings
 from cottonhold.discovery.model import Address, EngineListChange
 from cottonhold.observe.counters import Counters
+from cottonhold.scheduler.byte_pool import BytePool
 from cottonhold.scheduler.events import AttemptEnded, Engine, EngineState, Outcome
-from cottonhold.transport.clock import Clock
+from cottonhold.scheduler.memory_quotas import UNLIMITED_BYTES
+from cottonhold.transport.clock import Clock, Timer
 from cottonhold.transport.interface import StreamHandle
 
 # When an engine is removed or restarts, a connection that received nothing for this long is considered dead.
 INACTIVITY_LIMIT_MS = 1000.0
 MAX_PAGES = 64  # pages have up to 6,000 bytes, and an engine's result up to 48,000
+MAX_RESULT_BYTES = 96_000  # the pages also hold the separators of cells and rows
+ADMIT_INTERVAL_MS = 5.0  # pause until results that wait for memory are considered again
 MIN_ATTEMPT_MS = 1.0  # an attempt with less time left is not sent, since no engine could answer in time
 
 Connect = Callable[[Address, Connection], StreamHandle]
@@ -78,6 +83,9 @@
         self.listener: AttemptListener
         self.max_connections, self.open_connections = max_connections, 0
         self.liveness_budget = LivenessBudget()
+        self.result_pool = BytePool(UNLIMITED_BYTES)
+        self.results = ResultMemory(self.result_pool)
+        self.reclaim_results: Callable[[], None] = lambda: None  # takes memory back from clients
         self.health_checker = HealthChecker(
             clock,
             counters,
@@ -86,6 +94,7 @@
             lambda engine, outcome, report: self.listener.on_health_check_completed(engine, outcome, report),
         )
         self.liveness_monitor = LivenessMonitor(self)
+        self.admit_timer: Timer | None = None  # set while results wait for memory
 
     def apply(self, change: EngineListChange) -> None:
         """Apply a change of the engine list; attempts queued for an engine that drains or left end."""
@@ -213,7 +222,11 @@
         return attempt.connection is not None
 
     def encode_request(self, attempt: Attempt) -> bytes:
-        """Encode the attempt's request with the time that remains until its deadline."""
+        """Encode the attempt's request with the time that remains until its deadline.
+
+        The statement is released: it is encoded once, and a long one would stay until the engine answers.
+        """
+        body, attempt.body = attempt.body, b""
         timeout_ms = max(1, int(attempt.deadline - self.clock.now()))
         return encode_execute(
             attempt.engine_request_id,
@@ -221,7 +234,7 @@
             timeout_ms,
             attempt.priority,
             attempt.idempotency_key,
-            attempt.body,
+            body,
         )
 
     def drop_unsendable(self, connection: Connection) -> None:
@@ -277,6 +290,10 @@
             return
         request_id = attempt.engine_request_id
         connection.attempts.pop(request_id, None)
+        # The collection refers to the attempt; without this, only a garbage collection would release both.
+        collection, attempt.collection = attempt.collection, None
+        if collection is not None:
+            self.results.end(collection)
         if attempt.is_written and outcome is not Outcome.OK:
             connection.abandoned_ids[request_id] = None
         if attempt.timer is not None:
@@ -315,7 +332,7 @@
         kind = decode_kind(answer.kind)
         if kind is AnswerKind.CRASHED:
             self._end(attempt, Outcome.ERROR, answer.fields)
-        elif kind is AnswerKind.PAGE and attempt.pages:
+        elif kind is AnswerKind.PAGE and attempt.has_requested_pages():
             self._on_page(attempt, answer)
         elif attempt.pages or kind is AnswerKind.PAGE:
             self.counters.add("answers_again")
@@ -332,19 +349,44 @@
         All pages are collected and decoded before the first row is sent to the client, so that a lost or
         malformed page can still lead to a retry or to an error without partial rows.
         """
-        count, rows = decode_count(answer.fields, "count", 1, MAX_PAGES), decode_rows(answer.body)
+        count = decode_count(answer.fields, "count", 1, MAX_PAGES)
+        check_page(answer.body)
         attempt.first_response_at, attempt.response_fields = self.clock.now(), answer.fields
-        attempt.pages = [rows, *[None] * (count - 1)]
+        attempt.pages = [answer.body, *[None] * (count - 1)]
         if count == 1:
             self._end(attempt, Outcome.OK, answer.fields)
-        elif attempt.connection is not None:
+            return
+        size = min(count * MAX_PAGE_BYTES, MAX_RESULT_BYTES)
+        attempt.collection = self.results.begin(len(answer.body), size, lambda: self._fetch_pages(attempt))
+        if not attempt.collection.is_started:
+            self.counters.add("results_waiting")
+            self._admit_later()
+
+    def _fetch_pages(self, attempt: Attempt) -> None:
+        """Request the pages after the first one."""
+        if attempt.connection is not None:
             request_id = attempt.engine_request_id
-            fetches = (encode_fetch_page(request_id, page) for page in range(1, count))
+            fetches = (encode_fetch_page(request_id, page) for page in range(1, len(attempt.pages)))
             attempt.connection.enqueue(b"".join(fetches))
 
+    def _admit_later(self) -> None:
+        """Consider waiting results again after a pause, since clients release memory as they read."""
+        if self.admit_timer is None:
+            self.admit_timer = self.clock.call_in(ADMIT_INTERVAL_MS, self._admit)
+
+    def _admit(self) -> None:
+        self.admit_timer = None
+        self.results.admit()
+        if self.results.waiting:
+            self.reclaim_results()
+            self._admit_later()
+
     def _on_page(self, attempt: Attempt, answer: Answer) -> None:
         position = decode_count(answer.fields, "pos", 1, len(attempt.pages) - 1)
-        attempt.pages[position] = decode_rows(answer.body)
+        check_page(answer.body)
+        attempt.pages[position] = answer.body
+        if attempt.received_bytes() > MAX_RESULT_BYTES:
+            raise RespError(f"a result has over {MAX_RESULT_BYTES} bytes")
         if None not in attempt.pages:
             connection = attempt.connection
             self._end(attempt, Outcome.OK, attempt.response_fields)
--- a/cottonhold/backend/resp.py
+++ b/cottonhold/backend/resp.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import re
+
 MAX_ELEMENTS = 8  # limit of an array; an answer has at most four
 MAX_ELEMENT_BYTES = 8 * 1024
 MAX_PAGE_BYTES = 6000
@@ -10,6 +12,8 @@
 COLUMNS = 3
 
 Rows = list[list[bytes]]
+# A page of whole rows with three cells each. No part can match a separator, so matching takes linear time.
+PAGE = re.compile(rb"(?:[^\t\n]*+\t[^\t\n]*+\t[^\t\n]*+\n)*+\Z")
 
 
 class RespError(Exception):
@@ -93,6 +97,21 @@
         return int(digits), end + 2
 
 
+def check_page(page: bytes) -> None:
+    """Check that a page can be decoded into rows, without the memory that the rows take. Raises RespError."""
+    if len(page) > MAX_PAGE_BYTES or PAGE.match(page) is None:
+        decode_rows(page)
+        return
+    _check_text(page)
+
+
+def _check_text(page: bytes) -> None:
+    try:
+        page.decode()
+    except UnicodeDecodeError:
+        raise RespError("a page is not valid UTF-8") from None
+
+
 def decode_rows(page: bytes) -> Rows:
     """Decode a page into rows of cells. Raises RespError."""
     if len(page) > MAX_PAGE_BYTES:
@@ -104,10 +123,7 @@
     rows = [row.split(b"\t") for row in page[:-1].split(b"\n")]
     if any(len(row) != COLUMNS for row in rows):
         raise RespError(f"a row does not have {COLUMNS} columns")
-    try:
-        page.decode()
-    except UnicodeDecodeError:
-        raise RespError("a page is not valid UTF-8") from None
+    _check_text(page)
     return rows
 
 
--- a/cottonhold/fleet_adapters/request_forwarding.py
+++ b/cottonhold/fleet_adapters/request_forwarding.py
@@ -8,7 +8,6 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
-from cottonhold.backend.resp import Rows
 from cottonhold.fleet.consensus.actions import SendConsensusMessage
 from cottonhold.fleet.message_format import MessageError
 from cottonhold.fleet.request_forwarding import forwarder
@@ -20,6 +19,7 @@
     encode_rows,
 )
 from cottonhold.fleet_adapters.keyed_loads import KeyedLoadGuard, OriginRound
+from cottonhold.frontend.mysql_packets import ResultRows
 from cottonhold.frontend.query_service import DuplicateRequestIdError
 from cottonhold.node.client_request import ClientRequest, OpenRequest
 from cottonhold.node.gateway import Gateway
@@ -33,9 +33,9 @@
     def __init__(self, adapter: RequestForwardingAdapter, origin: int, number: int, request_id: str) -> None:
         self.adapter, self.origin, self.number, self.request_id = adapter, origin, number, request_id
 
-    def complete(self, rows: Rows) -> None:
+    def complete(self, rows: ResultRows) -> None:
         """Return the complete result to the origin."""
-        self.adapter.on_forwarded_ended(self, ForwardResult.ANSWERED, 0.0, encode_rows(rows))
+        self.adapter.on_forwarded_ended(self, ForwardResult.ANSWERED, 0.0, encode_rows(list(rows)))
 
     def reject(self, retry_after: float) -> None:
         """Report that a retry does no harm: the request was rejected, or another instance owns its key."""
--- a/cottonhold/frontend/client_sessions.py
+++ b/cottonhold/frontend/client_sessions.py
@@ -7,7 +7,7 @@
 from typing import Protocol
 
 from cottonhold.frontend.connection_ids import ConnectionIdRange
-from cottonhold.frontend.eviction import QueuePressure, eviction_order, reclaim_order
+from cottonhold.frontend.eviction import QueuePressure, eviction_order, reclaim_order, unread_order
 from cottonhold.frontend.mysql_session import Session
 from cottonhold.frontend.query_service import QueryService, ServingState
 from cottonhold.observe.counters import Counters
@@ -55,7 +55,7 @@
         """
         self.service, self.clock, self.counters, self.lifecycle = service, clock, counters, lifecycle
         self.max_sessions, self.connection_ids = max_sessions, connection_ids
-        self.client_memory = BytePool(UNLIMITED_BYTES)
+        self.client_memory, self.result_memory = BytePool(UNLIMITED_BYTES), service.result_memory
         self.reclaimed_at = -math.inf  # when memory was last taken back, in ms of the clock
         self.sessions: dict[int, Session] = {}
         self.last_id = connection_ids.base
@@ -122,6 +122,17 @@
             if session.input.discard_partial():
                 self.counters.add("client_packets_discarded")
 
+    def on_result_buffered(self) -> None:
+        """Close connections of clients that don't read, if results take too much memory."""
+        pool = self.result_memory
+        if pool.used <= pool.capacity:
+            return
+        for session in unread_order(self.sessions.values()):
+            if pool.used <= pool.capacity:
+                return
+            if session.drop_unread():
+                self.counters.add("clients_pushed_out_unread")
+
     def on_queue_empty(self) -> None:
         """Record that no connection waits in the listener's queue."""
         self.pressure.on_empty()
--- a/cottonhold/frontend/eviction.py
+++ b/cottonhold/frontend/eviction.py
@@ -20,6 +20,7 @@
 MAX_QUEUE_WAIT_MS = 300.0
 MIN_EVICTABLE_AFTER_MS = 5.0  # a client that was just accepted needs this time to send something
 STALLED_AFTER_MS = 100.0  # a large packet arrives in less time, unless its client has stopped
+UNREAD_AFTER_MS = 200.0  # a client that reads has taken a result in less time
 EVICTION_ORDER = {Activity.SILENT: 0, Activity.IDLE: 1, Activity.HALTED: 2}
 
 
@@ -81,6 +82,15 @@
     return sorted(stalled, key=lambda session: len(session.buffer), reverse=True)
 
 
+def unread_order(sessions: Iterable[Session]) -> list[Session]:
+    """Return the sessions whose connections are closed when unread results take too much memory.
+
+    These are the clients that have not read all for UNREAD_AFTER_MS; those that hold most come first.
+    """
+    unread = [session for session in sessions if session.unread_for_ms() >= UNREAD_AFTER_MS]
+    return sorted(unread, key=lambda session: session.unread_bytes(), reverse=True)
+
+
 def eviction_order(
     sessions: Iterable[Session], now: float, count: int, pressure_ms: float = math.inf
 ) -> list[Session]:
--- a/cottonhold/frontend/mysql_packets.py
+++ b/cottonhold/frontend/mysql_packets.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+from collections.abc import Iterable, Sequence
 from typing import NamedTuple
 
 AUTOCOMMIT = b"\x02\x00"
@@ -11,7 +12,7 @@
 HEADER_BYTES = 4  # three for the payload's length and one for the sequence number
 MAX_ERROR_TEXT_BYTES = 500
 MAX_SHORT_STRING = 250  # longest string, in bytes, whose length is encoded in one byte
-ResultRows = list[list[bytes]]  # rows of text cells, one cell for each column
+ResultRows = Iterable[Sequence[bytes]]  # rows of text cells, one cell for each column
 COLUMNS = (b"c1", b"c2", b"c3")
 # Matching takes linear time: no two parts can match the same whitespace, and the number of digits is bounded.
 KILL = re.compile(rb"\s*KILL\s+(QUERY\s+|CONNECTION\s+)?(\d{1,20})\s*(?:;\s*)?\Z", re.IGNORECASE)
--- a/cottonhold/frontend/mysql_session.py
+++ b/cottonhold/frontend/mysql_session.py
@@ -14,7 +14,6 @@
     COM_QUERY,
     COM_QUIT,
     COM_RESET_CONNECTION,
-    EOF,
     NO_SUCH_THREAD,
     OK,
     PACKET_TOO_LARGE,
@@ -23,7 +22,6 @@
     QUERY_INTERRUPTED,
     READ_TIMEOUT,
     REJECTED,
-    RESULT_HEAD,
     SERVER_SHUTDOWN,
     UNKNOWN_COMMAND,
     UNKNOWN_DATABASE,
@@ -32,13 +30,11 @@
     ProtocolError,
     ResultRows,
     decode_kill,
-    encode_error,
-    encode_packet,
-    encode_rows,
     printable,
 )
 from cottonhold.frontend.query_comment import FieldError, parse
 from cottonhold.frontend.query_service import DuplicateRequestIdError
+from cottonhold.frontend.response_writer import ResponseWriter
 from cottonhold.frontend.session_registry import Activity, SessionRegistry
 from cottonhold.transport.interface import StreamHandle
 
@@ -59,16 +55,14 @@
     def __init__(self, registry: SessionRegistry, connection_id: int) -> None:
         self.registry, self.connection_id = registry, connection_id
         self.stream: StreamHandle | None = None
-        self.input, self.output = (
-            CommandReader(registry.client_memory, registry.reclaim_client_memory),
-            bytearray(),
-        )
+        self.input = CommandReader(registry.client_memory, registry.reclaim_client_memory)
+        self.writer = ResponseWriter(registry.result_memory)
+        self.output = self.writer.output
         self.is_logged_in = self.is_closing = self.is_closed = False
         self.has_received = self.has_sent_command = False
         self.was_evicted = False
         self.opened_at = self.last_received_at = registry.clock.now()
         self.partial_since = math.inf  # when the first byte of an incomplete packet arrived
-        self.sequence = 0  # sequence number of the next packet to the client
         # Set while a response is due: to a request, or to a KILL that another process executes.
         self.withdraw_request: Callable[[], None] | None = None
         self._send(encode_greeting(connection_id))
@@ -108,8 +102,8 @@
 
     def pop_output(self) -> bytes:
         """Remove and return the bytes to write, and schedule the execution of queued commands."""
-        data = bytes(self.output)
-        self.output.clear()
+        data = self.writer.take()
+        self.writer.account(self._writing_bytes() + len(data))
         if self.commands and self.withdraw_request is None and not self.is_closing:
             self.registry.clock.call_soon(self._resume)
         return data
@@ -126,6 +120,7 @@
             return
         self.is_closed = self.is_closing = True
         self.input.clear()
+        self.writer.reservation.release()
         self.registry.on_session_closed(self)
         self._withdraw_open_request()
 
@@ -143,11 +138,11 @@
             self.commands
             and self.withdraw_request is None
             and not self.is_closing
-            and len(self.output) < MAX_UNREAD_BYTES
+            and self.unread_bytes() < MAX_UNREAD_BYTES
         ):
             command = self.input.pop()
             sequence, payload, arrived_at = command
-            self.sequence = (sequence + 1) & 0xFF
+            self.writer.follow(sequence)
             if sequence != (0 if self.is_logged_in else 1):
                 raise ProtocolError(PACKETS_OUT_OF_ORDER, "packets out of order")
             if not self.is_logged_in:
@@ -188,7 +183,7 @@
         """End the session; queries that the client sent after COM_QUIT are rejected, not executed."""
         for sequence, payload, _ in self.commands:
             if payload[:1] == bytes((COM_QUERY,)):
-                self.sequence = (sequence + 1) & 0xFF
+                self.writer.follow(sequence)
                 self._send_error(REJECTED, "query refused, it did not run: the session has ended")
         self.commands.clear()
         self._close()
@@ -328,6 +323,20 @@
             self.stream.abort()
         return True
 
+    def unread_for_ms(self) -> float:
+        """Return for how long the client has not read all output that is being written, in ms."""
+        return self.stream.write_age_ms() if self.stream is not None else 0.0
+
+    def drop_unread(self) -> bool:
+        """Close the connection with its unread output; return false if a request is open."""
+        if self.withdraw_request is not None or self.is_closed or self.stream is None:
+            return False
+        self.is_closing = True
+        self.registry.service.log(f"client {self.connection_id}: {self.unread_bytes()} bytes not read")
+        self.stream.abort()
+        self.writer.reservation.release()
+        return True
+
     def _close_for_shutdown(self) -> None:
         """Close because this process ends, unless a request is open or queued, which is answered first."""
         if self.stream is not None:
@@ -347,19 +356,17 @@
         """
         sequence = self.input.partial_sequence()
         if sequence is not None:
-            self.sequence = (sequence + 1) & 0xFF
+            self.writer.follow(sequence)
         elif self.buffer or self.is_logged_in:
-            self.sequence = 1 if self.is_logged_in else 2  # a command has number 0, the login 1
+            self.writer.follow(0 if self.is_logged_in else 1)  # the numbers of a command and of the login
 
     def complete(self, rows: ResultRows) -> None:
         """Send the result set."""
         if not self._finish_request():
             return
-        for payload in RESULT_HEAD:
-            self._send(payload)
-        self.output += b"".join(encode_rows(rows, self.sequence))
-        self.sequence = (self.sequence + len(rows)) & 0xFF
-        self._send(EOF)
+        self.writer.send_result(rows)
+        self._flush()
+        self.registry.on_result_buffered()
         self._after_response()
 
     def reject(self, retry_after_ms: float) -> None:
@@ -417,10 +424,21 @@
         self._close()
 
     def _send_error(self, code: ErrorCode, text: str) -> None:
-        self._send(encode_error(code, text))
+        self.writer.send_error(code, text)
+        self._flush()
 
     def _send(self, payload: bytes) -> None:
-        self.output += encode_packet(payload, self.sequence)
-        self.sequence = (self.sequence + 1) & 0xFF
+        self.writer.send(payload)
+        self._flush()
+
+    def _flush(self) -> None:
+        self.writer.account(self._writing_bytes())
         if self.stream is not None:
             self.stream.flush()
+
+    def _writing_bytes(self) -> int:
+        return self.stream.writing_bytes() if self.stream is not None else 0
+
+    def unread_bytes(self) -> int:
+        """Return the size of the output that the client has not read, as far as it is held here."""
+        return len(self.output) + self._writing_bytes()
--- a/cottonhold/frontend/query_service.py
+++ b/cottonhold/frontend/query_service.py
@@ -8,6 +8,7 @@
 
 from cottonhold.frontend.mysql_packets import ResultRows
 from cottonhold.frontend.query_comment import Statement
+from cottonhold.scheduler.byte_pool import BytePool
 
 
 class DuplicateRequestIdError(Exception):
@@ -46,6 +47,10 @@
             DuplicateRequestIdError: Another request with the same id is still open.
         """
 
+    @property
+    def result_memory(self) -> BytePool:
+        """The memory for results that are collected, and for those that clients have not read."""
+
     @property
     def log(self) -> Callable[[str], None]:
         """A function that writes a log line."""
--- a/cottonhold/frontend/session_registry.py
+++ b/cottonhold/frontend/session_registry.py
@@ -31,6 +31,7 @@
     counters: Counters
     lifecycle: ServingState
     client_memory: BytePool  # what clients have sent
+    result_memory: BytePool  # results that are collected, and those that clients have not read
 
     def find(self, connection_id: int) -> Session | None:
         """Return the session with this connection id, or None."""
@@ -41,6 +42,9 @@
         `on_result` is called later, with whether the session exists.
         """
 
+    def on_result_buffered(self) -> None:
+        """Close connections of clients that don't read, if results take too much memory."""
+
     def reclaim_client_memory(self) -> None:
         """Take back memory of clients that have stopped within large packets."""
 
--- a/cottonhold/node/client_request.py
+++ b/cottonhold/node/client_request.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from cottonhold.backend.attempt import Attempt
 from cottonhold.frontend.query_comment import FieldError, Statement
@@ -42,6 +42,10 @@
     attempt: Attempt | None = None  # the attempt in flight
     was_admitted: bool = False  # not rejected in the step in which it arrived
 
+    def release_statement(self) -> None:
+        """Drop the statement of a request that has its response: it is never sent again."""
+        self.client_request = replace(self.client_request, body=b"")
+
 
 class RequestDecoder:
     """Converts statements to requests, which refer to query classes and tenants by index."""
--- a/cottonhold/node/gateway.py
+++ b/cottonhold/node/gateway.py
@@ -91,6 +91,7 @@
         self.attempts = AttemptSender(
             self.requests, engines, clock, self.notifications, self.faults, self._report
         )
+        self.result_memory = engines.result_pool
         self.send_to_peer: Callable[[SendToPeer], None] = lambda message: None
         self.health_check_listener: HealthCheckListener = lambda engine, outcome, report: None
         engines.listener = self
@@ -338,6 +339,8 @@
             self.notifications.request_closed(request.client_request)
             if request.attempt is None:
                 self.requests.pop(request.client_request.request_id, None)
+            elif self.notifications.load_guard is None:
+                request.release_statement()
         return sink
 
     def _respond(self, respond: Callable[[], None]) -> None:
--- a/cottonhold/node/process_quotas.py
+++ b/cottonhold/node/process_quotas.py
@@ -48,6 +48,7 @@
         memory = self.memory(1 + len(others))
         sessions.max_sessions = min(descriptors.clients, memory.sessions)
         sessions.client_memory.capacity = memory.client_bytes
+        engines.result_pool.capacity = memory.result_bytes
         engines.max_connections = descriptors.engines
         return descriptors
 
@@ -65,4 +66,5 @@
             "idle_bytes": self.idle_bytes,
             "max_sessions": memory.sessions,
             "client_bytes": memory.client_bytes,
+            "result_bytes": memory.result_bytes,
         }
--- a/cottonhold/transport/interface.py
+++ b/cottonhold/transport/interface.py
@@ -38,6 +38,12 @@
     def close_gracefully(self) -> None:
         """Write the remaining output, then close the stream."""
 
+    def writing_bytes(self) -> int:
+        """Return the size of the output that was taken from the protocol and is still held."""
+
+    def write_age_ms(self) -> float:
+        """Return for how long the current write has lasted, in ms; 0 without one."""
+
     def is_writing(self) -> bool:
         """Return whether output is still being written."""
 
--- a/cottonhold/transport/stream.py
+++ b/cottonhold/transport/stream.py
@@ -79,6 +79,7 @@
         self.writer: asyncio.Task[None] | None = None
         self.task: asyncio.Task[None] | None = None
         self.writing_since = math.inf  # loop time, in s, at which the current write began; inf without one
+        self.unwritten_bytes = 0  # size of the current write, which is held until its end
         self.unsent = b""  # rest of an immediate write that did not fit into the send buffer
         self.ended: asyncio.Future[None] | None = None  # done when the peer has closed or a read failed
         self.is_shut_down = False  # the write side is closed
@@ -140,6 +141,16 @@
         unsent, self.unsent = self.unsent, b""
         return unsent + self.protocol.pop_output()
 
+    def writing_bytes(self) -> int:
+        """Return the size of the output that was taken from the protocol and is not written yet."""
+        return len(self.unsent) + self.unwritten_bytes
+
+    def write_age_ms(self) -> float:
+        """Return for how long the current write has lasted, in ms; 0 without one."""
+        if self.writing_since == math.inf:
+            return 0.0
+        return (self.context.loop.time() - self.writing_since) * 1000
+
     def is_writing(self) -> bool:
         """Return whether output is still being written."""
         return self.writer is not None and not self.is_shut_down
@@ -264,9 +275,9 @@
     async def _write(self, sock: socket.socket) -> None:
         try:
             while data := self._pop_output():
-                self.writing_since = self.context.loop.time()
+                self.unwritten_bytes, self.writing_since = len(data), self.context.loop.time()
                 await self.context.send_all(sock, data)
-                self.writing_since = math.inf
+                self.unwritten_bytes, self.writing_since = 0, math.inf
             if self.protocol.is_closing:
                 self._shut_down()
                 await self._linger()
--- a/tests/frontend/test_client_memory.py
+++ b/tests/frontend/test_client_memory.py
@@ -7,7 +7,7 @@
 from cottonhold.frontend.client_commands import MAX_PACKET_BYTES
 from cottonhold.frontend.eviction import STALLED_AFTER_MS
 from cottonhold.frontend.mysql_session import Session
-from tests.support.scenario import World, packet
+from tests.support.scenario import Client, World, packet
 
 CAPACITY = 300_000
 
@@ -105,3 +105,32 @@
     world = World().run("c1 send 010000000e\nc1 expect ok")
     world.send_bytes("c1", (MAX_PACKET_BYTES + 1).to_bytes(3, "little") + b"\x00abc")
     world.run("c1 expect error 1153 *\nc1 closing")
+
+
+def test_clients_that_do_not_read_lose_their_connections_when_results_need_the_memory() -> None:
+    """Guards against unread results of hundreds of clients; clients that read keep theirs."""
+    world = World()
+    world.sessions.result_memory.capacity = 50_000
+    for number in range(1, 6):
+        world.run(f"c{number} send 010000000e\nc{number} expect ok")
+    unread = [world.clients[f"c{number}"] for number in range(1, 5)]
+    for age_ms, client in zip((900.0, 800.0, 700.0, 10.0), unread, strict=True):
+        hold_output(client, 20_000, age_ms)
+    world.run("c5 query lookup r1\nany expect GET r1 *\ne1 send r1 served count=1 a|b|c/\nc5 expect rows *")
+    assert [client.session.is_closed for client in unread] == [True, True, False, False]
+    assert world.counters.counts["clients_pushed_out_unread"] == 2
+
+
+def test_a_client_with_an_open_request_is_kept_though_it_has_not_read_its_last_result() -> None:
+    world = World().run("c1 query lookup r1\nany expect GET r1 *")
+    world.sessions.result_memory.capacity = 1000
+    hold_output(world.clients["c1"], 20_000, 900.0)
+    world.sessions.on_result_buffered()
+    assert not world.clients["c1"].session.is_closed
+
+
+def hold_output(client: Client, size: int, age_ms: float) -> None:
+    """Let a client's stream hold output that the client has not read for a time."""
+    client.writing_bytes = lambda: size  # type: ignore[method-assign]
+    client.write_age_ms = lambda: age_ms  # type: ignore[method-assign]
+    client.session.pop_output()
--- a/tests/node/test_memory_limit.py
+++ b/tests/node/test_memory_limit.py
@@ -15,8 +15,9 @@
 
 from cottonhold.emulator.platform import hostile_clients
 from cottonhold.emulator.platform.configuration import Limits
+from cottonhold.emulator.platform.engine import Work, Workload
 from cottonhold.emulator.platform.hostile_clients import Behaviour, repeat
-from cottonhold.emulator.platform.site import Site, running_site
+from cottonhold.emulator.platform.site import Site, running_site, usual_work
 from cottonhold.emulator.platform.sound_clients import SoundClients
 
 pytestmark = [pytest.mark.processes, pytest.mark.xdist_group("memory")]
@@ -39,11 +40,13 @@
     return sound.verdicts
 
 
-def peak_memory(folder: Path, behaviour: Behaviour, count: int) -> tuple[int, Counter[str]]:
+def peak_memory(
+    folder: Path, behaviour: Behaviour, count: int, workload: Workload
+) -> tuple[int, Counter[str]]:
     """Return the peak of the process's memory in bytes, and the answers of sound clients."""
 
     async def scenario() -> tuple[int, Counter[str]]:
-        async with running_site(folder / "site", Limits(memory_mb=LIMIT_MB)) as site:
+        async with running_site(folder / "site", Limits(memory_mb=LIMIT_MB), workload) as site:
             verdicts = await play(site, behaviour, count)
             assert site.processes[0].is_running()
             return site.memory.largest_one, verdicts
@@ -51,9 +54,9 @@
     return asyncio.run(asyncio.wait_for(scenario(), 60))
 
 
-def check(folder: Path, behaviour: Behaviour, count: int) -> None:
+def check(folder: Path, behaviour: Behaviour, count: int, workload: Workload = usual_work) -> None:
     """Check that the limit holds beside hostile clients, and that each sound request is served."""
-    peak, verdicts = peak_memory(folder, behaviour, count)
+    peak, verdicts = peak_memory(folder, behaviour, count, workload)
     assert peak <= LIMIT_BYTES
     assert verdicts.keys() == {"served"}
 
@@ -69,6 +72,37 @@
     check(tmp_path, partial(hostile_clients.write_slowly, size=60_000), 300)
 
 
+def results_of(page: bytes, pages: int) -> Workload:
+    """Return work whose results have this page several times."""
+    return lambda class_name, request_id: Work(10.0, (page,) * pages)
+
+
+LONG_ROW = b"\t".join([b"a" * 50, b"b" * 50, b"c" * 40]) + b"\n"
+LARGEST_RESULT = results_of(LONG_ROW * (6000 // len(LONG_ROW)), 8)
+SMALLEST_ROWS = results_of(b"\t\t\n" * 2000, 1)
+
+
+@pytest.mark.parametrize("workload", [LARGEST_RESULT, SMALLEST_ROWS], ids=["long rows", "short rows"])
+def test_memory_with_clients_that_never_read(tmp_path: Path, workload: Workload) -> None:
+    """Guards against unread results: 300 clients that read nothing took 37 MB of 32."""
+    check(tmp_path, partial(hostile_clients.never_read, count=100), 300, workload)
+
+
+def test_memory_with_the_largest_results_for_all_usual_clients(tmp_path: Path) -> None:
+    """Guards against the results of all open requests being collected at the same time."""
+
+    async def scenario() -> tuple[int, Counter[str]]:
+        limits = Limits(memory_mb=LIMIT_MB)
+        async with running_site(tmp_path / "site", limits, LARGEST_RESULT) as site:
+            sound = SoundClients(site.address, TIMEOUT_MS)
+            await sound.run(limits.descriptors // 3, DURATION_S)
+            return site.memory.largest_one, sound.verdicts
+
+    peak, verdicts = asyncio.run(asyncio.wait_for(scenario(), 60))
+    assert peak <= LIMIT_BYTES
+    assert verdicts.keys() == {"served"}
+
+
 def test_the_program_maps_no_tls_library(tmp_path: Path) -> None:
     """Guards against 5 MB of the least memory for a library that the platform's program never uses."""
 
--- a/tests/support/scenario.py
+++ b/tests/support/scenario.py
@@ -115,6 +115,12 @@
     def is_writing(self) -> bool:
         return False
 
+    def writing_bytes(self) -> int:
+        return 0
+
+    def write_age_ms(self) -> float:
+        return 0.0
+
     def abort(self) -> None:
         self.connection.on_closed()
 
@@ -151,6 +157,12 @@
     def is_writing(self) -> bool:
         return False
 
+    def writing_bytes(self) -> int:
+        return 0
+
+    def write_age_ms(self) -> float:
+        return 0.0
+
     def abort(self) -> None:
         self.session.on_closed()
 
