A request whose client has closed its connection is not sent, though the end is not read yet

Cause: the end of a connection is found by a read of its own, after the one that yields the request. Between the two, the scheduler's step and the write to the engine take place. Change: before the first byte of an attempt the system is asked for the state of the client's connection (TCP_INFO), which tells the end behind unread data; where it tells none, a read looks for the end.

--- a/cottonhold/emulator/platform/client.py
+++ b/cottonhold/emulator/platform/client.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import secrets
+import socket
+import struct
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -162,6 +164,7 @@
         """Close the connection."""
         self.writer.close()
 
-    def reset(self) -> None:
-        """Close the connection without sending what is still buffered."""
-        self.writer.transport.abort()
+    def reset_at_close(self) -> None:
+        """Let the close reset the connection, and discard what the system has not sent."""
+        sock = self.writer.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
--- a/cottonhold/fleet_adapters/request_forwarding.py
+++ b/cottonhold/fleet_adapters/request_forwarding.py
@@ -51,6 +51,10 @@
         """Report that the request failed and may have run."""
         self.adapter.on_forwarded_ended(self, ForwardResult.FAILED, 0.0, b"")
 
+    def has_left(self) -> bool:
+        """Return False: the origin reports that a client has left with a message of its own."""
+        return False
+
 
 class RequestForwardingAdapter:
     """Passes events and time to the forwarder of one instance, and executes its actions.
--- a/cottonhold/frontend/mysql_session.py
+++ b/cottonhold/frontend/mysql_session.py
@@ -382,6 +382,14 @@
             self._send_error(QUERY_FAILED, reason)
             self._after_response()
 
+    def has_left(self) -> bool:
+        """Return whether the client has closed its connection, even if that was not read yet.
+
+        A process that was stopped, or that reads a long queue, finds the end of a connection only behind the
+        requests that precede it.
+        """
+        return self.is_closed or self.stream is not None and self.stream.has_peer_closed()
+
     def _finish_request(self) -> bool:
         """Mark the open request as finished before its response is sent; return false if there is none."""
         is_open, self.withdraw_request = self.withdraw_request is not None, None
--- a/cottonhold/frontend/query_service.py
+++ b/cottonhold/frontend/query_service.py
@@ -16,7 +16,7 @@
 
 
 class ResponseSink(Protocol):
-    """Sends the response of one request to its client; exactly one method is called, once."""
+    """Sends the response of one request to its client: exactly one of the first three methods is called."""
 
     def complete(self, rows: ResultRows, /) -> None:
         """Send the complete result."""
@@ -27,6 +27,9 @@
     def fail(self, reason: str, /) -> None:
         """Report a failure of the request, which may have been executed."""
 
+    def has_left(self) -> bool:
+        """Return whether the client has closed its connection, even if that was not read yet."""
+
 
 class QueryService(Protocol):
     """Accepts statements for execution; implemented by the gateway."""
--- a/cottonhold/node/gateway.py
+++ b/cottonhold/node/gateway.py
@@ -239,7 +239,12 @@
     def is_wanted(self, attempt: Attempt) -> bool:
         """Return whether an attempt may still start: it is its request's current one, and a client waits."""
         request = self.requests.get(attempt.request_id)
-        return request is not None and request.response_sink is not None and request.attempt is attempt
+        if request is None or request.attempt is not attempt or request.response_sink is None:
+            return False
+        if request.response_sink.has_left():
+            self.on_client_disconnected(request)
+            return False
+        return True
 
     def on_attempt_ended(self, attempt: Attempt, event: AttemptEnded) -> None:
         """Report an attempt's end to the scheduler; if it succeeded, respond to the client."""
--- a/cottonhold/transport/interface.py
+++ b/cottonhold/transport/interface.py
@@ -35,6 +35,9 @@
     def last_data_age_ms(self) -> float:
         """Return how long ago data last arrived at this machine, read or not, in ms; 0 if not known."""
 
+    def has_peer_closed(self) -> bool:
+        """Return whether the peer has closed its side or the connection; unread data may precede the end."""
+
     def close_gracefully(self) -> None:
         """Write the remaining output, then close the stream."""
 
--- a/cottonhold/transport/stream.py
+++ b/cottonhold/transport/stream.py
@@ -11,7 +11,7 @@
 from cottonhold.transport.interface import StreamProtocol
 from cottonhold.transport.io_context import RESOURCE_RETRY_S, IoContext
 from cottonhold.transport.socket_factory import RESOURCE_ERRORS
-from cottonhold.transport.tcp_info import last_data_age_ms
+from cottonhold.transport.tcp_info import has_peer_closed, last_data_age_ms
 
 SWEEP_INTERVAL_S = 5.0
 STUCK_S = 30.0  # longest time of a write; then the connection is closed, since its peer does not read
@@ -241,6 +241,16 @@
         """Return how long ago data last arrived at this machine, read or not, in ms; 0 if not known."""
         return last_data_age_ms(self.sock) if self.sock is not None else 0.0
 
+    def has_peer_closed(self) -> bool:
+        """Return whether the peer has closed its side or the connection; unread data may precede the end."""
+        if self.sock is None:
+            return True
+        is_closed = has_peer_closed(self.sock)
+        if is_closed is None:
+            self.read_available()  # without the system's word, only a read finds the end
+            return self.sock is None or self.ended is None or self.ended.done()
+        return is_closed
+
     def _receive(self, sock: socket.socket, ended: asyncio.Future[None]) -> bool:
         """Read once; return whether the protocol received bytes.
 
--- a/cottonhold/transport/tcp_info.py
+++ b/cottonhold/transport/tcp_info.py
@@ -1,4 +1,4 @@
-"""What the system knows of a TCP socket (TCP_INFO): the age of its last data, and a listener's queue."""
+"""What the system knows of a TCP socket (TCP_INFO): its state, its last data's age, a listener's queue."""
 
 from __future__ import annotations
 
@@ -10,6 +10,8 @@
 LAST_DATA_RECEIVED_OFFSET = 52  # ms since data last arrived, or since the connection was established
 INFO_BYTES = 56
 FIELD = struct.Struct("=I")
+STATE_OFFSET, STATE_BYTES = 0, 1
+ESTABLISHED, NO_STATE = 1, 0
 MAX_AGE_MS = 60_000.0  # a greater age is no age: nothing is known of data that arrived so long ago
 
 
@@ -25,6 +27,20 @@
     return value
 
 
+def has_peer_closed(sock: socket.socket) -> bool | None:
+    """Return whether the peer has closed or reset the connection, though unread data may precede the end.
+
+    None if the system doesn't tell it.
+    """
+    try:
+        info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, STATE_BYTES)
+    except OSError:
+        return None
+    if len(info) < STATE_BYTES or info[STATE_OFFSET] == NO_STATE:
+        return None
+    return info[STATE_OFFSET] != ESTABLISHED
+
+
 def last_data_age_ms(sock: socket.socket) -> float:
     """Return how long ago data last arrived at this machine, read or not, in ms; 0 if that is not known."""
     age_ms = _read_field(sock, LAST_DATA_RECEIVED_OFFSET)
--- a/tests/support/scenario.py
+++ b/tests/support/scenario.py
@@ -115,6 +115,9 @@
     def is_writing(self) -> bool:
         return False
 
+    def has_peer_closed(self) -> bool:
+        return False
+
     def writing_bytes(self) -> int:
         return 0
 
@@ -157,6 +160,9 @@
     def is_writing(self) -> bool:
         return False
 
+    def has_peer_closed(self) -> bool:
+        return False
+
     def writing_bytes(self) -> int:
         return 0
 
