After a stall, the scheduler decides once all input that has arrived is read

Cause: the loop reads in the order of arrival, and a step of the scheduler follows the first input. The KILL comes on a new connection, which takes three more iterations to be accepted and read. Change: a timer of 50 ms detects that the process did not run for 50 ms longer; steps are then delayed by eight iterations of the loop, without a pause. A process with a fifth of a core delays some steps (counter steps_delayed) by the time of reading what has arrived.

--- a/cottonhold/node/gateway.py
+++ b/cottonhold/node/gateway.py
@@ -22,6 +22,7 @@
 from cottonhold.node.load_guard import LoadOutcome
 from cottonhold.node.notifications import Notifications
 from cottonhold.node.request_observer import HealthCheckListener
+from cottonhold.node.stall_detector import StallDetector
 from cottonhold.observe.counters import Counters
 from cottonhold.scheduler.actions import (
     Action,
@@ -85,6 +86,7 @@
         self.open_count = 0  # requests without a final response
         self.events: list[Event] = []  # events for the next step of the scheduler
         self.is_step_scheduled = False
+        self.stall_detector = StallDetector(clock)
         self.shutdown_deadline = math.inf  # time after which no response is sent, in ms of the clock
         self.notifications = Notifications(counters, log)
         self.faults = FaultContainment(self.requests, self.push, self._fail, clock, counters)
@@ -271,6 +273,9 @@
 
     def _step(self) -> None:
         """Run one scheduler step and execute its actions, also those decided before a fault in the step."""
+        if self.stall_detector.delay(self._step):
+            self.counters.add("steps_delayed")
+            return
         self.is_step_scheduled, events = False, self.events
         self.events = []
         unconsumed = iter(events)
--- a/tests/node/test_clients_that_left.py
+++ b/tests/node/test_clients_that_left.py
@@ -9,8 +9,10 @@
 import pytest
 
 from cottonhold.emulator.platform.client import (
+    COM_QUERY,
     Client,
     encode_login,
+    encode_packet,
     encode_query,
     new_request_id,
 )
@@ -76,11 +78,16 @@
     return second
 
 
+async def kill_query(site: Site, client: Client) -> None:
+    other = await Client(site.address).open()
+    other.writer.write(encode_login() + encode_packet(COM_QUERY + b"KILL QUERY %d" % client.connection_id))
+
+
 async def close_connection(site: Site, client: Client) -> None:
     client.close()
 
 
-@pytest.mark.parametrize("leave", [close_connection])
+@pytest.mark.parametrize("leave", [kill_query, close_connection])
 @pytest.mark.parametrize("left_after_ms", [0.0, FIRST_LOAD_MS + 200.0], ids=["before", "after"])
 def test_a_held_request_whose_client_left_while_the_process_was_stopped_is_not_sent(
     tmp_path: Path, leave: Callable[[Site, Client], Awaitable[None]], left_after_ms: float
