A request that may have run is not sent again under its id, by this process or another one

Cause: an id was known only while its request was open in the same process. Once the client had left and the attempt was cancelled, nothing was kept, and the other process never knew it. While processes run side by side, each writes its table to a file in $TMPDIR, and looks ids up in the others' files at arrival and directly before the first byte, its own record first. A process takes over the table of one that has ended. An id that may have run is answered as failed. Not used where a load guard keeps durable records.

--- a/cottonhold/frontend/mysql_session.py
+++ b/cottonhold/frontend/mysql_session.py
@@ -33,7 +33,7 @@
     printable,
 )
 from cottonhold.frontend.query_comment import FieldError, parse
-from cottonhold.frontend.query_service import DuplicateRequestIdError
+from cottonhold.frontend.query_service import DuplicateRequestIdError, SentBeforeError
 from cottonhold.frontend.response_writer import ResponseWriter
 from cottonhold.frontend.session_registry import Activity, SessionRegistry
 from cottonhold.transport.interface import StreamHandle
@@ -209,6 +209,9 @@
         except DuplicateRequestIdError:
             self.registry.counters.add("requests_unusable")
             self._send_error(QUERY_FAILED, "field 'ref' is that of a request that is still open")
+        except SentBeforeError:
+            self.registry.counters.add("requests_unusable")
+            self._send_error(QUERY_FAILED, "field 'ref' is that of a request that was sent; it may have run")
 
     def _kill(self, kill: KillCommand) -> None:
         target = self.registry.find(kill.connection_id)
--- a/cottonhold/frontend/query_service.py
+++ b/cottonhold/frontend/query_service.py
@@ -15,6 +15,10 @@
     """A request has the id of another request that is still open."""
 
 
+class SentBeforeError(Exception):
+    """A request has the id of an earlier one that may have run, and its class forbids a repeat."""
+
+
 class ResponseSink(Protocol):
     """Sends the response of one request to its client: exactly one of the first three methods is called."""
 
@@ -48,6 +52,7 @@
         Raises:
             FieldError: A field of the request can't be used.
             DuplicateRequestIdError: Another request with the same id is still open.
+            SentBeforeError: A request with the same id may have run, and its class forbids a repeat.
         """
 
     @property
--- a/cottonhold/node/client_request.py
+++ b/cottonhold/node/client_request.py
@@ -8,7 +8,7 @@
 from cottonhold.backend.attempt import Attempt
 from cottonhold.frontend.query_comment import FieldError, Statement
 from cottonhold.frontend.query_service import ResponseSink
-from cottonhold.scheduler.settings import Settings
+from cottonhold.scheduler.settings import Idempotency, Settings
 
 
 @dataclass(slots=True, frozen=True)
@@ -28,6 +28,7 @@
     body: bytes
     tenant: int = 0  # index in `Settings.tenants`
     idempotency_key: str | None = None
+    is_repeatable: bool = True  # whether running it more than once does no harm
 
 
 @dataclass(slots=True, eq=False)
@@ -41,6 +42,8 @@
     priority: int = 1
     attempt: Attempt | None = None  # the attempt in flight
     was_admitted: bool = False  # not rejected in the step in which it arrived
+    is_recorded: bool = False  # among the sent requests
+    may_have_run: bool = False  # an attempt ended without proof that it never ran
 
     def release_statement(self) -> None:
         """Drop the statement of a request that has its response: it is never sent again."""
@@ -79,6 +82,7 @@
             statement.body,
             tenant_index(statement.tenant, self.tenant_indexes),
             statement.idempotency_key,
+            query_class.idempotency is Idempotency.IDEMPOTENT,
         )
 
 
--- a/cottonhold/node/dispatcher.py
+++ b/cottonhold/node/dispatcher.py
@@ -35,6 +35,7 @@
 from cottonhold.node.memory_monitor import MemoryMonitor
 from cottonhold.node.peer_datagrams import PeerDatagrams
 from cottonhold.node.process_quotas import ProcessQuotas
+from cottonhold.node.sent_request_files import SentRequests
 from cottonhold.node.sibling_channel import SiblingChannel
 from cottonhold.node.sibling_processes import ProcessRecord, SiblingProcesses
 from cottonhold.observe.counters import Counters
@@ -86,6 +87,7 @@
         )
         self.engines.connect = self.event_loop.connector.connect
         self.gateway = Gateway(config.settings, config.seed, clock, self.engines, counters, log_line)
+        self.gateway.repeat_guard.sent_requests = self._new_sent_requests()
         self.sessions = self._new_sessions()
         self.admin_api = AdminApi(self.lifecycle, clock, counters, log.note, self.quotas.descriptors.admin)
         self.sibling_channel = self._new_sibling_channel()
@@ -113,6 +115,19 @@
         sessions.last_id = connection_ids.random_id(random.Random(self.config.seed))
         return sessions
 
+    def _new_sent_requests(self) -> SentRequests:
+        """Return the ids of sent requests, with those of processes that have ended or still run."""
+        processes = self.sibling_processes
+        sent_requests = SentRequests(
+            self.event_loop.clock,
+            self.counters,
+            self.log.write_line,
+            processes.sent_requests_path,
+            processes.slot,
+        )
+        sent_requests.start(processes.others_by_slot().keys())
+        return sent_requests
+
     def _new_sibling_channel(self) -> SiblingChannel:
         """Return the channel to sibling processes, connected with the sessions and the admin API."""
         channel = SiblingChannel(
@@ -189,7 +204,9 @@
 
     def update_siblings(self) -> None:
         """Publish this process's connection counts, and limit them to the descriptors that siblings leave."""
-        others = self.sibling_processes.others()
+        others_by_slot = self.sibling_processes.others_by_slot()
+        others = list(others_by_slot.values())
+        self.gateway.repeat_guard.sent_requests.on_running_processes(others_by_slot.keys())
         if others:
             self.sibling_channel.open()
         record = ProcessRecord(
--- a/cottonhold/node/gateway.py
+++ b/cottonhold/node/gateway.py
@@ -21,7 +21,9 @@
 from cottonhold.node.fault_containment import FaultContainment
 from cottonhold.node.load_guard import LoadOutcome
 from cottonhold.node.notifications import Notifications
+from cottonhold.node.repeat_guard import RepeatGuard
 from cottonhold.node.request_observer import HealthCheckListener
+from cottonhold.node.sent_request_files import SentRequests
 from cottonhold.node.stall_detector import StallDetector
 from cottonhold.observe.counters import Counters
 from cottonhold.scheduler.actions import (
@@ -94,6 +96,7 @@
             self.requests, engines, clock, self.notifications, self.faults, self._report
         )
         self.result_memory = engines.result_pool
+        self.repeat_guard = RepeatGuard(SentRequests(clock, counters, log), counters)
         self.send_to_peer: Callable[[SendToPeer], None] = lambda message: None
         self.health_check_listener: HealthCheckListener = lambda engine, outcome, report: None
         engines.listener = self
@@ -138,6 +141,7 @@
         Raises:
             FieldError: The statement's comment has an invalid field.
             DuplicateRequestIdError: A request with this id is open.
+            SentBeforeError: A request with this id may have run, and its class forbids a repeat.
         """
         request = self.accept(self.decoder.decode(statement, arrived_at), sink)
         return lambda: self.on_client_disconnected(request)
@@ -149,15 +153,18 @@
 
         Raises:
             DuplicateRequestIdError: A request with this id is open.
+            SentBeforeError: A request with this id may have run, and its class forbids a repeat.
         """
         request_id = client_request.request_id
         if request_id in self.requests:
             raise DuplicateRequestIdError(request_id)
+        load_guard = self.notifications.load_guard
+        if load_guard is None:
+            self.repeat_guard.check_arrival(request_id)
         deadline = min(response_deadline(client_request), self.shutdown_deadline)
         request = self.requests[request_id] = OpenRequest(client_request, deadline, sink)
         self.open_count += 1
         self.counters.add("requests_taken")
-        load_guard = self.notifications.load_guard
         try:
             if load_guard is not None and load_guard.guards(client_request.query_class):
                 load_guard.on_load_arrived(
@@ -246,6 +253,9 @@
         if request.response_sink.has_left():
             self.on_client_disconnected(request)
             return False
+        if self.notifications.load_guard is None and not self.repeat_guard.may_begin(request):
+            self._fail(attempt.request_id)
+            return False
         return True
 
     def on_attempt_ended(self, attempt: Attempt, event: AttemptEnded) -> None:
@@ -255,6 +265,7 @@
         if request is None:
             return
         request.attempt = None
+        self.repeat_guard.on_attempt_ended(request, event.outcome)
         if event.outcome is Outcome.OK and (sink := self._finish(request)):
             self.counters.add("answers_served")
             self._respond(lambda: sink.complete(attempt.all_rows()))
--- a/cottonhold/node/sibling_processes.py
+++ b/cottonhold/node/sibling_processes.py
@@ -123,6 +123,10 @@
         """Return the path of the named pipe on which the process of a slot receives calls."""
         return os.path.join(self.folder or "", f"cottonhold-{self.name}.pipe{slot}")
 
+    def sent_requests_path(self, slot: int) -> str:
+        """Return the path of the file in which the process of a slot lists the requests that it has sent."""
+        return os.path.join(self.folder or "", f"cottonhold-{self.name}.sent{slot}")
+
     def others(self) -> list[ProcessRecord]:
         """Return the records of the other running processes."""
         return list(self.others_by_slot().values())
