The head of a request has at most 64 fields and 4 KB, and 2,000 tokens are searched for its table

Cause: the comment was searched and split whatever its length (4.3 ms for 64 KB), and the search for the table listed all tokens of a statement (70 ms and 4 MB for 64 KB). Change: fields are counted and the comment's end is searched before anything is decoded; tokens are read one by one, up to 2,000; an ordering key has at most 256 characters. A statement that names its first table behind 2,000 tokens has no known group.

--- a/cottonhold/emulator/platform/hostile_clients.py
+++ b/cottonhold/emulator/platform/hostile_clients.py
@@ -17,9 +17,6 @@
     new_request_id,
 )
 
-MAX_PACKET_BYTES = 65536
-HOLD_S = 0.3  # pause after each part of a halted packet
-
 
 async def _connect(address: str) -> Client:
     client = Client(address)
@@ -88,6 +85,23 @@
         await client.read_answer()
 
 
+async def flood(address: str) -> None:
+    """Send small commands on one connection at full speed, without waiting for answers, and read them."""
+    client = await _connect(address)
+    reading = asyncio.create_task(client.reader.read(-1))
+    number = 0
+    try:
+        while not reading.done():
+            number += 1
+            text = f"/* service=class{number},ref={new_request_id()},allow=1000 */ SELECT 1"
+            client.writer.write(encode_packet(b"\x0e") * 8 + encode_packet(COM_QUERY + text.encode()))
+            await client.writer.drain()
+            await asyncio.sleep(0)
+    finally:
+        reading.cancel()
+        client.close()
+
+
 async def never_read(address: str, count: int) -> None:
     """Send requests, one at a time on average, and read no answer."""
     client = await _connect(address)
--- a/cottonhold/frontend/query_comment.py
+++ b/cottonhold/frontend/query_comment.py
@@ -5,11 +5,18 @@
 
 from __future__ import annotations
 
+import itertools
 import re
-from collections.abc import Sequence
+from collections.abc import Iterator
 from dataclasses import dataclass
-
-COMMENT = re.compile(rb"\s*/\*(.*?)\*/\s*", re.DOTALL)
+from typing import NamedTuple
+
+COMMENT_START, COMMENT_END, BLANKS = re.compile(rb"\s*/\*"), b"*/", re.compile(rb"\s*")
+# Limits of what is decoded, since a request costs as much time as it has fields and tokens.
+MAX_COMMENT_BYTES = 4096  # of the comment with the fields, and of the blanks before it
+MAX_FIELDS = 64
+MAX_KEY_CHARACTERS = 256  # of an ordering key
+MAX_TOKENS = 2000  # of a statement in which a table's schema is looked for
 REQUEST_ID = re.compile(r"[0-9a-fA-F]{16}\Z")
 IDEMPOTENCY_KEY = re.compile(r"[0-9A-Za-z_.:+/-]{1,128}\Z")  # sent to engines unchanged
 REQUIRED_FIELDS = ("service", "ref", "allow")
@@ -58,15 +65,12 @@
     Raises:
         FieldError: The comment or a required field is missing, or a field is invalid.
     """
-    comment = COMMENT.match(text)
-    if comment is None:
-        raise FieldError("no comment with fields before the statement: field 'service' is missing")
-    fields = decode_fields(comment[1])
+    comment, body = split_comment(text)
+    fields = decode_fields(comment)
     check_fields(fields)
     timeout_ms = decode_number(fields, "allow")
     if timeout_ms <= 0:
         raise FieldError("field 'allow' leaves no time")
-    body = text[comment.end() :]
     return Statement(
         class_name=fields["service"],
         request_id=fields["ref"],
@@ -75,19 +79,46 @@
         idempotency_key=decode_idempotency_key(fields),
         estimated_work_ms=decode_number(fields, "effort"),
         estimated_memory_mb=decode_number(fields, "room"),
-        ordering_key=fields.get("lookup") or None,
+        ordering_key=decode_ordering_key(fields),
         body=body,
         table_group=table_group(body.decode("utf-8", "replace")),
         tenant=fields.get("project"),
     )
 
 
+def split_comment(text: bytes) -> tuple[bytes, bytes]:
+    """Return the content of the comment before a statement, and the statement after it.
+
+    Raises:
+        FieldError: There is no such comment, or it is too long.
+    """
+    start = COMMENT_START.match(text[:MAX_COMMENT_BYTES])
+    if start is None:
+        raise FieldError("no comment with fields before the statement: field 'service' is missing")
+    end = text.find(COMMENT_END, start.end(), MAX_COMMENT_BYTES)
+    if end < 0:
+        raise FieldError(f"the comment with the fields does not end within {MAX_COMMENT_BYTES} bytes")
+    blanks = BLANKS.match(text, end + len(COMMENT_END))
+    assert blanks is not None
+    return text[start.end() : end], text[blanks.end() :]
+
+
+def decode_ordering_key(fields: dict[str, str]) -> str | None:
+    """Return the key by which requests are ordered, or None if there is none. Raises FieldError."""
+    key = fields.get("lookup") or None
+    if key is not None and len(key) > MAX_KEY_CHARACTERS:
+        raise FieldError(f"field 'lookup' has over {MAX_KEY_CHARACTERS} characters")
+    return key
+
+
 def decode_fields(comment: bytes) -> dict[str, str]:
     """Return the comment's fields by name.
 
     Raises:
-        FieldError: A field occurs twice with different values.
+        FieldError: A field occurs twice with different values, or there are too many fields.
     """
+    if comment.count(b",") >= MAX_FIELDS:
+        raise FieldError(f"the comment has over {MAX_FIELDS} fields")
     fields: dict[str, str] = {}
     for part in comment.decode("utf-8", "replace").split(","):
         name, separator, value = part.strip().partition("=")
@@ -139,16 +170,15 @@
     # The fast path covers most statements.
     if plain and not QUOTE_OR_COMMENT.search(sql, 0, plain.start()):
         return int(plain[1])
-    tokens = [(m.lastgroup, m[0]) for m in SQL_TOKEN.finditer(sql) if m.lastgroup]
     fallback, is_table = -1, False
-    for position, (kind, text) in enumerate(tokens):
+    for kind, text, is_qualifier in _tokens(sql):
         if kind != "name":
             is_table = is_table and kind != "other"
             continue
         if text.upper() in TABLE_KEYWORDS:
             is_table = True
             continue
-        group = schema_group(text) if is_qualifier(tokens, position) else None
+        group = schema_group(text) if is_qualifier else None
         if group is None:
             continue
         if is_table:
@@ -157,11 +187,30 @@
     return fallback
 
 
-def is_qualifier(tokens: Sequence[tuple[str, str]], position: int) -> bool:
-    """Return whether the token at a position is the first part of a qualified name."""
-    if position + 1 >= len(tokens) or tokens[position + 1][0] != "dot":
-        return False
-    return position == 0 or tokens[position - 1][0] != "dot"
+class Token(NamedTuple):
+    """A token of a statement; strings and comments are none."""
+
+    kind: str  # name, dot, comma or other
+    text: str
+    is_qualifier: bool = False  # whether it is the first part of a qualified name
+
+
+def _tokens(sql: str) -> Iterator[Token]:
+    """Yield the first MAX_TOKENS tokens of a statement."""
+    matches = (match for match in SQL_TOKEN.finditer(sql) if match.lastgroup)
+    previous_kind, name = "", None
+    for match in itertools.islice(matches, MAX_TOKENS):
+        kind = str(match.lastgroup)
+        if name is not None:
+            yield Token("name", name, kind == "dot" and previous_kind != "dot")
+            previous_kind, name = "name", None
+        if kind == "name":
+            name = match[0]
+        else:
+            yield Token(kind, match[0])
+            previous_kind = kind
+    if name is not None:
+        yield Token("name", name)
 
 
 def schema_group(text: str) -> int | None:
