The scheduler forgets table groups that no load uses any more

Cause: counts of loads by table group stayed at 0, queued times at 0.0, the engines preferred for a group until the engine list changed, and locks that peers announced for ever. Change: entries are removed with the last load; locks that have ended are dropped at 64, and the remembered preferred engines, which can be computed again, at 256.

--- a/cottonhold/scheduler/engine_state.py
+++ b/cottonhold/scheduler/engine_state.py
@@ -15,6 +15,8 @@
 from cottonhold.scheduler.reported_load import ReportedWork
 from cottonhold.scheduler.settings import MachineType, Rules
 
+MAX_LOCKS = 64  # locks of table groups at which those that have ended are dropped
+MIN_QUEUED_MS = 1e-6  # less than this is what the addition of numbers leaves
 SUM_INTERVAL_MS = 5.0  # interval between sums over attempts and reports; runs take far longer than this
 
 
@@ -154,6 +156,15 @@
         self.error_share = 0.0
         self.locked_until = {}
 
+    def lock_tables(self, table_group: int, now: float, until: float) -> None:
+        """Record that a load locks its tables here until a time, or longer if that is known already.
+
+        Locks that have ended are dropped, since clients may name ever new table groups.
+        """
+        if len(self.locked_until) >= MAX_LOCKS:
+            self.locked_until = {group: end for group, end in self.locked_until.items() if end > now}
+        self.locked_until[table_group] = max(self.locked_until.get(table_group, 0.0), until)
+
     def has_load_on(self, table_group: int, now: float) -> bool:
         """Return whether a load of this gateway or a peer on these tables is queued or running here."""
         is_local = (
@@ -266,8 +277,11 @@
         self.queued_thread_ms -= query.planned_thread_ms
         self.queued_memory_mb_ms -= query.planned_run_ms * query.planned_memory_mb
         if query.query_class.is_load:
-            queued_ms = self.queued_load_ms[query.table_group]
-            self.queued_load_ms[query.table_group] = max(queued_ms - query.planned_run_ms, 0.0)
+            queued_ms = self.queued_load_ms[query.table_group] - query.planned_run_ms
+            if queued_ms > MIN_QUEUED_MS:
+                self.queued_load_ms[query.table_group] = queued_ms
+            else:
+                del self.queued_load_ms[query.table_group]
 
     def clear_plan(self) -> list[Query]:
         """Empty the plan and return the queries that were queued."""
@@ -296,6 +310,8 @@
         self.in_flight_by_density.remove_attempt(query)
         if query.query_class.is_load:
             self.loads_in_flight[query.table_group] -= 1
+            if not self.loads_in_flight[query.table_group]:
+                del self.loads_in_flight[query.table_group]
         counted_at = max(self.remaining_computed_at, query.sent_at)
         self._add_remaining(query, -query.remaining_share(counted_at, min_share))
         self.threads_in_flight -= query.query_class.threads
--- a/cottonhold/scheduler/peer_load.py
+++ b/cottonhold/scheduler/peer_load.py
@@ -47,8 +47,7 @@
     max_run_ms = max(query_class.deadline_ms for query_class in gateway.settings.classes)
     locked_until = gateway.now + min(load.planned_run_ms, max_run_ms)
     for engine in gateway.engines_by_hash.get(load.engine_hash, ()):
-        known_until = engine.locked_until.get(load.table_group, 0.0)
-        engine.locked_until[load.table_group] = max(known_until, locked_until)
+        engine.lock_tables(load.table_group, gateway.now, locked_until)
 
 
 def _on_work_report(gateway: GatewayState, peer: int, report: peer_messages.WorkReport) -> None:
--- a/cottonhold/scheduler/placement.py
+++ b/cottonhold/scheduler/placement.py
@@ -29,6 +29,7 @@
 
 BETA = 0.2  # reserved share of the slack EPSILON: the finish is estimated with 1.4 times the run time
 REPLAN_CANDIDATES = 2  # candidates for replanning a query on unobserved engines: more would only cost CPU
+MAX_PREFERRED_GROUPS = 256  # table groups whose engines are remembered
 PREFERRED_SHARE = 0.4  # share of the engines that run the loads on a table group; the rest serve readers
 MIN_WORK_RATE = 0.02  # lowest work rate that planning assumes, in ms of work per thread ms
 ERROR_DELAY_FACTOR = 3  # delay added at an error share of 1, as a multiple of the time to the finish
@@ -202,6 +203,8 @@
     """
     ring, preferred = gateway.affinity_ring, gateway.preferred_engines
     if table_group not in preferred and ring:
+        if len(preferred) >= MAX_PREFERRED_GROUPS:
+            preferred.clear()  # computed again when needed
         first = table_group % len(ring)
         rotated = dict.fromkeys(ring[first:] + ring[:first])
         usable = [engine for engine in rotated if engine.is_usable()]
--- a/cottonhold/scheduler/release.py
+++ b/cottonhold/scheduler/release.py
@@ -219,9 +219,7 @@
     gateway.in_flight.add_attempt(query, engine)
     slow_start.spend(query, engine)
     if query.query_class.is_load:
-        locked_until = gateway.now + query.planned_run_ms
-        known_until = engine.locked_until.get(query.table_group, 0.0)
-        engine.locked_until[query.table_group] = max(known_until, locked_until)
+        engine.lock_tables(query.table_group, gateway.now, gateway.now + query.planned_run_ms)
         peer_load.announce_load(gateway, query, engine)
 
 
