What engines, the event bus and operators send takes a bounded amount of memory

What callers saw: nothing yet; each of these parties could make the process pass its limit. Cause: bounds were missing, or each stood alone: incomplete answers of 64 KB on each of 337 connections, calls for an engine that doesn't read, thousands of names in a load report or an answer's fields, heads of the bus and trailers of operators without end, and 4 MB of JSON, which takes 20 times as much once it is parsed, on each of four polls. Change: incomplete answers share a pool that follows from the limit, and the one that is incomplete for longest yields; a connection with 1,024 unread calls is given up; an answer has 64 fields, a report 32 values, an array 16 KB. An answer of the bus is bounded by its share of the limit, its lists and objects by its size, its head by 16 KB, an id by 256 characters; trailers count with the head of a call.

--- a/cottonhold/backend/connection.py
+++ b/cottonhold/backend/connection.py
@@ -11,9 +11,12 @@
 from cottonhold.backend.resp import RespError, RespReader
 from cottonhold.discovery.model import Address
 from cottonhold.observe.counters import Counters
+from cottonhold.scheduler.byte_pool import BytePool, Reservation
 from cottonhold.transport.clock import Clock
 from cottonhold.transport.interface import StreamHandle
 
+# Calls that wait to be written, at which the engine counts as one that does not read.
+MAX_QUEUED_ITEMS = 1024
 MAX_READS_BEFORE_WRITE = 4  # limit of reads of unsolicited data before a write on an idle connection
 # A write ends with the item that reaches this size; a socket's send buffer holds that much.
 MAX_WRITE_BYTES = 16 * 1024
@@ -24,6 +27,7 @@
 
     clock: Clock
     counters: Counters
+    answer_pool: BytePool  # incomplete answers of all engines
 
     def end_unless_sendable(self, attempt: Attempt) -> bool:
         """Return whether an attempt may be sent, and end it if not; called before its first byte."""
@@ -43,6 +47,12 @@
     def on_malformed_answer(self, reason: str) -> None:
         """Report a malformed answer of the engine."""
 
+    def on_unread(self, connection: Connection) -> None:
+        """Give up a connection whose engine does not read."""
+
+    def reclaim_answers(self) -> None:
+        """Abandon the connection whose answer has been incomplete for longest."""
+
 
 class Connection:
     """One connection with its attempts and health checks. Times are in ms of the clock."""
@@ -62,6 +72,7 @@
         # Ids of attempts that ended without a result, in this order; they are not reused on this connection.
         self.abandoned_ids: dict[bytes, None] = {}
         self.health_checks: dict[bytes, HealthCheck] = {}
+        self.reservation = Reservation(owner.answer_pool)  # of an incomplete answer
 
     def on_connected(self) -> None:
         """Record that the connection is established."""
@@ -118,10 +129,19 @@
             self.silent_since = now if self.attempts else math.inf
             if self.reader.has_partial():
                 self.partial_since = min(self.partial_since, now)
+            self._account_for_partial()
         except RespError as error:
             self.owner.on_malformed_answer(f"engine {self.engine}: {error}")
             self.abandon()
 
+    def _account_for_partial(self) -> None:
+        """Account for an incomplete answer; without memory, abandon what has been incomplete for longest."""
+        size = len(self.reader.buffer)
+        if not self.reservation.resize(size):
+            self.owner.reclaim_answers()
+            if not self.is_closed:
+                self.reservation.set(size)
+
     def abandon(self) -> None:
         """Close a connection that has failed; attempts that were written may have run."""
         self.is_closing = True
@@ -151,12 +171,15 @@
         """Notify the owner, once, that the connection has ended or was never established."""
         if not self.is_closed:
             self.is_closed = True
+            self.reservation.release()
             self.owner.on_connection_closed(self)
 
     def enqueue(self, item: Attempt | bytes) -> None:
         """Queue an attempt or encoded bytes for writing."""
         self.queue.append(item)
-        if self.is_up and self.stream is not None:
+        if len(self.queue) > MAX_QUEUED_ITEMS:
+            self.owner.on_unread(self)
+        elif self.is_up and self.stream is not None:
             self.stream.flush()
 
     def write_now(self, item: bytes) -> None:
--- a/cottonhold/backend/connection_pool.py
+++ b/cottonhold/backend/connection_pool.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from typing import Protocol
 
@@ -83,7 +84,7 @@
         self.listener: AttemptListener
         self.max_connections, self.open_connections = max_connections, 0
         self.liveness_budget = LivenessBudget()
-        self.result_pool = BytePool(UNLIMITED_BYTES)
+        self.result_pool, self.answer_pool = BytePool(UNLIMITED_BYTES), BytePool(UNLIMITED_BYTES)
         self.results = ResultMemory(self.result_pool)
         self.reclaim_results: Callable[[], None] = lambda: None  # takes memory back from clients
         self.health_checker = HealthChecker(
@@ -433,6 +434,19 @@
         endpoint = self.endpoints.get(engine)
         return sum(len(c.attempts) for c in endpoint.connections) if endpoint is not None else 0
 
+    def reclaim_answers(self) -> None:
+        """Abandon the connection whose answer has been incomplete for longest."""
+        connections = (c for endpoint in self.endpoints_in_use.values() for c in endpoint.connections)
+        oldest = min(connections, key=lambda c: c.partial_since, default=None)
+        if oldest is not None and oldest.partial_since < math.inf:
+            self.on_malformed_answer(f"engine {oldest.engine}: no memory for an incomplete answer")
+            oldest.abandon()
+
+    def on_unread(self, connection: Connection) -> None:
+        """Give up a connection whose engine does not read."""
+        self.log(f"engine {connection.engine}: {len(connection.queue)} calls wait to be read by it")
+        connection.abandon()
+
     def on_malformed_answer(self, reason: str) -> None:
         """Count and log a malformed answer of an engine."""
         self.counters.add("engine_malformed")
--- a/cottonhold/backend/engine_protocol.py
+++ b/cottonhold/backend/engine_protocol.py
@@ -14,6 +14,7 @@
 EXECUTE, CHANGE_PRIORITY, CANCEL = b"GET", b"RANK", b"DROP"
 FETCH_PAGE, CLOSE_RESULT, LOAD_REPORT = b"PAGE", b"CLOSE", b"LOAD"
 FAILED_HEALTH_CHECK = b"red"
+MAX_REPORT_VALUES = 32  # of a load report; the settings name a few
 MAX_REPORTED_NUMBER = 1e8  # upper bound, in ms or MB, of numbers in an answer
 
 
@@ -111,7 +112,7 @@
 def decode_load_report(fields: dict[str, str]) -> dict[str, float]:
     """Decode an answer's load report, such as inflight:7;util:0.61, with the scheduler's names as keys."""
     report = {}
-    for part in fields.get("gauges", "").split(";"):
+    for part in fields.get("gauges", "").split(";", MAX_REPORT_VALUES)[:MAX_REPORT_VALUES]:
         name, separator, value = part.partition(":")
         if separator:
             try:
--- a/cottonhold/backend/resp.py
+++ b/cottonhold/backend/resp.py
@@ -10,6 +10,8 @@
 MAX_LENGTH_LINE_BYTES = 16  # type byte, digits and line end
 MAX_COUNT_DIGITS = 8
 COLUMNS = 3
+MAX_FIELDS = 64  # of an answer, which has a few
+MAX_ARRAY_BYTES = 16 * 1024  # an answer has one page, an id and some fields
 
 Rows = list[list[bytes]]
 # A page of whole rows with three cells each. No part can match a separator, so matching takes linear time.
@@ -37,6 +39,7 @@
 
     def __init__(self, max_element_bytes: int = MAX_ELEMENT_BYTES) -> None:
         self.buffer, self.max_element_bytes = bytearray(), max_element_bytes
+        self.max_array_bytes = max(MAX_ARRAY_BYTES, 2 * max_element_bytes)
 
     def has_partial(self) -> bool:
         """Return whether part of an array has been received."""
@@ -74,6 +77,8 @@
             if header is None:
                 return None
             size, position = header
+            if position + size + 2 - start > self.max_array_bytes:
+                raise RespError(f"an array exceeds {self.max_array_bytes} bytes")
             if len(self.buffer) < position + size + 2:
                 return None
             if self.buffer[position + size : position + size + 2] != b"\r\n":
@@ -141,8 +146,14 @@
 
 
 def decode_fields(text: bytes) -> dict[str, str]:
-    """Decode a list such as name=value,name=value; `-` is an empty list."""
+    """Decode a list such as name=value,name=value; `-` is an empty list.
+
+    Raises:
+        RespError: There are too many fields.
+    """
     if text in (b"-", b""):
         return {}
+    if text.count(b",") >= MAX_FIELDS:
+        raise RespError(f"an answer has over {MAX_FIELDS} fields")
     pairs = (part.partition("=") for part in text.decode("utf-8", "replace").split(","))
     return {name: value for name, _, value in pairs}
--- a/cottonhold/discovery/event_stream.py
+++ b/cottonhold/discovery/event_stream.py
@@ -29,6 +29,12 @@
 # waits there anew. The oldest of so many has waited for more than 7 s.
 MAX_POLLS = 4
 MAX_ANSWER_BYTES = 4 << 20
+MAX_HEAD_BYTES = 16 * 1024  # of an answer's status line and headers, and of what surrounds its body
+# An answer of many small lists and objects takes many times its size once it is parsed. An entry of the
+# engine list has over a hundred bytes.
+MIN_BYTES_PER_CONTAINER = 32
+FREE_CONTAINERS = 64
+MAX_ID_CHARACTERS = 256
 STATUS_BY_LIFECYCLE = {
     "Ready": ServiceStatus.IN_SERVICE,
     "Terminating": ServiceStatus.DRAINED,
@@ -48,6 +54,8 @@
         WireError: A field is missing or invalid.
     """
     address = read(source, "hostPort", str, "")
+    if len(read(source, "instanceId", str)) > MAX_ID_CHARACTERS:
+        raise WireError(f"an id has over {MAX_ID_CHARACTERS} characters")
     return Observation(
         id=read(source, "instanceId", str),
         status=read_mapped(source, "lifecycle", STATUS_BY_LIFECYCLE),
@@ -102,6 +110,13 @@
     return read(source, "offset", int), reports
 
 
+def check_containers(body: bytes) -> None:
+    """Check that an answer does not take far more memory than its size. Raises WireError."""
+    containers = body.count(b"{") + body.count(b"[")
+    if containers > FREE_CONTAINERS + len(body) // MIN_BYTES_PER_CONTAINER:
+        raise WireError(f"{containers} lists and objects in {len(body)} bytes")
+
+
 class EventStream:
     """The position in the event stream; passes the reports of later events to `on_report`.
 
@@ -126,6 +141,7 @@
         self.host, self.offset, self.names, self.counters = host, offset, names, counters
         self.on_report, self.log = on_report, log
         self.is_short_poll_unanswered = False  # whether the last poll was short and had no answer
+        self.max_answer_bytes = MAX_ANSWER_BYTES
         # Called for each complete answer, even if it contains nothing new.
         self.on_complete_answer: Callable[[], None] = lambda: None
 
@@ -148,6 +164,7 @@
         try:
             if status != 200:
                 raise WireError(f"status {status}")
+            check_containers(body)
             offset, reports = decode_events(orjson.loads(body), self.names, self.counters, self.log)
         except (orjson.JSONDecodeError, WireError) as error:
             self.reject_answer(error)
@@ -179,7 +196,7 @@
     def __init__(self, stream: EventStream) -> None:
         self.stream = stream
         self.parser = httptools.HttpResponseParser(self)
-        self.body = bytearray()
+        self.body, self.head_bytes = bytearray(), 0
         self.is_complete, self.is_reusable, self.has_length = False, True, False
         self.hold_ms = stream.first_hold_ms()
 
@@ -194,10 +211,14 @@
 
     def receive(self, data: bytes) -> bool:
         """Parse received bytes; return whether the answer is complete. Raises WireError if it is invalid."""
+        self.head_bytes += len(data)
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserError as error:
-            self.stream.reject_answer(error)
+            cause = error.__context__
+            self.stream.reject_answer(cause if isinstance(cause, WireError) else error)
+        if self.head_bytes > MAX_HEAD_BYTES:
+            self.stream.reject_answer(WireError(f"over {MAX_HEAD_BYTES} bytes beside the body"))
         if self.is_complete:
             self._on_answer()
         return self.is_complete
@@ -214,7 +235,7 @@
         self._on_answer()
 
     def _on_answer(self) -> None:
-        self.hold_ms = LONG_POLL_MS
+        self.hold_ms, self.head_bytes = LONG_POLL_MS, 0
         status, body = self.parser.get_status_code(), bytes(self.body)
         self.body.clear()
         self.stream.on_answer(status, body)
@@ -225,7 +246,8 @@
 
     def on_body(self, data: bytes) -> None:
         """Process a part of the answer's body; called by httptools."""
-        if len(self.body) + len(data) > MAX_ANSWER_BYTES:
+        self.head_bytes -= len(data)
+        if len(self.body) + len(data) > self.stream.max_answer_bytes:
             raise WireError("the answer is too large")
         self.body += data
 
--- a/cottonhold/node/admin_api.py
+++ b/cottonhold/node/admin_api.py
@@ -130,7 +130,7 @@
         self.is_closing = self.is_closed = False
         self.output = b""
         self.parser = httptools.HttpRequestParser(self)
-        self.received_bytes, self.path = 0, b""
+        self.received_bytes, self.body_bytes, self.path = 0, 0, b""
         self.is_reading_head = True  # request line and headers
         self.timer: Timer = api.clock.call_in(CALL_TIMEOUT_MS, self._on_timeout)
 
@@ -148,6 +148,8 @@
             self._respond(Response(400, "no upgrade is served here"))
         except httptools.HttpParserError as error:
             self._respond(Response(400, type(error).__name__))
+        if self.received_bytes - self.body_bytes > MAX_HEAD_BYTES:  # trailers of a body in chunks
+            self._respond(Response(431, f"at most {MAX_HEAD_BYTES} bytes"))
         if self.received_bytes > MAX_HEAD_BYTES + MAX_BODY_BYTES:
             self._respond(Response(413, f"at most {MAX_BODY_BYTES} bytes"))
 
@@ -181,6 +183,10 @@
         """Record that a body follows, which is discarded; called by the parser."""
         self.is_reading_head = False
 
+    def on_body(self, data: bytes) -> None:
+        """Discard a part of the body; called by the parser."""
+        self.body_bytes += len(data)
+
     def on_message_complete(self) -> None:
         """Execute the complete call, and ignore all bytes after it; called by the parser."""
         if not self.is_closing:
--- a/cottonhold/node/dispatcher.py
+++ b/cottonhold/node/dispatcher.py
@@ -216,7 +216,7 @@
             self.is_serving,
         )
         self.sibling_processes.publish(record)
-        quotas = self.quotas.apply(others, self.sessions, self.engines)
+        quotas = self.quotas.apply(others, self.sessions, self.engines, self.event_stream)
         if len(others) != self.sibling_count:
             self.sibling_count = len(others)
             self.apply_settings()
--- a/cottonhold/node/process_quotas.py
+++ b/cottonhold/node/process_quotas.py
@@ -5,6 +5,7 @@
 from collections.abc import Sequence
 
 from cottonhold.backend.connection_pool import EngineConnections
+from cottonhold.discovery.event_stream import MAX_ANSWER_BYTES, EventStream
 from cottonhold.frontend.client_sessions import ClientSessions
 from cottonhold.node.descriptors import DescriptorQuotas, usable_descriptors
 from cottonhold.node.sibling_processes import ProcessRecord
@@ -35,7 +36,11 @@
         return divide_memory(self.memory_limit, self.idle_bytes, processes, self.descriptors.clients)
 
     def apply(
-        self, others: Sequence[ProcessRecord], sessions: ClientSessions, engines: EngineConnections
+        self,
+        others: Sequence[ProcessRecord],
+        sessions: ClientSessions,
+        engines: EngineConnections,
+        event_stream: EventStream,
     ) -> DescriptorQuotas:
         """Limit clients and engines to what other processes leave; return the quotas of descriptors.
 
@@ -43,12 +48,15 @@
             others: The other processes of this dispatcher.
             sessions: The client sessions.
             engines: The connections to engines.
+            event_stream: The event stream.
         """
         descriptors = self.descriptors.remaining_after(others)
         memory = self.memory(1 + len(others))
         sessions.max_sessions = min(descriptors.clients, memory.sessions)
         sessions.client_memory.capacity = memory.client_bytes
         engines.result_pool.capacity = memory.result_bytes
+        engines.answer_pool.capacity = memory.engine_bytes
+        event_stream.max_answer_bytes = min(memory.event_stream_bytes, MAX_ANSWER_BYTES)
         engines.max_connections = descriptors.engines
         return descriptors
 
--- a/tests/node/test_admin_api.py
+++ b/tests/node/test_admin_api.py
@@ -312,3 +312,10 @@
         return accepted_count
 
     assert asyncio.run(scenario()) == 5
+
+
+def test_what_follows_a_body_in_chunks_is_bounded_like_the_head() -> None:
+    """Guards against trailers without end, which the parser keeps."""
+    caller = Caller(make_api(World()).open())
+    head = b"POST /healthcheck/fail HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n"
+    assert caller.status(head + b"X-Trailer: " + b"a" * 2 * MAX_HEAD_BYTES, 1000).startswith("431")
