An engine whose address a newer engine has gets no new work, also from the event bus alone

Cause: the catalog made addresses exclusive only with several sources, since a single trusted source was taken to do that itself. The bus may tell the new engine first. Change: one address belongs to one engine from any source. Of two, the later registration or start owns it, and one in service before one that drains.

--- a/cottonhold/discovery/engine_catalog.py
+++ b/cottonhold/discovery/engine_catalog.py
@@ -11,8 +11,8 @@
 3. *Address, zone, machine type and size* are taken from the first source in the order of the configuration
    that lists the engine.
 4. *One address belongs to one engine.* If two ids have the same address, that of the source with precedence
-   wins, and within one source the later registration. The other receives no new queries, since they would
-   reach the same process.
+   wins, and within one source the later registration or start. The other receives no new queries, since they
+   would reach the same process: a source may tell a new engine before the end of the one at its address.
 """
 
 from __future__ import annotations
@@ -20,6 +20,7 @@
 import math
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
 from cottonhold.discovery.claim import Claim
 from cottonhold.discovery.model import (
@@ -67,6 +68,22 @@
     is_loss_deferred: bool
 
 
+class AddressRank(NamedTuple):
+    """Which of two engines owns an address that both claim: the one whose rank is greater.
+
+    Attributes:
+        precedence: Precedence of the source.
+        registration_index: The engine's registration at the source; 0 if the source has none.
+        started_at: When its process started, in ms on the local clock.
+        is_live: Whether it is in service.
+    """
+
+    precedence: int
+    registration_index: int
+    started_at: float
+    is_live: bool
+
+
 @dataclass(slots=True)
 class PublishedEngine:
     """The published state of an engine.
@@ -248,17 +265,11 @@
             return EngineState.DRAINING
         return EngineState.LIVE
 
-    def _addresses_are_exclusive(self) -> bool:
-        """Return whether the catalog must ensure unique addresses, as a single trusted source does itself."""
-        return len(self.views) > 1 or not all(view.guard.is_trusted for view in self.views.values())
-
     def _may_use_address(
         self, engine_id: str, claims: list[SourceClaim], address: Address | None, queue: list[str]
     ) -> bool:
         """Claim the address for the engine; return false if another engine owns it."""
-        if address is None or not self._addresses_are_exclusive():
-            return True
-        return self._claim_address(engine_id, claims, address, queue)
+        return address is None or self._claim_address(engine_id, claims, address, queue)
 
     def _claim_address(
         self, engine_id: str, claims: list[SourceClaim], address: Address, queue: list[str]
@@ -284,10 +295,15 @@
             queue.append(owner)
         return True
 
-    def _address_rank(self, claims: list[SourceClaim]) -> tuple[int, int]:
-        """Return the rank of a claim on an address: by precedence of the source, then by registration."""
+    def _address_rank(self, claims: list[SourceClaim]) -> AddressRank:
+        """Return the rank of a claim on an address."""
         view, claim = claims[0]
-        return (-view.precedence, claim.observation.registration_index)
+        return AddressRank(
+            -view.precedence,
+            claim.observation.registration_index,
+            claim.started_at,
+            claim.state is EngineState.LIVE,
+        )
 
     def _release_address(self, engine_id: str, entry: PublishedEngine, queue: list[str]) -> None:
         """Release the engine's address, and queue the other engines that claim it for evaluation."""
--- a/cottonhold/emulator/platform/engine.py
+++ b/cottonhold/emulator/platform/engine.py
@@ -56,6 +56,9 @@
         super().__init__()
         self.id, self.workload = engine_id, workload
         self.attempts: list[ReceivedAttempt] = []
+        # Time of each attempt, in s of the monotonic clock, and the number of its connection.
+        self.received_on: list[tuple[float, int]] = []
+        self.connection_count = 0
         self.in_flight = 0
         self.port = 0
         self.is_hanging = False  # nothing is answered while it hangs
@@ -83,6 +86,8 @@
 
     def __init__(self, engine: Engine, writer: asyncio.StreamWriter) -> None:
         self.engine, self.writer = engine, writer
+        engine.connection_count += 1
+        self.number = engine.connection_count
         self.open: dict[bytes, tuple[ReceivedAttempt, asyncio.TimerHandle]] = {}
         self.results: dict[bytes, tuple[bytes, ...]] = {}
 
@@ -106,6 +111,7 @@
             self.engine.id, request_id.decode(), values["kind"], float(values["ms"]), time.monotonic()
         )
         self.engine.attempts.append(attempt)
+        self.engine.received_on.append((attempt.received_at, self.number))
         self.engine.in_flight += 1
         work = self.engine.workload(attempt.class_name, attempt.request_id)
         duration_s = min(work.duration_ms, attempt.timeout_ms) / 1000
