--- a/cottonhold/emulator/platform/hostile_clients.py
+++ b/cottonhold/emulator/platform/hostile_clients.py
@@ -10,7 +10,9 @@
 from cottonhold.emulator.platform.client import (
     COM_QUERY,
     HEADER_BYTES,
+    Answer,
     Client,
+    Verdict,
     encode_login,
     encode_packet,
     encode_query,
@@ -25,6 +27,12 @@
     return client
 
 
+async def _ask(client: Client, packet: bytes) -> Answer:
+    """Send a packet and return the answer; its verdict is NONE once the connection has ended."""
+    client.writer.write(packet)
+    return await client.read_answer()
+
+
 async def halt_in_packet(address: str, size: int) -> None:
     """Announce a request of `size` bytes, send all but the last byte, and stop until closed."""
     client = await _connect(address)
@@ -54,9 +62,9 @@
     fields = ",".join(f"a{number}=1" for number in range(size // 8))[: size - 100]
     packet = encode_packet(COM_QUERY + f"/* service=lookup,{fields} */ SELECT 1".encode())
     await client.read_login_answer()
-    while True:
-        client.writer.write(packet)
-        await client.read_answer()
+    while (await _ask(client, packet)).verdict is not Verdict.NONE:
+        pass
+    client.close()
 
 
 async def send_unsound_requests(address: str) -> None:
@@ -67,8 +75,9 @@
     while True:
         number += 1
         text = f"/* service=class{number},ref={new_request_id()},allow=1000,project=p{number} */ SELECT 1"
-        client.writer.write(encode_packet(COM_QUERY + text.encode()))
-        await client.read_answer()
+        if (await _ask(client, encode_packet(COM_QUERY + text.encode()))).verdict is Verdict.NONE:
+            client.close()
+            return
 
 
 async def send_sound_requests(address: str) -> None:
@@ -81,8 +90,9 @@
         request_id = new_request_id()
         text = f"/* service=lookup,ref={request_id},allow=2000,lookup={request_id * 4} */"
         text += f" SELECT a FROM s_{number}.t"
-        client.writer.write(encode_packet(COM_QUERY + text.encode()))
-        await client.read_answer()
+        if (await _ask(client, encode_packet(COM_QUERY + text.encode()))).verdict is Verdict.NONE:
+            client.close()
+            return
 
 
 async def flood(address: str) -> None:
--- a/cottonhold/emulator/platform/process.py
+++ b/cottonhold/emulator/platform/process.py
@@ -77,7 +77,8 @@
             self.process = subprocess.Popen(
                 run_command(), cwd=ROOT, env=environment, stdin=subprocess.DEVNULL, stdout=log, stderr=log
             )
-        self.terminated_at = 0.0  # time of SIGTERM, in s of the monotonic clock; 0 before it
+        # Times of SIGTERM and SIGKILL, in s of the monotonic clock; 0 before them.
+        self.terminated_at = self.killed_at = 0.0
 
     def write_config(self) -> None:
         """Write the configuration file anew, as before SIGHUP."""
@@ -121,6 +122,13 @@
         """Continue a stopped process."""
         self.signal(signal.SIGCONT)
 
+    def kill(self) -> None:
+        """Send SIGKILL, unless the process has ended, and wait for its end."""
+        if self.is_running():
+            self.killed_at = time.monotonic()
+            self.process.kill()
+        self.process.wait()
+
     def end(self) -> None:
         """Kill the process if it still runs, and wait for its end."""
         if self.is_running():
--- a/cottonhold/frontend/client_commands.py
+++ b/cottonhold/frontend/client_commands.py
@@ -18,7 +18,7 @@
 MAX_PACKET_BYTES = 64 * 1024  # limit of a client's packet, since many clients share the memory
 MAX_QUEUED_COMMANDS = 16  # limit per connection; clients usually send one at a time
 MAX_QUEUED_BYTES = 2 * MAX_PACKET_BYTES
-COMMAND_BYTES = 256  # memory of a queued command beside its payload
+COMMAND_BYTES, DISCARDED_BYTES = 192, 80  # memory of a queued command beside its payload
 
 
 class Command(NamedTuple):
@@ -74,8 +74,10 @@
 
     def held_bytes(self) -> int:
         """Return the memory that is held for the client, in bytes."""
-        queued = sum(len(command.payload) for command in self.commands)
-        queued += COMMAND_BYTES * max(len(self.commands) - 1, 0)
+        queued = sum(
+            len(command.payload) + COMMAND_BYTES if isinstance(command, Command) else DISCARDED_BYTES
+            for command in self.commands
+        )
         return len(self.buffer) + queued + self.statement_bytes
 
     def feed(self, data: bytes, arrived_at: float) -> bool:
@@ -158,7 +160,7 @@
         first_byte = bytes(self.buffer[HEADER_BYTES : HEADER_BYTES + 1])
         self.discarded = DiscardedPacket(self.buffer[3], first_byte, missing)
         self.buffer = bytearray()  # releases the memory, which clear() would keep
-        self.account()
+        self.reservation.resize(self.held_bytes())
         return released
 
     def account(self) -> None:
--- a/cottonhold/frontend/client_sessions.py
+++ b/cottonhold/frontend/client_sessions.py
@@ -179,5 +179,5 @@
 
     def on_session_closed(self, session: Session) -> None:
         """Remove a session whose connection has ended."""
-        self.sessions.pop(session.connection_id, None)
-        self.evicted_count -= session.was_evicted
+        if self.sessions.pop(session.connection_id, None) is not None:
+            self.evicted_count -= session.was_evicted
--- a/cottonhold/frontend/mysql_session.py
+++ b/cottonhold/frontend/mysql_session.py
@@ -116,13 +116,15 @@
 
     def on_closed(self) -> None:
         """Withdraw the open request and leave the registry; called when the connection has ended."""
-        if self.is_closed:
-            return
-        self.is_closed = self.is_closing = True
-        self.input.clear()
-        self.writer.reservation.release()
-        self.registry.on_session_closed(self)
-        self._withdraw_open_request()
+        if not self.is_closed:
+            self.is_closed = self.is_closing = True
+            self.input.clear()
+            self.output.clear()
+            self.writer.reservation.release()
+            self._withdraw_open_request()
+        # Until then its descriptor and its memory are in use, and no other client may take its place.
+        if self.stream is None or not self.stream.is_open():
+            self.registry.on_session_closed(self)
 
     def _withdraw_open_request(self) -> bool:
         """Withdraw the open request, which gets no response; return false if there is none."""
--- a/cottonhold/scheduler/memory_quotas.py
+++ b/cottonhold/scheduler/memory_quotas.py
@@ -6,10 +6,11 @@
 
 # Share of the memory that is left beside the idle program: for parsing, and for what the allocator loses.
 RESERVE_FRACTION = 0.25
-# Memory of one client connection with its session, and of a small request on it.
-SESSION_BYTES = 6656
 # Each holder may hold this much beyond its quota's pool, so that small requests never depend on others.
 ALLOWANCE_BYTES = 2048
+# Memory of one client connection with its session, a small request on it and the allowance.
+SESSION_BYTES = 8192 + ALLOWANCE_BYTES
+SESSIONS_FRACTION = 0.6  # share of the memory for sessions, if it limits them
 # Shares of what remains beside the sessions.
 CLIENTS_FRACTION, RESULTS_FRACTION, EVENT_STREAM_FRACTION, ENGINES_FRACTION = 0.35, 0.35, 0.15, 0.15
 # Clients hold at most this share of the descriptors. So many are served, whatever the memory.
@@ -50,7 +51,7 @@
     available = UNLIMITED_BYTES if limit is None else max(limit // processes - idle, 0)
     usable = int(available * (1 - RESERVE_FRACTION))
     needed_sessions = int(max_sessions * MIN_SESSIONS_FRACTION)
-    affordable_sessions = (usable - 4 * MIN_POOL_BYTES) // SESSION_BYTES
+    affordable_sessions = int(usable * SESSIONS_FRACTION) // SESSION_BYTES
     sessions = min(max_sessions, max(affordable_sessions, needed_sessions, 1))
     rest = max(usable - sessions * SESSION_BYTES, 0)
     return MemoryQuotas(
--- a/cottonhold/transport/interface.py
+++ b/cottonhold/transport/interface.py
@@ -35,6 +35,9 @@
     def last_data_age_ms(self) -> float:
         """Return how long ago data last arrived at this machine, read or not, in ms; 0 if not known."""
 
+    def is_open(self) -> bool:
+        """Return whether the stream still has its socket."""
+
     def has_peer_closed(self) -> bool:
         """Return whether the peer has closed its side or the connection; unread data may precede the end."""
 
--- a/cottonhold/transport/stream.py
+++ b/cottonhold/transport/stream.py
@@ -241,6 +241,10 @@
         """Return how long ago data last arrived at this machine, read or not, in ms; 0 if not known."""
         return last_data_age_ms(self.sock) if self.sock is not None else 0.0
 
+    def is_open(self) -> bool:
+        """Return whether the stream still has its socket; after `abort` it has, until its task has ended."""
+        return self.task is not None
+
     def has_peer_closed(self) -> bool:
         """Return whether the peer has closed its side or the connection; unread data may precede the end."""
         if self.sock is None:
--- a/tests/frontend/test_client_memory.py
+++ b/tests/frontend/test_client_memory.py
@@ -101,6 +101,21 @@
     assert world.gateway.requests.keys() == {f"{2:016x}"}
 
 
+@pytest.mark.parametrize("size", [100, 1_500, 2_500, 9_000])
+def test_commands_sent_at_once_by_many_clients_are_bounded_together(size: int) -> None:
+    """Guards against a crowd that sends sixteen requests at once on each connection."""
+    world = World()
+    world.sessions.client_memory.capacity = CAPACITY
+    for number in range(60):
+        session = world.client(f"c{number}").session
+        world.clients[f"c{number}"].first_sequence_numbers.extend([1] * 16)
+        data = b"".join(long_query(number * 100 + position, size) for position in range(16))
+        for at in range(0, len(data), 4096):
+            session.receive(data[at : at + 4096])
+            pool = world.sessions.client_memory
+            assert pool.used <= CAPACITY and held(world) <= CAPACITY + 4096 * len(world.clients)
+
+
 def test_a_packet_over_the_largest_size_is_an_error_as_before() -> None:
     world = World().run("c1 send 010000000e\nc1 expect ok")
     world.send_bytes("c1", (MAX_PACKET_BYTES + 1).to_bytes(3, "little") + b"\x00abc")
--- a/tests/support/scenario.py
+++ b/tests/support/scenario.py
@@ -118,6 +118,9 @@
     def has_peer_closed(self) -> bool:
         return False
 
+    def is_open(self) -> bool:
+        return False
+
     def writing_bytes(self) -> int:
         return 0
 
@@ -163,6 +166,9 @@
     def has_peer_closed(self) -> bool:
         return False
 
+    def is_open(self) -> bool:
+        return False
+
     def writing_bytes(self) -> int:
         return 0
 
