--- a/cottonhold/emulator/platform/soak.py
+++ b/cottonhold/emulator/platform/soak.py
@@ -79,12 +79,14 @@
         verdicts: Answers of the sound clients, by kind.
         peak_mb: The largest memory of one process, and the largest sum of all, in MB.
         breaks: One line for each break of a rule.
+        lag_s: By how much times were noted late, which the rules allow for, in s.
     """
 
     plan: Plan
     verdicts: Counter[str]
     peak_mb: tuple[float, float]
     breaks: list[str] = field(default_factory=list)
+    lag_s: float = 0.0
 
 
 HOSTILE: dict[str, Behaviour] = {
@@ -342,7 +344,7 @@
         breaks = await soak.run()
         verdicts = Counter(_verdict(request.answer) for request in soak.requests)
         peak = (site.memory.largest_one / BYTES_PER_MB, site.memory.largest_sum / BYTES_PER_MB)
-        return Outcome(plan, verdicts, peak, breaks)
+        return Outcome(plan, verdicts, peak, breaks, soak.lag.largest_s)
     finally:
         sampling.cancel()
         await site.close()
@@ -363,7 +365,7 @@
         print(
             f"seed {seed}: {limits}",
             f"{plan.hostile or 'no crowd'}, {','.join(plan.disruptions)}: {dict(outcome.verdicts)},",
-            f"peak {peak_mb[0]:.1f} MB, of all {peak_mb[1]:.1f} MB",
+            f"peak {peak_mb[0]:.1f} MB, of all {peak_mb[1]:.1f} MB, lag {outcome.lag_s * 1000:.0f} ms",
         )
         for text in outcome.breaks:
             print(f"  BROKEN {text}")
--- a/cottonhold/frontend/client_commands.py
+++ b/cottonhold/frontend/client_commands.py
@@ -18,7 +18,7 @@
 MAX_PACKET_BYTES = 64 * 1024  # limit of a client's packet, since many clients share the memory
 MAX_QUEUED_COMMANDS = 16  # limit per connection; clients usually send one at a time
 MAX_QUEUED_BYTES = 2 * MAX_PACKET_BYTES
-COMMAND_BYTES, DISCARDED_BYTES = 192, 80  # memory of a queued command beside its payload
+COMMAND_BYTES = 192  # memory of a queued command beside its payload
 
 
 class Command(NamedTuple):
@@ -73,11 +73,12 @@
         return bool(self.buffer) or self.discarded is not None
 
     def held_bytes(self) -> int:
-        """Return the memory that is held for the client, in bytes."""
-        queued = sum(
-            len(command.payload) + COMMAND_BYTES if isinstance(command, Command) else DISCARDED_BYTES
-            for command in self.commands
-        )
+        """Return the memory that is held for the client, in bytes.
+
+        Discarded commands don't count: they are few and small, and part of what a session takes in any case.
+        """
+        commands = (command for command in self.commands if isinstance(command, Command))
+        queued = sum(len(command.payload) + COMMAND_BYTES for command in commands)
         return len(self.buffer) + queued + self.statement_bytes
 
     def feed(self, data: bytes, arrived_at: float) -> bool:
