A log line that can't be written is dropped, and harms nothing else

Cause: found while reading: print to standard error raises if its reader has gone or the disk is full, in the middle of what was to be logged: a malformed packet's connection was then not closed in order. Result: the test raises BrokenPipeError without the change.

--- a/cottonhold/node/dispatcher.py
+++ b/cottonhold/node/dispatcher.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import dataclasses
 import gc
 import math
@@ -390,7 +391,8 @@
     def print_counters(self) -> None:
         """Print the counters to stderr, regardless of the log's rate limit."""
         self.memory_monitor.publish()
-        print(self.counters.format_line(), file=sys.stderr, flush=True)
+        with contextlib.suppress(OSError):  # nobody reads the log
+            print(self.counters.format_line(), file=sys.stderr, flush=True)
 
     async def run_until_stopped(self) -> None:
         """Handle signals and serve until a shutdown has ended, then print the counters."""
--- a/cottonhold/observe/log.py
+++ b/cottonhold/observe/log.py
@@ -27,7 +27,10 @@
         self.tokens -= 1
         if self.dropped_count:
             text, self.dropped_count = f"{text} ({self.dropped_count} lines left out before this)", 0
-        print(text, file=sys.stderr, flush=True)
+        try:
+            print(text, file=sys.stderr, flush=True)
+        except OSError:  # nobody reads, or the disk is full: requests go on without the line
+            self.dropped_count += 1
 
     def note(self, event: str, **fields: object) -> None:
         """Print an event with its fields."""
--- a/tests/node/test_small_parts.py
+++ b/tests/node/test_small_parts.py
@@ -175,6 +175,22 @@
     )
 
 
+def test_a_log_that_cannot_be_written_harms_nothing(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a full disk or a closed pipe that ends the connection whose fault was to be logged."""
+
+    class Broken:
+        def write(self, text: str) -> int:
+            raise BrokenPipeError
+
+        def flush(self) -> None:
+            raise BrokenPipeError
+
+    log = Log(lambda: 0.0)
+    monkeypatch.setattr(sys, "stderr", Broken())
+    log.write_line("lost")
+    assert log.dropped_count == 1
+
+
 PROGRAM = [sys.executable, "-m", "cottonhold"]
 CONFIG: dict[str, Any] = {
     "name": "n0",
