--- a/cottonhold/backend/connection_pool.py
+++ b/cottonhold/backend/connection_pool.py
@@ -21,27 +21,22 @@
     encode_change_priority,
     encode_close_result,
     encode_execute,
-    encode_fetch_page,
 )
 from cottonhold.backend.health_check import LivenessBudget
 from cottonhold.backend.health_checker import HealthChecker
 from cottonhold.backend.liveness_monitor import LivenessMonitor
-from cottonhold.backend.resp import MAX_PAGE_BYTES, RespError, check_page, decode_count
-from cottonhold.backend.result_memory import ResultMemory
+from cottonhold.backend.result_collector import ResultCollector
 from cottonhold.config.relay import ConnectionSettings
 from cottonhold.discovery.model import Address, EngineListChange
 from cottonhold.observe.counters import Counters
 from cottonhold.scheduler.byte_pool import BytePool
 from cottonhold.scheduler.events import AttemptEnded, Engine, EngineState, Outcome
 from cottonhold.scheduler.memory_quotas import UNLIMITED_BYTES
-from cottonhold.transport.clock import Clock, Timer
+from cottonhold.transport.clock import Clock
 from cottonhold.transport.interface import StreamHandle
 
 # When an engine is removed or restarts, a connection that received nothing for this long is considered dead.
 INACTIVITY_LIMIT_MS = 1000.0
-MAX_PAGES = 64  # pages have up to 6,000 bytes, and an engine's result up to 48,000
-MAX_RESULT_BYTES = 96_000  # the pages also hold the separators of cells and rows
-ADMIT_INTERVAL_MS = 5.0  # pause until results that wait for memory are considered again
 MIN_ATTEMPT_MS = 1.0  # an attempt with less time left is not sent, since no engine could answer in time
 
 Connect = Callable[[Address, Connection], StreamHandle]
@@ -85,8 +80,7 @@
         self.max_connections, self.open_connections = max_connections, 0
         self.liveness_budget = LivenessBudget()
         self.result_pool, self.answer_pool = BytePool(UNLIMITED_BYTES), BytePool(UNLIMITED_BYTES)
-        self.results = ResultMemory(self.result_pool)
-        self.reclaim_results: Callable[[], None] = lambda: None  # takes memory back from clients
+        self.results = ResultCollector(self.result_pool, clock, counters)
         self.health_checker = HealthChecker(
             clock,
             counters,
@@ -95,7 +89,6 @@
             lambda engine, outcome, report: self.listener.on_health_check_completed(engine, outcome, report),
         )
         self.liveness_monitor = LivenessMonitor(self)
-        self.admit_timer: Timer | None = None  # set while results wait for memory
 
     def apply(self, change: EngineListChange) -> None:
         """Apply a change of the engine list; attempts queued for an engine that drains or left end."""
@@ -291,10 +284,7 @@
             return
         request_id = attempt.engine_request_id
         connection.attempts.pop(request_id, None)
-        # The collection refers to the attempt; without this, only a garbage collection would release both.
-        collection, attempt.collection = attempt.collection, None
-        if collection is not None:
-            self.results.end(collection)
+        self.results.end(attempt)
         if attempt.is_written and outcome is not Outcome.OK:
             connection.abandoned_ids[request_id] = None
         if attempt.timer is not None:
@@ -338,57 +328,16 @@
         elif attempt.pages or kind is AnswerKind.PAGE:
             self.counters.add("answers_again")
         elif kind is AnswerKind.SERVED:
-            self._on_first_page(attempt, answer)
+            if self.results.on_first_page(attempt, answer):
+                self._end(attempt, Outcome.OK, answer.fields)
         elif kind is AnswerKind.OVERLOADED:
             self._end(attempt, Outcome.OVERLOADED, answer.fields)
         else:
             self._end(attempt, Outcome.NOT_STARTED, answer.fields)
 
-    def _on_first_page(self, attempt: Attempt, answer: Answer) -> None:
-        """Store the first page and request the others.
-
-        All pages are collected and decoded before the first row is sent to the client, so that a lost or
-        malformed page can still lead to a retry or to an error without partial rows.
-        """
-        count = decode_count(answer.fields, "count", 1, MAX_PAGES)
-        check_page(answer.body)
-        attempt.first_response_at, attempt.response_fields = self.clock.now(), answer.fields
-        attempt.pages = [answer.body, *[None] * (count - 1)]
-        if count == 1:
-            self._end(attempt, Outcome.OK, answer.fields)
-            return
-        size = min(count * MAX_PAGE_BYTES, MAX_RESULT_BYTES)
-        attempt.collection = self.results.begin(len(answer.body), size, lambda: self._fetch_pages(attempt))
-        if not attempt.collection.is_started:
-            self.counters.add("results_waiting")
-            self._admit_later()
-
-    def _fetch_pages(self, attempt: Attempt) -> None:
-        """Request the pages after the first one."""
-        if attempt.connection is not None:
-            request_id = attempt.engine_request_id
-            fetches = (encode_fetch_page(request_id, page) for page in range(1, len(attempt.pages)))
-            attempt.connection.enqueue(b"".join(fetches))
-
-    def _admit_later(self) -> None:
-        """Consider waiting results again after a pause, since clients release memory as they read."""
-        if self.admit_timer is None:
-            self.admit_timer = self.clock.call_in(ADMIT_INTERVAL_MS, self._admit)
-
-    def _admit(self) -> None:
-        self.admit_timer = None
-        self.results.admit()
-        if self.results.waiting:
-            self.reclaim_results()
-            self._admit_later()
-
     def _on_page(self, attempt: Attempt, answer: Answer) -> None:
-        position = decode_count(answer.fields, "pos", 1, len(attempt.pages) - 1)
-        check_page(answer.body)
-        attempt.pages[position] = answer.body
-        if attempt.received_bytes() > MAX_RESULT_BYTES:
-            raise RespError(f"a result has over {MAX_RESULT_BYTES} bytes")
-        if None not in attempt.pages:
+        """Store a further page; the last one completes the result."""
+        if self.results.on_page(attempt, answer):
             connection = attempt.connection
             self._end(attempt, Outcome.OK, attempt.response_fields)
             if connection is not None:
--- a/cottonhold/node/dispatcher.py
+++ b/cottonhold/node/dispatcher.py
@@ -112,7 +112,7 @@
             self.quotas.descriptors.clients,
             connection_ids,
         )
-        self.engines.reclaim_results = sessions.on_result_buffered
+        self.engines.results.reclaim = sessions.on_result_buffered
         sessions.last_id = connection_ids.random_id(random.Random(self.config.seed))
         return sessions
 
