Crowds of the memory tests run in a process of their own, and beside no fleet of processes

Change: the crowd is a process of its own, with the same clients and the same checks, and 4.5 s instead of 4 for its start; the new tests are in the group of the fleets, so that they run after one another.

--- a/tests/emulator/test_platform_soak.py
+++ b/tests/emulator/test_platform_soak.py
@@ -20,7 +20,7 @@
 
 
 @pytest.mark.processes
-@pytest.mark.xdist_group("soak")
+@pytest.mark.xdist_group("fleet processes")
 @pytest.mark.parametrize("seed", SEEDS)
 def test_a_drawn_run_breaks_no_rule(seed: int, tmp_path: Path) -> None:
     outcome = asyncio.run(asyncio.wait_for(play(seed, tmp_path, SHORT_S), 90))
--- a/tests/node/test_clients_that_left.py
+++ b/tests/node/test_clients_that_left.py
@@ -20,7 +20,7 @@
 from cottonhold.emulator.platform.engine import Work, Workload
 from cottonhold.emulator.platform.site import Site, running_site
 
-pytestmark = [pytest.mark.processes, pytest.mark.xdist_group("memory")]
+pytestmark = [pytest.mark.processes, pytest.mark.xdist_group("fleet processes")]
 
 STOPPED_S = 0.5
 FIRST_LOAD_MS = 400.0
--- a/tests/node/test_memory_limit.py
+++ b/tests/node/test_memory_limit.py
@@ -10,38 +10,36 @@
 from collections import Counter
 from functools import partial
 from pathlib import Path
+from typing import Any
 
 import pytest
 
 from cottonhold.emulator.platform import hostile_clients
 from cottonhold.emulator.platform.configuration import Limits
+from cottonhold.emulator.platform.crowd import running_crowd
 from cottonhold.emulator.platform.engine import Work, Workload
-from cottonhold.emulator.platform.hostile_clients import Behaviour, repeat
 from cottonhold.emulator.platform.site import Site, running_site, usual_work
 from cottonhold.emulator.platform.sound_clients import SoundClients
 
-pytestmark = [pytest.mark.processes, pytest.mark.xdist_group("memory")]
+pytestmark = [pytest.mark.processes, pytest.mark.xdist_group("fleet processes")]
 
 LIMIT_MB = 32
 LIMIT_BYTES = LIMIT_MB * 1_000_000
-DURATION_S = 4.0
+DURATION_S = 4.5  # the crowd needs half a second to start
 SOUND_CLIENTS = 10
 TIMEOUT_MS = 3000
 
 
-async def play(site: Site, behaviour: Behaviour, count: int) -> Counter[str]:
+async def play(site: Site, behaviour: partial[Any], count: int) -> Counter[str]:
     """Let `count` hostile clients beside sound ones act for some seconds; return the sound ones' answers."""
     sound = SoundClients(site.address, TIMEOUT_MS)
-    hostile = [asyncio.create_task(repeat(behaviour, site.address)) for _ in range(count)]
-    await sound.run(SOUND_CLIENTS, DURATION_S)
-    for task in hostile:
-        task.cancel()
-    await asyncio.gather(*hostile, return_exceptions=True)
+    with running_crowd(behaviour, count, site.address):
+        await sound.run(SOUND_CLIENTS, DURATION_S)
     return sound.verdicts
 
 
 def peak_memory(
-    folder: Path, behaviour: Behaviour, count: int, workload: Workload
+    folder: Path, behaviour: partial[Any], count: int, workload: Workload
 ) -> tuple[int, Counter[str]]:
     """Return the peak of the process's memory in bytes, and the answers of sound clients."""
 
@@ -54,7 +52,7 @@
     return asyncio.run(asyncio.wait_for(scenario(), 60))
 
 
-def check(folder: Path, behaviour: Behaviour, count: int, workload: Workload = usual_work) -> None:
+def check(folder: Path, behaviour: partial[Any], count: int, workload: Workload = usual_work) -> None:
     """Check that the limit holds beside hostile clients, and that each sound request is served."""
     peak, verdicts = peak_memory(folder, behaviour, count, workload)
     assert peak <= LIMIT_BYTES
--- a/tests/node/test_repeated_ids.py
+++ b/tests/node/test_repeated_ids.py
@@ -14,7 +14,7 @@
 from cottonhold.emulator.platform.engine import Work
 from cottonhold.emulator.platform.site import Site, running_site
 
-pytestmark = [pytest.mark.processes, pytest.mark.xdist_group("memory")]
+pytestmark = [pytest.mark.processes, pytest.mark.xdist_group("fleet processes")]
 
 WORK_MS = 600.0
 SENT_S = 0.2  # after this time a request has reached its engine
--- a/tests/node/test_reused_addresses.py
+++ b/tests/node/test_reused_addresses.py
@@ -14,7 +14,7 @@
 from cottonhold.emulator.platform.site import Site, running_site
 from cottonhold.emulator.platform.sound_clients import SoundClients
 
-pytestmark = [pytest.mark.processes, pytest.mark.xdist_group("memory")]
+pytestmark = [pytest.mark.processes, pytest.mark.xdist_group("fleet processes")]
 
 TELL_S = 0.6  # time from an event to its effect, the 0.5 s of the rule and 0.05 s of slack included
 
