--- a/review/lib2/rig.py
+++ b/review/lib2/rig.py
@@ -1,7 +1,7 @@
 """A small deployment for the cases of the second review: one dispatcher between stand-ins, on loopback.
 
-The dispatcher is started with `run` of the deploy file. The event bus, the engines and the clients are the
-project's own stand-ins of cottonhold/emulator/platform. Everything that is sent, answered and run is recorded.
+The dispatcher is started with `run` of the deploy file. The event bus, the engines and the clients are
+stand-ins, most of them the project's own. Everything that is sent, answered and run is recorded.
 """
 
 from __future__ import annotations
