--- a/review/7/scenario.py
+++ b/review/7/scenario.py
@@ -1,132 +1,117 @@
-"""Clients cancel while a crowd idles: does a cancelled load begin more than 0.1 s after its KILL QUERY?"""
+"""A reloaded file lacks a key: do the old settings remain whole, so that repeats stay in their zone?"""
 
 from __future__ import annotations
 
 import asyncio
-import secrets
-import subprocess
-import sys
-import time
+import copy
+import json
+import signal
 from pathlib import Path
+from typing import Any
 
-from rig import Client, Record, RecordingEngine, Rig, Verdict, Work, has_trouble, run_case
-
-from cottonhold.emulator.platform.client import (
-    COM_QUERY,
-    encode_login,
-    encode_packet,
-    encode_query,
-    new_request_id,
-)
-from cottonhold.emulator.platform.configuration import LOAD, Limits
-
-CROWD, CROWD_PROCESSES, CROWD_S = 4500, 3, 8.0
-DESCRIPTORS = 192  # the limit is at most 1,024 on scored days, and it may be halved
-DEADLINE_MS = 10_000
-FIRST_RUN_MS = 200.0
-GONE_S = 0.15  # 0.1 s, and 50 ms as for every time limit on sockets
-PAIRS = 20
-RUN_MS: dict[str, float] = {}
-
-
-def work(class_name: str, request_id: str) -> Work:
-    """Return the work of a load."""
-    return Work(RUN_MS.get(request_id, FIRST_RUN_MS))
-
-
-class Pair:
-    """Two loads of one key; the client of the second stops waiting while the first still runs."""
-
-    def __init__(self, rig: Rig) -> None:
-        self.rig = rig
-        self.key = secrets.token_hex(8)
-        self.first, self.second = new_request_id(), new_request_id()
-        self.cancelled_at = 0.0
-        self.was_killed = False  # whether KILL QUERY was answered with OK
-
-    async def run(self, first_ms: float, cancel_after_s: float) -> None:
-        """Send both loads, and cancel the second one."""
-        rig = self.rig
-        RUN_MS[self.first] = first_ms
-        clients = [await Client(rig.address).connect() for _ in range(2)]
-        started = time.monotonic()
-        clients[0].writer.write(encode_query(LOAD, self.first, DEADLINE_MS, self.key))
-        rig.record.write(f"client: sent load {self.first}, key {self.key}")
-        await asyncio.sleep(0.3)
-        clients[1].writer.write(encode_query(LOAD, self.second, DEADLINE_MS, self.key))
-        rig.record.write(f"client: sent load {self.second}, key {self.key}")
-        reading = asyncio.create_task(clients[0].read_answer())
-        await asyncio.sleep(started + cancel_after_s - time.monotonic())
-        await self.cancel(clients[1])
-        answer = await reading
-        rig.record.write(f"client: {self.first} {answer.verdict.value} {answer.text}")
-        clients[0].close()
-
-    async def cancel(self, client: Client) -> None:
-        """Send KILL QUERY on a new session, and close the own connection half a second later."""
-        killer = await Client(self.rig.address).open()
-        statement = encode_packet(COM_QUERY + b"KILL QUERY %d" % client.connection_id)
-        killer.writer.write(encode_login() + statement)
-        self.cancelled_at = time.monotonic()
-        self.rig.record.write(f"client: KILL QUERY for {self.second} written")
-        reading = asyncio.create_task(self.read_result(killer))
-        await asyncio.sleep(0.5)
-        client.close()
-        await reading
-
-    async def read_result(self, killer: Client) -> None:
-        """Read the answer to KILL QUERY."""
+from rig import Answer, Client, Record, RecordingEngine, Rig, Work, has_trouble, run_case
+
+from cottonhold.backend.resp import RespError
+from cottonhold.emulator.platform.client import COM_QUERY, encode_packet, new_request_id
+from cottonhold.emulator.platform.configuration import default_settings, query_class
+from cottonhold.emulator.platform.engine import SERVED, Conversation
+from cottonhold.emulator.serving import engine_calls
+
+ZONES = {"east": 3, "middle": 3, "west": 2}
+DEADLINE_MS, WINDOW_MS, RUN_MS = 12_000.0, 20_000.0, 100.0
+REQUESTS, INTERVAL_S = 80, 0.05
+SERVING_S = 1.2  # SIGHUP never comes within the first second
+RELOADED_S = 1.2  # time after SIGHUP from which the settings in force are used
+
+
+class FailingConversation(Conversation):
+    """A connection to an engine that fails: it does the work, and answers with an error."""
+
+    def _finish(self, request_id: bytes, work: Work) -> None:
+        self._forget(self.open.pop(request_id), SERVED)
+        self._write(request_id, b"crashed", b"-")
+
+
+class FailingEngine(RecordingEngine):
+    """An engine that fails."""
+
+    async def converse(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Serve one connection."""
+        conversation = FailingConversation(self, writer)
         try:
-            await asyncio.wait_for(killer.read_login_answer(), 5)
-            answer = await asyncio.wait_for(killer.read_answer(), 5)
-            self.was_killed = answer.verdict is Verdict.OK
-            self.rig.record.write(
-                f"client: KILL QUERY for {self.second}: {answer.verdict.value} {answer.text}"
-            )
-        except (OSError, asyncio.IncompleteReadError, TimeoutError) as error:
-            self.rig.record.write(f"client: KILL QUERY for {self.second}: {type(error).__name__}")
-        killer.close()
+            async for call in engine_calls(reader):
+                conversation.on_call(call)
+        except RespError:
+            writer.close()
+        finally:
+            conversation.end()
+
+
+def settings() -> dict[str, Any]:
+    """Return the settings: three zones, and a class of which one zone drops repeats."""
+    classes = [
+        query_class("point", "retryable", DEADLINE_MS),
+        query_class("ledger", "dedup", DEADLINE_MS, group="zone", window=WINDOW_MS),
+    ]
+    domain = default_settings(DEADLINE_MS)["domain"] | {
+        "class_waits": [True, False],
+        "holds_tables": [False, False],
+        "parallelism": [1, 1],
+    }
+    return {"classes": classes, "domain": domain, "zones": list(ZONES)}
+
+
+async def request(rig: Rig, request_id: str) -> Answer:
+    """Send a request of the keyed class on a connection of its own, and read its answer."""
+    client = await Client(rig.address).connect()
+    fields = f"service=ledger,ref={request_id},allow={DEADLINE_MS:.0f},effort=100.0,replay=k{request_id}"
+    text = f"/* {fields} */ INSERT INTO sales_{int(request_id, 16) % 20}.ledger VALUES (1)"
+    client.writer.write(encode_packet(COM_QUERY + text.encode()))
+    rig.record.write(f"client: sent ledger {request_id}")
+    answer = await client.read_answer()
+    rig.record.write(f"client: {request_id} {answer.verdict.value} {answer.text}")
+    client.close()
+    return answer
 
 
 async def scenario(record: Record) -> list[str]:
-    """Let pairs of loads run while the crowd idles, and look when the cancelled ones began."""
-    engines = [RecordingEngine(f"s-{number}", "z0", 0, work) for number in range(4)]
-    rig = Rig(record, engines, limits=Limits(descriptors=DESCRIPTORS), deadline_ms=DEADLINE_MS)
-    crowd: list[subprocess.Popen[bytes]] = []
+    """Reload a file that lacks a key, send requests, and look where each request ran."""
+    engines: list[RecordingEngine] = []
+    for cell, (zone, count) in enumerate(ZONES.items()):
+        for number in range(count):
+            kind = FailingEngine if (zone, number) == ("west", 0) else RecordingEngine
+            engines.append(kind(f"s-{zone}-{number}", zone, cell, lambda kind, request_id: Work(RUN_MS)))
+    rig = Rig(record, engines, settings(), deadline_ms=DEADLINE_MS)
     try:
-        await rig.start()
-        pairs = [Pair(rig) for _ in range(PAIRS)]
-        # All loads are sent before the crowd comes. The first loads end one after another, each 0.2 s after
-        # the client of the second one has cancelled it.
-        tasks = [
-            asyncio.create_task(pair.run(2000 + number * 250, 1.8 + number * 0.25))
-            for number, pair in enumerate(pairs)
-        ]
-        await asyncio.sleep(1.2)
+        process = await rig.start()
+        await asyncio.sleep(SERVING_S)
         if has_trouble():
-            record.write(f"trouble: {CROWD} clients connect and idle")
-            part = str(CROWD // CROWD_PROCESSES)
-            command = [sys.executable, "review/lib2/idle_crowd.py", rig.address, part, str(CROWD_S)]
-            crowd = [subprocess.Popen(command) for _ in range(CROWD_PROCESSES)]
+            config = copy.deepcopy(rig.config())
+            del config["settings"]["classes"][1]["group"]
+            (rig.folder / "config.json").write_text(json.dumps(config), encoding="utf-8")
+            record.write("trouble: SIGHUP with a file that lacks settings.classes[1].group")
+            process.send_signal(signal.SIGHUP)
+        await asyncio.sleep(RELOADED_S)
+        ids = [new_request_id() for _ in range(REQUESTS)]
+        tasks = []
+        for request_id in ids:
+            tasks.append(asyncio.create_task(request(rig, request_id)))
+            await asyncio.sleep(INTERVAL_S)
         await asyncio.gather(*tasks)
         rig.record_runs()
-        return broken(rig, pairs)
+        return broken(rig, ids)
     finally:
-        for process in crowd:
-            process.kill()
-            process.wait()
         await rig.close()
 
 
-def broken(rig: Rig, pairs: list[Pair]) -> list[str]:
-    """Return the loads that began too late after their client had cancelled them."""
+def broken(rig: Rig, ids: list[str]) -> list[str]:
+    """Return the requests that ran in two zones."""
     lines = []
-    for pair in pairs:
-        for at, engine, state in rig.runs(pair.second):
-            if pair.was_killed and at > pair.cancelled_at + GONE_S:
-                after_ms = (at - pair.cancelled_at) * 1000
-                text = f"load {pair.second} began at {engine.id} {after_ms:.0f} ms after KILL QUERY ({state})"
-                lines.append(text)
+    for request_id in ids:
+        runs = rig.runs(request_id)
+        if len({engine.zone for _, engine, _ in runs}) > 1:
+            places = ", then at ".join(engine.id for _, engine, _ in runs)
+            lines.append(f"ledger {request_id} ran at {places}")
     return lines
 
 
--- a/review/8/scenario.py
+++ b/review/8/scenario.py
@@ -1,119 +1,109 @@
-"""Loads of one key come while a crowd idles: is the load that was taken first also run first?"""
+"""New configurations in quick succession while discovery is slow: does a draining engine get new work?"""
 
 from __future__ import annotations
 
 import asyncio
-import secrets
-import subprocess
-import sys
+import json
+import signal
 import time
 from pathlib import Path
 
-from rig import Answer, Client, Record, RecordingEngine, Rig, Verdict, Work, has_trouble, run_case
+from rig import Client, Record, RecordingEngine, Rig, Verdict, Work, has_trouble, run_case
 
-from cottonhold.emulator.platform.client import encode_login, encode_query, new_request_id
-from cottonhold.emulator.platform.configuration import LOAD, LOOKUP, Limits
+from cottonhold.emulator.platform.bus import REQUEST, EventBus
+from cottonhold.emulator.platform.client import new_request_id
+from cottonhold.emulator.platform.configuration import LOOKUP
 
-CROWD, CROWD_PROCESSES, CROWD_S = 4500, 3, 10.0
-DESCRIPTORS = 192  # the limit is at most 1,024 on scored days, and it may be halved
-DEADLINE_MS = 10_000
-LOAD_MS, LOOKUP_MS = 300.0, 30.0
-GAP_S = 0.26  # at least 0.25 s after a request that came on a new connection
-PAIRS, INTERVAL_S = 16, 0.4
+ANSWER_DELAY_S = 1.3  # how late the slow event bus answers
+RELOADS, RELOAD_INTERVAL_S = 12, 1.0
+TOLD_S = 7.0  # what the event bus has to tell counts as told after this time at the latest
+STOP_SENDING_S = 0.55  # 500 ms, and 50 ms as for every time limit on sockets
+RUN_MS, REQUEST_INTERVAL_S, DURATION_S = 20.0, 0.02, 11.0
+SERVING_S = 1.2  # SIGHUP never comes within the first second
+DRAINING = "s-0"
 
 
 def work(class_name: str, request_id: str) -> Work:
     """Return the work of a request."""
-    return Work(LOAD_MS if class_name == LOAD else LOOKUP_MS)
-
-
-class Pair:
-    """Two loads of one key: the first on a new connection, the second on one that is in use."""
-
-    def __init__(self, rig: Rig) -> None:
-        self.rig = rig
-        self.key = secrets.token_hex(8)
-        self.first, self.second = new_request_id(), new_request_id()
-        self.first_sent_at = self.second_sent_at = self.first_answered_at = 0.0
-        self.first_answer: Answer | None = None
-
-    async def run(self, first_after_s: float) -> None:
-        """Keep the connection of the second load in use until its time has come."""
-        client = await Client(self.rig.address).connect()
-        first = asyncio.create_task(self.send_first(first_after_s))
-        while not self.first_sent_at or time.monotonic() < self.first_sent_at + GAP_S:
-            answer = await client.query(LOOKUP, new_request_id(), 3000)
-            if answer.verdict is Verdict.NONE:
-                self.rig.record.write(f"client: the connection for {self.second} has ended")
-                await first
+    return Work(RUN_MS)
+
+
+class SlowBus(EventBus):
+    """An event bus that answers each call some time after it has the answer."""
+
+    def __init__(self, record: Record) -> None:
+        super().__init__()
+        self.record = record
+
+    async def converse(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Answer the polls of one connection."""
+        while True:
+            match = REQUEST.match(await reader.readuntil(b"\r\n\r\n"))
+            if match is None:
                 return
-        client.writer.write(encode_query(LOAD, self.second, DEADLINE_MS, self.key))
-        self.second_sent_at = time.monotonic()
-        self.rig.record.write(f"client: sent load {self.second}, key {self.key}, on a used connection")
-        answer = await client.read_answer()
-        self.rig.record.write(f"client: {self.second} {answer.verdict.value} {answer.text}")
-        client.close()
-        await first
-
-    async def send_first(self, after_s: float) -> None:
-        """Send the first load on a new connection."""
-        await asyncio.sleep(after_s)
-        client = await Client(self.rig.address).open()
-        client.writer.write(encode_login() + encode_query(LOAD, self.first, DEADLINE_MS, self.key))
-        self.first_sent_at = time.monotonic()
-        self.rig.record.write(f"client: sent load {self.first}, key {self.key}, on a new connection")
-        try:
-            await client.read_login_answer()
-            self.first_answer = await client.read_answer()
-        except (OSError, asyncio.IncompleteReadError) as error:
-            self.rig.record.write(f"client: {self.first} {type(error).__name__}")
-            return
-        self.first_answered_at = time.monotonic()
-        self.rig.record.write(
-            f"client: {self.first} {self.first_answer.verdict.value} {self.first_answer.text}"
-        )
-        client.close()
+            after, hold_s = int(match[1]), int(match[2]) / 1000
+            self.record.write(f"event bus: asked for what follows {after}, hold {hold_s:.1f} s")
+            deadline = time.monotonic() + hold_s
+            while len(self.events) <= after and time.monotonic() < deadline:
+                await asyncio.sleep(0.01)
+            body = json.dumps(self.answer(after)).encode()
+            await asyncio.sleep(ANSWER_DELAY_S)
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
+            await writer.drain()
+            self.record.write(f"event bus: answered up to {json.loads(body)['offset']}")
+
+
+async def send_requests(rig: Rig, until: float) -> None:
+    """Send short requests on one connection, at an even rate."""
+    client = await Client(rig.address).connect()
+    while time.monotonic() < until:
+        request_id = new_request_id()
+        rig.record.write(f"client: sent lookup {request_id}")
+        answer = await client.query(LOOKUP, request_id, 3000)
+        rig.record.write(f"client: {request_id} {answer.verdict.value} {answer.text}")
+        if answer.verdict in (Verdict.NONE, Verdict.UNREADABLE):
+            break
+        await asyncio.sleep(REQUEST_INTERVAL_S)
+    client.close()
 
 
 async def scenario(record: Record) -> list[str]:
-    """Let pairs of loads come while the crowd idles, and look in which order they ran."""
+    """Tell that an engine drains while the configuration is loaded again and again."""
     engines = [RecordingEngine(f"s-{number}", "z0", 0, work) for number in range(4)]
-    rig = Rig(record, engines, limits=Limits(descriptors=DESCRIPTORS), deadline_ms=DEADLINE_MS)
-    crowd: list[subprocess.Popen[bytes]] = []
+    rig = Rig(record, engines)
+    rig.bus = SlowBus(record)
     try:
-        await rig.start()
-        pairs = [Pair(rig) for _ in range(PAIRS)]
-        tasks = [asyncio.create_task(pair.run(1.5 + at * INTERVAL_S)) for at, pair in enumerate(pairs)]
-        await asyncio.sleep(0.5)
-        if has_trouble():
-            record.write(f"trouble: {CROWD} clients connect and idle")
-            part = str(CROWD // CROWD_PROCESSES)
-            command = [sys.executable, "review/lib2/idle_crowd.py", rig.address, part, str(CROWD_S)]
-            crowd = [subprocess.Popen(command) for _ in range(CROWD_PROCESSES)]
-        await asyncio.gather(*tasks)
+        process = await rig.start()
+        requests = [
+            asyncio.create_task(send_requests(rig, time.monotonic() + DURATION_S + 1)) for _ in range(4)
+        ]
+        await asyncio.sleep(SERVING_S)
+        told_at = time.monotonic()
+        rig.bus.publish(rig.engine(DRAINING).entry("Terminating"))
+        record.write(f"event bus: {DRAINING} is Terminating, which counts as told after {TOLD_S:.0f} s")
+        for number in range(RELOADS if has_trouble() else 0):
+            await asyncio.sleep(max(0.0, told_at + number * RELOAD_INTERVAL_S + 0.8 - time.monotonic()))
+            if time.monotonic() > told_at + DURATION_S - 1:
+                break
+            rig.write_config()
+            process.send_signal(signal.SIGHUP)
+            record.write("trouble: a new configuration, SIGHUP")
+        await asyncio.gather(*requests)
         rig.record_runs()
-        return broken(rig, pairs)
+        return broken(rig, told_at)
     finally:
-        for process in crowd:
-            process.kill()
-            process.wait()
         await rig.close()
 
 
-def broken(rig: Rig, pairs: list[Pair]) -> list[str]:
-    """Return the loads that began while an earlier one of their key had no answer yet and then ran."""
+def broken(rig: Rig, told_at: float) -> list[str]:
+    """Return the attempts that the draining engine received too late."""
+    engine = rig.engine(DRAINING)
     lines = []
-    for pair in pairs:
-        first, second = rig.runs(pair.first), rig.runs(pair.second)
-        if not first or not second or pair.first_answer is None:
-            continue
-        apart_ms = (pair.second_sent_at - pair.first_sent_at) * 1000
-        if second[0][0] < first[0][0]:
-            before_ms = (first[0][0] - second[0][0]) * 1000
-            lines.append(
-                f"key {pair.key}: load {pair.second}, sent {apart_ms:.0f} ms after {pair.first}, "
-                f"began {before_ms:.0f} ms before it"
-            )
+    for attempt in engine.attempts:
+        after_s = attempt.received_at - told_at
+        if after_s > TOLD_S + STOP_SENDING_S:
+            text = f"{attempt.class_name} {attempt.request_id} came to {engine.id} {after_s:.2f} s"
+            lines.append(f"{text} after the event bus had its drain")
     return lines
 
 
--- a/review/9/scenario.py
+++ b/review/9/scenario.py
@@ -1,115 +1,119 @@
-"""A reloaded file lacks a key: do the old settings remain whole, so that repeats stay in their zone?"""
+"""Loads of one key come while a crowd idles: is the load that was taken first also run first?"""
 
 from __future__ import annotations
 
 import asyncio
-import copy
-import json
-import signal
+import secrets
+import subprocess
+import sys
+import time
 from pathlib import Path
-from typing import Any
 
-from rig import Answer, Client, Record, RecordingEngine, Rig, Work, has_trouble, run_case
-
-from cottonhold.backend.resp import RespError
-from cottonhold.emulator.platform.client import COM_QUERY, encode_packet, new_request_id
-from cottonhold.emulator.platform.configuration import default_settings, query_class
-from cottonhold.emulator.platform.engine import SERVED, Conversation
-from cottonhold.emulator.serving import engine_calls
-
-ZONES = {"east": 3, "middle": 3, "west": 2}
-DEADLINE_MS, WINDOW_MS, RUN_MS = 12_000.0, 20_000.0, 100.0
-REQUESTS, INTERVAL_S = 80, 0.05
-RELOADED_S = 1.2  # time after SIGHUP from which the settings in force are used
-
-
-class FailingConversation(Conversation):
-    """A connection to an engine that fails: it does the work, and answers with an error."""
-
-    def _finish(self, request_id: bytes, work: Work) -> None:
-        self._forget(self.open.pop(request_id), SERVED)
-        self._write(request_id, b"crashed", b"-")
-
-
-class FailingEngine(RecordingEngine):
-    """An engine that fails."""
-
-    async def converse(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        """Serve one connection."""
-        conversation = FailingConversation(self, writer)
+from rig import Answer, Client, Record, RecordingEngine, Rig, Verdict, Work, has_trouble, run_case
+
+from cottonhold.emulator.platform.client import encode_login, encode_query, new_request_id
+from cottonhold.emulator.platform.configuration import LOAD, LOOKUP, Limits
+
+CROWD, CROWD_PROCESSES, CROWD_S = 4500, 3, 10.0
+DESCRIPTORS = 256  # the least that the pages name
+DEADLINE_MS = 10_000
+LOAD_MS, LOOKUP_MS = 300.0, 3.0
+GAP_S = 0.252  # at least 0.25 s after a request that came on a new connection
+PAIRS, INTERVAL_S = 16, 0.4
+
+
+def work(class_name: str, request_id: str) -> Work:
+    """Return the work of a request."""
+    return Work(LOAD_MS if class_name == LOAD else LOOKUP_MS)
+
+
+class Pair:
+    """Two loads of one key: the first on a new connection, the second on one that is in use."""
+
+    def __init__(self, rig: Rig) -> None:
+        self.rig = rig
+        self.key = secrets.token_hex(8)
+        self.first, self.second = new_request_id(), new_request_id()
+        self.first_sent_at = self.second_sent_at = self.first_answered_at = 0.0
+        self.first_answer: Answer | None = None
+
+    async def run(self, first_after_s: float) -> None:
+        """Keep the connection of the second load in use until its time has come."""
+        client = await Client(self.rig.address).connect()
+        first = asyncio.create_task(self.send_first(first_after_s))
+        while not self.first_sent_at or time.monotonic() < self.first_sent_at + GAP_S:
+            answer = await client.query(LOOKUP, new_request_id(), 3000)
+            if answer.verdict is Verdict.NONE:
+                self.rig.record.write(f"client: the connection for {self.second} has ended")
+                await first
+                return
+        client.writer.write(encode_query(LOAD, self.second, DEADLINE_MS, self.key))
+        self.second_sent_at = time.monotonic()
+        self.rig.record.write(f"client: sent load {self.second}, key {self.key}, on a used connection")
+        answer = await client.read_answer()
+        self.rig.record.write(f"client: {self.second} {answer.verdict.value} {answer.text}")
+        client.close()
+        await first
+
+    async def send_first(self, after_s: float) -> None:
+        """Send the first load on a new connection."""
+        await asyncio.sleep(after_s)
+        client = await Client(self.rig.address).open()
+        client.writer.write(encode_login() + encode_query(LOAD, self.first, DEADLINE_MS, self.key))
+        self.first_sent_at = time.monotonic()
+        self.rig.record.write(f"client: sent load {self.first}, key {self.key}, on a new connection")
         try:
-            async for call in engine_calls(reader):
-                conversation.on_call(call)
-        except RespError:
-            writer.close()
-        finally:
-            conversation.end()
-
-
-def settings() -> dict[str, Any]:
-    """Return the settings: three zones, and a class of which one zone drops repeats."""
-    classes = [
-        query_class("point", "retryable", DEADLINE_MS),
-        query_class("ledger", "dedup", DEADLINE_MS, group="zone", window=WINDOW_MS),
-    ]
-    domain = default_settings(DEADLINE_MS)["domain"] | {
-        "class_waits": [True, False],
-        "holds_tables": [False, False],
-        "parallelism": [1, 1],
-    }
-    return {"classes": classes, "domain": domain, "zones": list(ZONES)}
-
-
-async def request(rig: Rig, request_id: str) -> Answer:
-    """Send a request of the keyed class on a connection of its own, and read its answer."""
-    client = await Client(rig.address).connect()
-    fields = f"service=ledger,ref={request_id},allow={DEADLINE_MS:.0f},effort=100.0,replay=k{request_id}"
-    text = f"/* {fields} */ INSERT INTO sales_{int(request_id, 16) % 20}.ledger VALUES (1)"
-    client.writer.write(encode_packet(COM_QUERY + text.encode()))
-    rig.record.write(f"client: sent ledger {request_id}")
-    answer = await client.read_answer()
-    rig.record.write(f"client: {request_id} {answer.verdict.value} {answer.text}")
-    client.close()
-    return answer
+            await client.read_login_answer()
+            self.first_answer = await client.read_answer()
+        except (OSError, asyncio.IncompleteReadError) as error:
+            self.rig.record.write(f"client: {self.first} {type(error).__name__}")
+            return
+        self.first_answered_at = time.monotonic()
+        self.rig.record.write(
+            f"client: {self.first} {self.first_answer.verdict.value} {self.first_answer.text}"
+        )
+        client.close()
 
 
 async def scenario(record: Record) -> list[str]:
-    """Reload a file that lacks a key, send requests, and look where each request ran."""
-    engines: list[RecordingEngine] = []
-    for cell, (zone, count) in enumerate(ZONES.items()):
-        for number in range(count):
-            kind = FailingEngine if (zone, number) == ("west", 0) else RecordingEngine
-            engines.append(kind(f"s-{zone}-{number}", zone, cell, lambda kind, request_id: Work(RUN_MS)))
-    rig = Rig(record, engines, settings(), deadline_ms=DEADLINE_MS)
+    """Let pairs of loads come while the crowd idles, and look in which order they ran."""
+    engines = [RecordingEngine(f"s-{number}", "z0", 0, work) for number in range(4)]
+    rig = Rig(record, engines, limits=Limits(descriptors=DESCRIPTORS), deadline_ms=DEADLINE_MS)
+    crowd: list[subprocess.Popen[bytes]] = []
     try:
-        process = await rig.start()
+        await rig.start()
+        pairs = [Pair(rig) for _ in range(PAIRS)]
+        tasks = [asyncio.create_task(pair.run(1.5 + at * INTERVAL_S)) for at, pair in enumerate(pairs)]
+        await asyncio.sleep(0.5)
         if has_trouble():
-            config = copy.deepcopy(rig.config())
-            del config["settings"]["classes"][1]["group"]
-            (rig.folder / "config.json").write_text(json.dumps(config), encoding="utf-8")
-            record.write("trouble: SIGHUP with a file that lacks settings.classes[1].group")
-            process.send_signal(signal.SIGHUP)
-        await asyncio.sleep(RELOADED_S)
-        ids = [new_request_id() for _ in range(REQUESTS)]
-        tasks = []
-        for request_id in ids:
-            tasks.append(asyncio.create_task(request(rig, request_id)))
-            await asyncio.sleep(INTERVAL_S)
+            record.write(f"trouble: {CROWD} clients connect and idle")
+            part = str(CROWD // CROWD_PROCESSES)
+            command = [sys.executable, "review/lib2/idle_crowd.py", rig.address, part, str(CROWD_S)]
+            crowd = [subprocess.Popen(command) for _ in range(CROWD_PROCESSES)]
         await asyncio.gather(*tasks)
         rig.record_runs()
-        return broken(rig, ids)
+        return broken(rig, pairs)
     finally:
+        for process in crowd:
+            process.kill()
+            process.wait()
         await rig.close()
 
 
-def broken(rig: Rig, ids: list[str]) -> list[str]:
-    """Return the requests that ran in two zones."""
+def broken(rig: Rig, pairs: list[Pair]) -> list[str]:
+    """Return the loads that began while an earlier one of their key had no answer yet and then ran."""
     lines = []
-    for request_id in ids:
-        runs = rig.runs(request_id)
-        if len({engine.zone for _, engine, _ in runs}) > 1:
-            places = ", then at ".join(engine.id for _, engine, _ in runs)
-            lines.append(f"ledger {request_id} ran at {places}")
+    for pair in pairs:
+        first, second = rig.runs(pair.first), rig.runs(pair.second)
+        if not first or not second or pair.first_answer is None:
+            continue
+        apart_ms = (pair.second_sent_at - pair.first_sent_at) * 1000
+        if second[0][0] < first[0][0]:
+            before_ms = (first[0][0] - second[0][0]) * 1000
+            lines.append(
+                f"key {pair.key}: load {pair.second}, sent {apart_ms:.0f} ms after {pair.first}, "
+                f"began {before_ms:.0f} ms before it"
+            )
     return lines
 
 
