A cancelled load is not sent while its KILL QUERY waits in the listener's queue

Cause: KILL QUERY comes on a new connection. The listener's queue was planned to take 0.3 s, while a cancellation has to take effect within 0.1 s, and an attempt began without regard to connections that were not read yet.

AcceptProgress bounds for how long a connection may have waited, and an attempt of a request older than 0.1 s waits directly before its first byte while that bound is over 0.1 s, for 0.5 s at most: then a client that cancelled has closed its own connection. What has arrived on a connection is read when it is accepted.

--- a/cottonhold/backend/connection.py
+++ b/cottonhold/backend/connection.py
@@ -29,6 +29,9 @@
     counters: Counters
     answer_pool: BytePool  # incomplete answers of all engines
 
+    def has_to_wait(self, attempt: Attempt) -> bool:
+        """Return whether an attempt must not be sent yet; its connection is then flushed again later."""
+
     def end_unless_sendable(self, attempt: Attempt) -> bool:
         """Return whether an attempt may be sent, and end it if not; called before its first byte."""
 
@@ -91,15 +94,20 @@
         if self.is_closed:
             return b""
         parts, size = list[bytes](), 0
+        held = list[Attempt]()
         while self.queue and size < MAX_WRITE_BYTES:
             item = self.queue.popleft()
             if isinstance(item, Attempt):
+                if self.owner.has_to_wait(item):
+                    held.append(item)
+                    continue
                 if not self.owner.end_unless_sendable(item):
                     continue
                 item.is_written = True
                 item = self.owner.encode_request(item)
             parts.append(item)
             size += len(item)
+        self.queue.extendleft(reversed(held))
         if parts:
             self.last_used_at = self.owner.clock.now()
         return b"".join(parts)
@@ -179,7 +187,12 @@
         self.queue.append(item)
         if len(self.queue) > MAX_QUEUED_ITEMS:
             self.owner.on_unread(self)
-        elif self.is_up and self.stream is not None:
+        else:
+            self.flush()
+
+    def flush(self) -> None:
+        """Schedule a write of what is queued."""
+        if self.is_up and self.stream is not None:
             self.stream.flush()
 
     def write_now(self, item: bytes) -> None:
--- a/cottonhold/frontend/client_sessions.py
+++ b/cottonhold/frontend/client_sessions.py
@@ -17,7 +17,7 @@
 
 CHECK_INTERVAL_MS = 200.0
 MAX_CAPACITY_PAUSE_MS = 20.0  # longest pause between checks for capacity, if nobody may be evicted yet
-PAUSE_FRACTION = 0.2  # the same as a share of the silence after which sessions may be evicted
+PAUSE_FRACTION = 1 / 3  # the same as a share of the silence after which sessions may be evicted
 EVICTION_PAUSE_MS = 1.0  # the same while descriptors of evicted connections are about to be released
 HEADROOM_FRACTION = 8  # 1/8 of the maximum number of sessions is kept free for new connections
 RECLAIM_INTERVAL_MS = 20.0  # shortest time between two searches for stalled clients
--- a/cottonhold/frontend/eviction.py
+++ b/cottonhold/frontend/eviction.py
@@ -15,9 +15,9 @@
 EVICTABLE_AFTER_MS = 50.0
 # The same limit for a connection that stopped within a packet. It is longer, since slow clients pause there.
 HALTED_EVICTABLE_AFTER_MS = 400.0
-# Longest time that a connection shall wait in the listener's queue. A request with hardly any time left has
-# to get its answer within 0.5 s after its time, and the queue is only a part of that.
-MAX_QUEUE_WAIT_MS = 300.0
+# Longest time that a connection shall wait in the listener's queue. A cancellation has to take effect within
+# 0.1 s, and the queue is only a part of that.
+MAX_QUEUE_WAIT_MS = 60.0
 MIN_EVICTABLE_AFTER_MS = 5.0  # a client that was just accepted needs this time to send something
 STALLED_AFTER_MS = 100.0  # a large packet arrives in less time, unless its client has stopped
 UNREAD_AFTER_MS = 200.0  # a client that reads has taken a result in less time
--- a/cottonhold/frontend/mysql_session.py
+++ b/cottonhold/frontend/mysql_session.py
@@ -36,6 +36,7 @@
 from cottonhold.frontend.query_service import DuplicateRequestIdError, SentBeforeError
 from cottonhold.frontend.response_writer import ResponseWriter
 from cottonhold.frontend.session_registry import Activity, SessionRegistry
+from cottonhold.scheduler.unread_cancellations import CANCELLATION_LIMIT_MS
 from cottonhold.transport.interface import StreamHandle
 
 MAX_UNREAD_BYTES = 32 * 1024  # size of the unread output above which no command is executed
@@ -193,6 +194,7 @@
 
     def _submit_query(self, text: bytes, arrived_at: float) -> None:
         if kill := decode_kill(text):
+            self._note_kill_age(arrived_at)
             self._kill(kill)
             return
         lifecycle = self.registry.lifecycle
@@ -216,6 +218,12 @@
             self.registry.counters.add("requests_unusable")
             self._send_error(QUERY_FAILED, "field 'ref' is that of a request that was sent; it may have run")
 
+    def _note_kill_age(self, arrived_at: float) -> None:
+        age_ms = self.registry.clock.now() - arrived_at
+        if age_ms > CANCELLATION_LIMIT_MS:
+            self.registry.counters.add("kills_read_late")
+            self.registry.service.log(f"client {self.connection_id}: its KILL was read after {age_ms:.0f} ms")
+
     def _kill(self, kill: KillCommand) -> None:
         target = self.registry.find(kill.connection_id)
         if target is None:
--- a/cottonhold/node/dispatcher.py
+++ b/cottonhold/node/dispatcher.py
@@ -88,6 +88,7 @@
         )
         self.engines.connect = self.event_loop.connector.connect
         self.gateway = Gateway(config.settings, config.seed, clock, self.engines, counters, log_line)
+        self.gateway.max_unread_ms = self.event_loop.listener.max_wait_ms
         self.gateway.repeat_guard.sent_requests = self._new_sent_requests()
         self.sessions = self._new_sessions()
         self.admin_api = AdminApi(self.lifecycle, clock, counters, log.note, self.quotas.descriptors.admin)
--- a/cottonhold/node/gateway.py
+++ b/cottonhold/node/gateway.py
@@ -53,6 +53,7 @@
 )
 from cottonhold.scheduler.scheduler import Scheduler
 from cottonhold.scheduler.settings import Settings
+from cottonhold.scheduler.unread_cancellations import CANCELLATION_LIMIT_MS, has_to_wait
 from cottonhold.transport.clock import Clock
 
 # A busy event loop reads a request, handles its timeout and writes its response a few iterations late. So a
@@ -97,6 +98,8 @@
         )
         self.result_memory = engines.result_pool
         self.repeat_guard = RepeatGuard(SentRequests(clock, counters, log), counters)
+        # Returns the longest time that a new connection of a client may have waited to be read, in ms.
+        self.max_unread_ms: Callable[[], float] = lambda: 0.0
         self.send_to_peer: Callable[[SendToPeer], None] = lambda message: None
         self.health_check_listener: HealthCheckListener = lambda engine, outcome, report: None
         engines.listener = self
@@ -245,6 +248,17 @@
             self.counters.add("clients_gone")
             self.push(ClientDisconnected(request.client_request.request_id))
 
+    def has_to_wait(self, attempt: Attempt) -> bool:
+        """Return whether an attempt has to wait, since a cancellation may not have been read yet."""
+        request, now = self.requests.get(attempt.request_id), self.clock.now()
+        if request is None:
+            return False
+        age_ms = now - request.client_request.arrived_at
+        if age_ms <= CANCELLATION_LIMIT_MS:
+            return False
+        held_ms = max(now - attempt.held_since, 0.0)
+        return has_to_wait(age_ms, self.max_unread_ms(), held_ms)
+
     def is_wanted(self, attempt: Attempt) -> bool:
         """Return whether an attempt may still start: it is its request's current one, and a client waits."""
         request = self.requests.get(attempt.request_id)
--- a/cottonhold/transport/listener.py
+++ b/cottonhold/transport/listener.py
@@ -8,6 +8,8 @@
 from typing import Protocol
 
 from cottonhold.discovery.model import Address
+from cottonhold.transport.accept_progress import AcceptProgress
+from cottonhold.transport.clock import Clock
 from cottonhold.transport.interface import StreamHandle, StreamProtocol
 from cottonhold.transport.io_context import RESOURCE_RETRY_S, IoContext
 from cottonhold.transport.socket_factory import CONNECTION_ERRORS, RESOURCE_ERRORS
@@ -60,6 +62,21 @@
 
     def __init__(self, context: IoContext, streams: StreamSet) -> None:
         self.context, self.streams = context, streams
+        self.client_socket: socket.socket | None = None  # where clients are accepted
+        self.clock: Clock = context.clock
+        self.progress = AcceptProgress(self.clock.now())
+
+    def max_wait_ms(self) -> float:
+        """Return the longest time that a client's connection may have waited in the queue, in ms."""
+        if self.client_socket is None:
+            return 0.0
+        self._count_queued(self.client_socket)
+        return self.progress.max_wait_ms(self.clock.now())
+
+    def _count_queued(self, sock: socket.socket) -> int:
+        queued = queued_connections(sock)
+        self.progress.on_queue_length(self.clock.now(), queued)
+        return queued
 
     async def open_with_retry(self, make: Callable[[], socket.socket]) -> socket.socket:
         """Create a required socket, retrying for up to OPEN_TIMEOUT_S if a resource is lacking.
@@ -85,8 +102,9 @@
         """Open a socket that listens at an address.
 
         Args:
-            address: The address to listen at. is_shared: Whether another process may listen there too; new
-            connections then go to the newer socket.
+            address: The address to listen at.
+            is_shared: Whether another process may listen there too; new connections then go to the newer
+                socket.
 
         Raises:
             OSError: The address can't be used, or a resource is lacking.
@@ -110,9 +128,10 @@
         busy loop would read their requests after their deadlines.
         """
         failures = 0  # consecutive failures
+        self.client_socket = sock
 
         def count_queued() -> int:
-            return queued_connections(sock)
+            return self._count_queued(sock)
 
         while True:
             if not sessions.has_capacity(count_queued):
@@ -123,6 +142,7 @@
                 while sessions.has_capacity(count_queued):
                     client = self._accept_now(sock)
                     if client is None:
+                        self.progress.on_queue_length(self.clock.now(), 0)
                         sessions.on_queue_empty()
                         break
                     failures = 0
@@ -136,7 +156,9 @@
     ) -> None:
         """Handle a failure of accept at the clients' address; lacking descriptors are taken from others."""
         if error.errno in RESOURCE_ERRORS:
-            sessions.evict_inactive(lambda: queued_connections(sock))
+            sessions.evict_inactive(lambda: self._count_queued(sock))
+        elif error.errno in CONNECTION_ERRORS:
+            self.progress.on_accepted()
         pause_s = sessions.capacity_pause_ms() / 1000
         await self._on_accept_failed(error, failures, "accept", "accept", pause_s)
 
@@ -176,20 +198,22 @@
         return client
 
     def admit(self, client: socket.socket, protocol: ServerProtocol) -> None:
-        """Serve an accepted connection and take ownership of its socket.
+        """Serve an accepted connection, take ownership of its socket, and read what has arrived.
 
         A failing socket option is ignored: if the peer has disconnected, the first read detects that.
         """
+        self.progress.on_accepted()
         try:
             client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         except OSError:
             self.context.counters.add("accept_options_failed")
-        self._serve(client, protocol)
+        self._serve(client, protocol).read_available()
 
-    def _serve(self, client: socket.socket, protocol: ServerProtocol) -> None:
+    def _serve(self, client: socket.socket, protocol: ServerProtocol) -> Stream:
         stream = Stream(self.streams, protocol, CLIENT_READ_BYTES)
         protocol.stream = stream
         stream.start(client)
+        return stream
 
     async def accept_queued(self, sock: socket.socket, sessions: LimitingProtocolFactory) -> None:
         """Accept all queued connections of a listener that is about to close, which would reset them."""
