A keyed request is repeated only in the group that its engine had when it was sent

Cause: the group was read from the engine's entry at the time of the repeat. For a removed engine the catalog published an entry of which only the id and the state were set, so that its zone and cell were the first ones.

Fix: a query keeps the entry that its engine had when it was sent, and the rule compares with that one. The catalog publishes a removed engine with its last place. Related: what an event does not name keeps its value, a zone that is not configured is no longer the first one, and queries queued for an engine that moves are placed anew.

One test changes: test_the_event_stream_reports_each_change_once expected cell 0 of an entry that names no cell; it expects None now, compared as exactly as before.

--- a/cottonhold/discovery/engine_catalog.py
+++ b/cottonhold/discovery/engine_catalog.py
@@ -19,7 +19,7 @@
 
 import math
 from collections.abc import Iterable, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import NamedTuple
 
 from cottonhold.discovery.claim import Claim
@@ -36,7 +36,7 @@
     SourceUnavailable,
 )
 from cottonhold.discovery.source_view import SourceView
-from cottonhold.scheduler.events import Engine, EngineState
+from cottonhold.scheduler.events import UNKNOWN_PLACE, Engine, EngineState
 
 SourceClaim = tuple[SourceView, Claim]
 
@@ -225,7 +225,10 @@
         if not claims:
             if entry is not None:
                 self._release_address(engine_id, entry, queue)
-                changed[engine_id] = entry.engine = Engine(engine_id, state=EngineState.REMOVED)
+                # Its place is kept: attempts that may still run there are repeated by it.
+                changed[engine_id] = entry.engine = replace(
+                    entry.engine, state=EngineState.REMOVED, started_at=0.0
+                )
             return
         if entry is None:
             entry = PublishedEngine(Engine(engine_id, state=EngineState.REMOVED), None)
@@ -342,9 +345,9 @@
     observation = claims[0][1].observation
     return Engine(
         engine_id,
-        zone=observation.zone,
-        machine_type=observation.machine_type,
-        cell=observation.cell,
+        zone=UNKNOWN_PLACE if observation.zone is None else observation.zone,
+        machine_type=observation.machine_type or 0,
+        cell=UNKNOWN_PLACE if observation.cell is None else observation.cell,
         state=state,
         size=observation.size,
         started_at=max(claim.started_at for _, claim in claims),
--- a/cottonhold/discovery/event_stream.py
+++ b/cottonhold/discovery/event_stream.py
@@ -48,12 +48,13 @@
 
     Args:
         source: The entry, as parsed from JSON.
-        names: The configured zones and machine types; an unknown name is replaced by the first.
+        names: The configured zones and machine types; an unknown type is replaced by the first.
 
     Raises:
         WireError: A field is missing or invalid.
     """
     address = read(source, "hostPort", str, "")
+    machine_type = read(source, "machineType", str, None)
     if len(read(source, "instanceId", str)) > MAX_ID_CHARACTERS:
         raise WireError(f"an id has over {MAX_ID_CHARACTERS} characters")
     return Observation(
@@ -61,9 +62,9 @@
         status=read_mapped(source, "lifecycle", STATUS_BY_LIFECYCLE),
         reason=read(source, "lifecycle", str),
         address=Address.parse(address) if address else None,
-        zone=names.zone_index(read(source, "zone", str, "")),
-        machine_type=names.machine_type_index(read(source, "machineType", str, "")),
-        cell=read(source, "cell", int, 0),
+        zone=names.reported_zone(read(source, "zone", str, None)),
+        machine_type=None if machine_type is None else names.machine_type_index(machine_type),
+        cell=read(source, "cell", int, None),
         size=read(source, "weight", NUMBER, 1.0),
         started_at=float(read(source, "startedAtMs", NUMBER, 0.0)),
     )
--- a/cottonhold/discovery/model.py
+++ b/cottonhold/discovery/model.py
@@ -8,12 +8,12 @@
 from __future__ import annotations
 
 import ipaddress
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import Enum
 from typing import Any
 
 from cottonhold.message_validation import WireError
-from cottonhold.scheduler.events import Engine
+from cottonhold.scheduler.events import UNKNOWN_PLACE, Engine
 
 
 @dataclass(slots=True, frozen=True)
@@ -71,6 +71,17 @@
     zones: tuple[str, ...]
     machine_types: tuple[str, ...]
 
+    def reported_zone(self, name: str | None) -> int | None:
+        """Return the position of a zone; UNKNOWN_PLACE if the name isn't configured, and None without a name.
+
+        Where one zone or none is configured, all engines are in it.
+        """
+        if len(self.zones) <= 1:
+            return 0
+        if name is None:
+            return None
+        return self.zones.index(name) if name in self.zones else UNKNOWN_PLACE
+
     def zone_index(self, name: str) -> int:
         """Return the position of a zone; 0, the first zone, if the name isn't configured."""
         return self.zones.index(name) if name in self.zones else 0
@@ -101,10 +112,10 @@
         id: The engine's id.
         status: The reported status.
         reason: The source's reason for the status, for the log.
-        address: The engine's address, if known.
-        zone: The position of the zone in the configuration.
-        machine_type: The position of the machine type in the configuration.
-        cell: The number of the cell.
+        address: The engine's address; None if the source names none.
+        zone: The position of the zone in the configuration, or UNKNOWN_PLACE; None if the source names none.
+        machine_type: The position of the machine type in the configuration; None if the source names none.
+        cell: The number of the cell; None if the source names none.
         size: The number of cores that is assumed if the machine type has none; Consul's weight.
         process_id: Identifies the process; equal and not empty means that it is the same process.
         registration_index: Orders the registrations of one id or one address; 0 if unknown.
@@ -116,14 +127,26 @@
     status: ServiceStatus
     reason: str = ""
     address: Address | None = None
-    zone: int = 0
-    machine_type: int = 0
-    cell: int = 0
+    zone: int | None = 0
+    machine_type: int | None = 0
+    cell: int | None = 0
     size: float = 1.0
     process_id: str = ""
     registration_index: int = 0
     started_at: float = 0.0
 
+    def completed_by(self, earlier: Observation) -> Observation:
+        """Return this observation with what it does not name taken from an earlier one of the engine."""
+        if None not in (self.address, self.zone, self.machine_type, self.cell):
+            return self
+        return replace(
+            self,
+            address=earlier.address if self.address is None else self.address,
+            zone=earlier.zone if self.zone is None else self.zone,
+            machine_type=earlier.machine_type if self.machine_type is None else self.machine_type,
+            cell=earlier.cell if self.cell is None else self.cell,
+        )
+
 
 @dataclass(slots=True, frozen=True)
 class SourceReport:
--- a/cottonhold/discovery/source_view.py
+++ b/cottonhold/discovery/source_view.py
@@ -131,6 +131,7 @@
         if claim is None:
             return self._add_claim(now, observation, index, is_first)
         claim.last_seen_at, claim.index = now, index
+        observation = observation.completed_by(claim.observation)
         # A loss isn't stored as the observation yet: an engine that is in service only because its loss is
         # deferred must not be counted as healthy.
         if observation.status in LOSSES:
--- a/cottonhold/scheduler/attempt_outcomes.py
+++ b/cottonhold/scheduler/attempt_outcomes.py
@@ -37,7 +37,7 @@
         _free_engine_capacity(gateway, query, engine)
     if event.outcome is Outcome.TIMEOUT and not gateway.settings.features.can_cancel:
         _count_unobserved(gateway, query)
-    retry_policy.record_possible_execution(query, engine, event.outcome)
+    retry_policy.record_possible_execution(query, event.outcome)
     key_ordering.quiet_after(gateway, query, event.outcome)
     if query.is_finished or event.is_final:
         responses.finish(gateway, query, is_served=True)
--- a/cottonhold/scheduler/engine_list.py
+++ b/cottonhold/scheduler/engine_list.py
@@ -20,8 +20,7 @@
     An engine that is missing from a complete list is removed. Removed engines are dropped once no attempt is
     in flight on them.
     """
-    for entry in event.engines:
-        _apply_entry(gateway, entry)
+    moved = [gateway.engines[entry.id] for entry in event.engines if _apply_entry(gateway, entry)]
     listed = {entry.id: gateway.engines[entry.id] for entry in event.engines}
     if event.is_complete:
         for engine in gateway.engines.values():
@@ -30,6 +29,8 @@
     changed = dict(gateway.engines) if event.is_complete else listed | gateway.departing_engines
     for engine in changed.values():
         _requeue_departed(gateway, engine)
+    for query in [query for engine in moved for query in engine.clear_plan()]:
+        placement.place(gateway, query)
     gateway.changed_engines |= changed
 
 
@@ -47,9 +48,14 @@
         gateway.engines.pop(engine.id, None)
 
 
-def _apply_entry(gateway: GatewayState, entry: Engine) -> None:
-    """Apply one entry of the list; a changed start time means a restart, which resets learned values."""
+def _apply_entry(gateway: GatewayState, entry: Engine) -> bool:
+    """Apply one entry of the list; a changed start time means a restart, which resets learned values.
+
+    Returns:
+        Whether the place or the machine type changed, by which queries are permitted on the engine.
+    """
     engine = gateway.engines.get(entry.id)
+    has_moved = engine is not None and _placement_of(engine.entry) != _placement_of(entry)
     if engine is None:
         engine = EngineView.from_entry(entry, gateway.settings.machine_types, gateway.now)
         gateway.engines[entry.id] = engine
@@ -59,6 +65,11 @@
     engine.entry = entry
     if entry.started_at > 0:
         slow_start.start_warming(gateway, engine, entry.started_at + gateway.settings.rules.warm_up_ms)
+    return has_moved
+
+
+def _placement_of(entry: Engine) -> tuple[int, int, int]:
+    return entry.zone, entry.cell, entry.machine_type
 
 
 def on_engine_list_failed(gateway: GatewayState, event: EngineListFailed) -> None:
--- a/cottonhold/scheduler/events.py
+++ b/cottonhold/scheduler/events.py
@@ -55,15 +55,18 @@
     WAITING = 3
 
 
+UNKNOWN_PLACE = -1  # zone or cell of an engine whose source names none, or one that is not configured
+
+
 @dataclass(slots=True, frozen=True)
 class Engine:
     """One entry of the engine list.
 
     Attributes:
         id: Id of the engine.
-        zone: Zone of the engine.
+        zone: Zone of the engine, or UNKNOWN_PLACE.
         machine_type: Type of its machine.
-        cell: Cell of the engine.
+        cell: Cell of the engine, or UNKNOWN_PLACE.
         state: State of the engine.
         size: Number of cores that is assumed if the machine type has no figure.
         started_at: Time at which its process started; 0 if unknown.
--- a/cottonhold/scheduler/query.py
+++ b/cottonhold/scheduler/query.py
@@ -69,6 +69,7 @@
     is_in_flight: bool = False
     attempts_sent: int = 0
     sent_at: float = 0.0
+    sent_to: Engine | None = None  # the entry of its engine when it was sent; later entries may differ
     progress_at: float = 0.0  # time of the last PROGRESS note; without one, when the attempt was sent
     running_since: float = 0.0  # earliest time at which the current run can have begun
     completed_share: float = 0.0  # completed share of the run, by progress notes
@@ -77,7 +78,7 @@
     is_cancelled: bool = False
     tried_engine_ids: set[str] = field(default_factory=set)
     may_have_run_since: float | None = None  # time at which the first attempt that may have run was sent
-    may_have_run_on: EngineReference | None = None
+    may_have_run_on: Engine | None = None  # the entry of that attempt's engine when it was sent
     engine_error_count: int = 0  # attempts that ended with an error of the engine
     first_error_engine: EngineReference | None = None
     is_finished: bool = False  # whether it has been answered or its client has disconnected
@@ -109,6 +110,7 @@
     def begin_attempt(self, now: float, engine: EngineReference) -> None:
         """Record that an attempt is sent to an engine."""
         self.engine = engine
+        self.sent_to = engine.entry
         self.is_in_flight = True
         self.sent_at = self.progress_at = self.running_since = now
         self.completed_share = 0.0
--- a/cottonhold/scheduler/retry_policy.py
+++ b/cottonhold/scheduler/retry_policy.py
@@ -9,7 +9,7 @@
 from enum import Enum
 
 from cottonhold.scheduler.engine_state import EngineView
-from cottonhold.scheduler.events import Outcome
+from cottonhold.scheduler.events import UNKNOWN_PLACE, Engine, Outcome
 from cottonhold.scheduler.gateway_state import GatewayState
 from cottonhold.scheduler.query import Query
 from cottonhold.scheduler.settings import DeduplicationScope, Idempotency
@@ -85,11 +85,14 @@
         gateway.retries_sent.add(gateway.now, 1.0)
 
 
-def record_possible_execution(query: Query, engine: EngineView | None, outcome: Outcome) -> None:
-    """Record the first attempt that may have run: the deduplication window begins when it was sent."""
+def record_possible_execution(query: Query, outcome: Outcome) -> None:
+    """Record the first attempt that may have run: the deduplication window begins when it was sent.
+
+    The engine's zone and cell are also those of that time, since the engine may be removed or replaced.
+    """
     if outcome not in NEVER_RAN and query.may_have_run_since is None:
         query.may_have_run_since = query.sent_at
-        query.may_have_run_on = engine
+        query.may_have_run_on = query.sent_to
 
 
 def may_reject(query: Query) -> bool:
@@ -116,10 +119,20 @@
     query_class = query.query_class
     if query_class.idempotency is not Idempotency.IDEMPOTENT_WITH_KEY or query.may_have_run_on is None:
         return True
-    scope = query_class.deduplication_scope
+    return _drops_repeats(query_class.deduplication_scope, query.may_have_run_on, engine.entry)
+
+
+def _drops_repeats(scope: DeduplicationScope, first: Engine, here: Engine) -> bool:
+    """Return whether an engine drops repeats of what may have run on the first one: they are of one group.
+
+    Two engines of unknown places may be of different groups.
+    """
     if scope is DeduplicationScope.ALL:
         return True
-    first, here = query.may_have_run_on.entry, engine.entry
-    if here.zone != first.zone:
+    places = [(first.zone, here.zone)]
+    if scope is DeduplicationScope.CELL:
+        places.append((first.cell, here.cell))
+    if any(first_place != place for first_place, place in places):
         return False
-    return scope is DeduplicationScope.ZONE or here.cell == first.cell
+    is_known = all(place != UNKNOWN_PLACE for place, _ in places)
+    return is_known or first.id == here.id
--- a/tests/discovery/test_engine_catalog.py
+++ b/tests/discovery/test_engine_catalog.py
@@ -5,19 +5,22 @@
 import dataclasses
 from typing import Any
 
+import pytest
 from hypothesis import Phase, given, settings
 from hypothesis import strategies as st
 
 from cottonhold.discovery.model import (
     Address,
+    ConfiguredNames,
     ConfirmAbsence,
     Observation,
     PublishChange,
+    ServiceStatus,
     SourceGuard,
     SourceReport,
     SourceUnavailable,
 )
-from cottonhold.scheduler.events import Engine
+from cottonhold.scheduler.events import UNKNOWN_PLACE, Engine
 from tests.discovery.catalog_harness import (
     DRAINED,
     DRAINING,
@@ -353,3 +356,36 @@
         symptoms = [o for o in symptoms if o.status is not DRAINED]
         harness.report(*symptoms, at=harness.now + gap)
         assert harness.live()
+
+
+def test_a_removed_engine_is_published_with_its_place() -> None:
+    """Guards against the first zone in place of that of a removed engine, on which attempts may still run."""
+    harness = CatalogHarness(("bus", SourceGuard(is_trusted=True)))
+    harness.report(make_observation("e0", zone=2, cell=3, machine_type=1, started_at=5.0), source="bus")
+    harness.report(make_observation("e0", ENDED), source="bus")
+    assert harness.engines["e0"] == Engine("e0", zone=2, cell=3, machine_type=1, state=REMOVED)
+
+
+@pytest.mark.parametrize("status", [IN, DRAINED])
+def test_what_a_later_report_does_not_name_keeps_its_value(status: ServiceStatus) -> None:
+    """Guards against a default that is taken for what a source names only once."""
+    harness = CatalogHarness(("bus", SourceGuard(is_trusted=True)))
+    place: dict[str, Any] = {"zone": 2, "cell": 3, "machine_type": 1}
+    harness.report(make_observation("e0", started_at=0.0, **place), source="bus")
+    nothing: dict[str, Any] = {"address": None, **dict.fromkeys(place)}
+    harness.report(make_observation("e0", status, started_at=0.0, **nothing), source="bus")
+    engine = harness.engines["e0"]
+    assert (engine.zone, engine.cell, engine.machine_type) == (2, 3, 1)
+    assert harness.catalog.published["e0"].address == Address("10.0.0.1", 1000)
+
+
+def test_an_engine_whose_place_was_never_named_is_in_no_known_place() -> None:
+    harness = CatalogHarness(("bus", SourceGuard(is_trusted=True)))
+    harness.report(make_observation("e0", zone=None, cell=None), source="bus")
+    assert (harness.engines["e0"].zone, harness.engines["e0"].cell) == (UNKNOWN_PLACE, UNKNOWN_PLACE)
+
+
+def test_a_zone_that_is_not_configured_is_not_the_first_one() -> None:
+    names = ConfiguredNames(("east", "west"), ())
+    assert [names.reported_zone(name) for name in ("west", "north", None)] == [1, UNKNOWN_PLACE, None]
+    assert ConfiguredNames((), ()).reported_zone(None) == 0
--- a/tests/node/test_small_parts.py
+++ b/tests/node/test_small_parts.py
@@ -114,6 +114,7 @@
                     "Ready",
                     Address("127.0.0.9", 10080),
                     machine_type=1,
+                    cell=None,  # the entry names none
                     started_at=5.0,
                 ),
             ),
--- a/tests/scheduler/test_retry_matrix.py
+++ b/tests/scheduler/test_retry_matrix.py
@@ -7,7 +7,7 @@
 import pytest
 
 from cottonhold.discovery.model import Address, EngineListChange
-from cottonhold.scheduler.events import Engine, EngineState
+from cottonhold.scheduler.events import UNKNOWN_PLACE, Engine, EngineState
 from cottonhold.scheduler.settings import DeduplicationScope, Idempotency
 from tests.frontend.test_client_departure import assert_no_leftovers
 from tests.support.scenario import PERMITS, READ, SETTINGS, World
@@ -101,6 +101,77 @@
     assert_no_leftovers(world)
 
 
+def keyed_world(scope: str) -> World:
+    """Return a world with one class whose repeats are dropped within a scope, and an engine `a`."""
+    query_class = replace(
+        READ,
+        idempotency=Idempotency.IDEMPOTENT_WITH_KEY,
+        deduplication_scope=DeduplicationScope(scope),
+        deduplication_window_ms=WINDOW_MS,
+    )
+    features = replace(PERMITS, can_cancel=False)
+    world = World(replace(SETTINGS, classes=(query_class,), features=features), engines="a")
+    world.gateway.scheduler.fleet_utilization = 0.1
+    return world
+
+
+# What the list tells of the first engine, in zone 1 and cell 1, before its attempt is known to have ended.
+LATER_ENTRIES = {
+    "removed": Engine("a", zone=1, cell=1, state=EngineState.REMOVED),
+    "removed, without its place": Engine("a", state=EngineState.REMOVED),
+    "moved": Engine("a", zone=0, cell=2),
+    "moved, and drains": Engine("a", zone=0, cell=2, state=EngineState.DRAINING),
+    "restarted elsewhere": Engine("a", zone=0, cell=2, started_at=2000.0),
+    "of an unknown place": Engine("a", zone=UNKNOWN_PLACE, cell=UNKNOWN_PLACE),
+}
+
+
+@pytest.mark.parametrize("scope", ["zone", "cell"])
+@pytest.mark.parametrize("later", LATER_ENTRIES)
+def test_a_repeat_stays_in_the_group_that_its_engine_had_when_it_was_sent(scope: str, later: str) -> None:
+    """Guards against a repeat in another zone, after the list has told something new of the first engine."""
+    world = keyed_world(scope)
+    list_engine(world, "a", 1, 1)
+    world.run(f"c1 query lookup r1 allow={ALLOW_MS}\ne1 expect GET r1 *")
+    world.gateway.on_engine_list(EngineListChange((LATER_ENTRIES[later],), {}, False))
+    world.wait(0)
+    world.unlabelled_engines += ["b", "c"]
+    list_engine(world, "b", 0, 2)
+    world.run("e1 close\ntime wait 20\nany nothing there\nc1 expect nothing")
+    list_engine(world, "c", 1, 1)
+    world.wait(100)
+    (connection,) = [stream for stream in world.engine_streams if stream.received]
+    assert connection.connection.engine == "c"
+
+
+def test_an_engine_of_an_unknown_place_drops_repeats_of_its_own_attempts_only() -> None:
+    unknown = [Engine(name, zone=UNKNOWN_PLACE, cell=UNKNOWN_PLACE) for name in "ab"]
+    world = keyed_world("zone")
+    world.unlabelled_engines.append("b")
+    world.gateway.on_engine_list(EngineListChange((unknown[0],), {}, False))
+    world.run(f"c1 query lookup r1 allow={ALLOW_MS}\ne1 expect GET r1 *")
+    world.gateway.on_engine_list(EngineListChange((unknown[1],), {"b": Address("b", 1)}, False))
+    world.wait(0)
+    world.run("e1 close\ntime wait 300")
+    (connection,) = [stream for stream in world.engine_streams if stream.received]
+    assert connection.connection.engine == "a"
+
+
+def test_a_queued_query_leaves_an_engine_that_moves_to_a_zone_where_it_may_not_run() -> None:
+    """Guards against a permission that is checked when a query is queued, and not when its engine changes."""
+    query_class = replace(READ, zones=(1,))
+    world = World(replace(SETTINGS, classes=(query_class,)), engines="a")
+    list_engine(world, "a", 1, 1)
+    scheduler = world.gateway.scheduler
+    world.run(f"c1 query lookup r1 allow={ALLOW_MS}\ne1 expect GET r1 *")
+    engine = scheduler.engines["a"]
+    for number in range(2, 40):
+        world.run(f"c{number} query lookup r{number} allow={ALLOW_MS}")
+    assert engine.plan
+    list_engine(world, "a", 0, 1)
+    assert not engine.plan
+
+
 @pytest.mark.parametrize("timeout_ms", [300, 1000, 4000])
 @pytest.mark.parametrize("is_late", [True, False])
 def test_a_deadline_between_two_attempts_is_met(timeout_ms: int, is_late: bool) -> None:
