A reload is rejected whose settings lack a key of those in force

Cause: a missing value was replaced by a default; the default of the group permits repeats everywhere. Only a list of required keys was checked.

Fix: the keys of the settings are kept, and a reload needs all of them, but for classes and tenants that are dropped as a whole. A keyed class needs group and window at the start too. Related: a share of retries without a number of free ones limits retries.

--- a/cottonhold/config/relay.py
+++ b/cottonhold/config/relay.py
@@ -14,7 +14,8 @@
 
 import orjson
 
-from cottonhold.config.settings import decode_settings
+from cottonhold.config.settings import KEYED_EFFECT, decode_settings
+from cottonhold.config.settings_keys import key_paths, missing_keys
 from cottonhold.discovery.event_stream import decode_events
 from cottonhold.discovery.model import Address, ConfiguredNames, SourceReport
 from cottonhold.message_validation import NUMBER, Json, WireError, read, read_list
@@ -34,6 +35,7 @@
     "report": "fields how",
 }
 REQUIRED_CLASS_KEYS = "name aim hard_limit effect worth late_worth"
+REQUIRED_KEYED_CLASS_KEYS = "group window"  # of a class whose repeats are identified by a key
 MAX_NUMBER = 1e12  # upper limit of every number in the settings
 BYTES_PER_MB = 1_000_000  # the smaller reading of MB, so that a limit holds by either
 MAX_FILE_BYTES = 4 << 20  # a file with 3,200 engines is smaller than 1 MiB
@@ -80,6 +82,7 @@
         names: Names of zones and machine types, by which engine entries are decoded.
         settings: Settings of the scheduler.
         connections: Settings of connections to engines.
+        settings_keys: The paths of all keys in the file's `settings`.
     """
 
     name: str
@@ -97,6 +100,7 @@
     names: ConfiguredNames
     settings: Settings
     connections: ConnectionSettings
+    settings_keys: frozenset[str] = frozenset()
 
 
 def load_config(environ: Mapping[str, str], counters: Counters) -> Config:
@@ -171,7 +175,9 @@
         raise WireError("field 'settings.caps.most_tries' is not over 0")
     names = set()
     for index, entry in enumerate(read_list(settings, "classes", dict)):
-        for key in REQUIRED_CLASS_KEYS.split():
+        is_keyed = entry.get("effect") == KEYED_EFFECT
+        required_keys = REQUIRED_CLASS_KEYS.split() + REQUIRED_KEYED_CLASS_KEYS.split() * is_keyed
+        for key in required_keys:
             if entry.get(key) is None:
                 raise WireError(f"field 'settings.classes[{index}].{key}' is missing")
         for key in ("aim", "hard_limit"):
@@ -183,13 +189,14 @@
 
 
 def check_change(old: Config, new: Config) -> None:
-    """Check that a reload changes no setting that requires a restart.
+    """Check that a reload changes no setting that requires a restart, and that its file lacks no key.
 
-    These settings are the dispatcher's position in the fleet, and the names of zones and machine types, by
-    which engine entries are decoded.
+    The settings that require a restart are the dispatcher's position in the fleet, and the names of zones
+    and machine types, by which engine entries are decoded.
 
     Raises:
-        ConfigError: Such a setting differs between the two configurations.
+        ConfigError: Such a setting differs between the two configurations, or the new settings lack a key of
+            the old ones.
     """
     fixed_values = {
         "settings.me": (old.settings.gateway_index, new.settings.gateway_index),
@@ -205,6 +212,8 @@
     for key, (old_value, new_value) in fixed_values.items():
         if old_value != new_value:
             raise ConfigError(f"field '{key}' changes only with a restart")
+    if missing := missing_keys(old.settings_keys, new.settings_keys):
+        raise ConfigError(f"field 'settings.{missing[0]}' is missing, which the settings in force have")
 
 
 def decode_config(source: Json, environ: Mapping[str, str], counters: Counters) -> Config:
@@ -244,6 +253,7 @@
             max_streams=read(caps, "streams_per_conn", int, 32),
             health_check_cost=settings.overhead_costs.per_health_check,
         ),
+        settings_keys=key_paths(params),
     )
 
 
--- a/cottonhold/config/settings.py
+++ b/cottonhold/config/settings.py
@@ -21,9 +21,10 @@
     Tenant,
 )
 
+KEYED_EFFECT = "dedup"
 IDEMPOTENCY = {
     "retryable": Idempotency.IDEMPOTENT,
-    "dedup": Idempotency.IDEMPOTENT_WITH_KEY,
+    KEYED_EFFECT: Idempotency.IDEMPOTENT_WITH_KEY,
     "fragile": Idempotency.NOT_IDEMPOTENT,
 }
 MEMORY_SHORTAGE = {"queue": MemoryShortage.WAIT, "trim": MemoryShortage.SHRINK, "swap": MemoryShortage.PAGE}
@@ -66,7 +67,11 @@
 
 
 def decode_rules(source: Json) -> Rules:
-    """Decode the limits that the deployment sets."""
+    """Decode the limits that the deployment sets.
+
+    A share of the retry budget without a number of free retries limits retries as well: none is free.
+    """
+    has_retry_share = source.get("repeat_ratio") is not None
     return Rules(
         answer_slack_ms=read(source, "answer_slack", NUMBER, 20.0),
         drain_grace_ms=read(source, "stop_sending_within", NUMBER, 0.0),
@@ -76,7 +81,7 @@
         overload_window_ms=read(source, "tip_after", NUMBER, 2000.0),
         list_poll_limit_ms=read(source, "ask_within", NUMBER, 10000.0),
         key_quiet_ms=read(source, "key_quiet", NUMBER, 0.0),
-        retry_budget_free=read(source, "spare_attempts", NUMBER, None),
+        retry_budget_free=read(source, "spare_attempts", NUMBER, 0.0 if has_retry_share else None),
         retry_budget_share=read(source, "repeat_ratio", NUMBER, 0.0),
         retry_budget_window_ms=read(source, "look_back", NUMBER, 5000.0),
     )
--- a/tests/node/test_settings_reload.py
+++ b/tests/node/test_settings_reload.py
@@ -12,7 +12,8 @@
 import pytest
 
 from cottonhold import Scheduler
-from cottonhold.config.relay import ConfigError, load_config
+from cottonhold.config.relay import ConfigError, check_change, load_config
+from cottonhold.config.settings import decode_rules
 from cottonhold.node.dispatcher import Dispatcher
 from cottonhold.observe.counters import Counters
 from cottonhold.scheduler import slow_start
@@ -202,7 +203,39 @@
     assert slow_start.local_budget_rate(scheduler, scheduler.engines["e1"]) == alone / 2
 
 
-VALID: dict[str, Any] = {**CONFIG, "listen": "127.0.0.1:80"}
+KEYED: dict[str, Any] = {
+    **CONFIG["settings"]["classes"][0],
+    "name": "keyed",
+    "effect": "dedup",
+    "group": "zone",
+    "window": 2000.0,
+    "stream": False,
+    "by_arrival": True,
+    "zones_open": [0],
+    "aim_stretch": 2.0,
+}
+PLACE = f"settings.classes.{len(CONFIG['settings']['classes'])}"  # of the keyed class
+VALID: dict[str, Any] = {
+    **CONFIG,
+    "listen": "127.0.0.1:80",
+    "settings": {
+        **CONFIG["settings"],
+        "classes": [*({**entry, "stream": False} for entry in CONFIG["settings"]["classes"]), KEYED],
+        "obligations": {
+            **CONFIG["settings"]["obligations"],
+            "spare_attempts": 3,
+            "repeat_ratio": 0.1,
+            "key_quiet": 100.0,
+        },
+        "tenants": [{"name": "t1", "quota_per_s": 5.0}],
+    },
+}
+
+
+def without(entry: dict[str, Any], *keys: str) -> dict[str, Any]:
+    return {key: value for key, value in entry.items() if key not in keys}
+
+
 INVALID: dict[str, Any] = {
     "empty": b"",
     "cut off": orjson.dumps(VALID)[:-200],
@@ -232,6 +265,19 @@
     "threads of the wrong type": {"settings.domain.parallelism": ["1"]},
     "cores of the wrong type": {"settings.domain.size_cores": ["8"]},
     "a class twice": {"settings.classes": [CONFIG["settings"]["classes"][0]] * 2},
+    "a keyed class without a group": {f"{PLACE}.group": None},
+    "a keyed class without a window": {f"{PLACE}.window": None},
+    "a class without its order": {f"{PLACE}.by_arrival": None},
+    "a class without its zones": {f"{PLACE}.zones_open": None},
+    "a class without a stretch": {f"{PLACE}.aim_stretch": None},
+    "no limit on retries": {"settings.obligations.spare_attempts": None},
+    "no share of retries": {"settings.obligations.repeat_ratio": None},
+    "no quiet time of keys": {"settings.obligations.key_quiet": None},
+    "no tenants": {"settings.tenants": None},
+    "a tenant without a quota": {"settings.tenants.0.quota_per_s": None},
+    "a new keyed class without a group": {PLACE: {**without(KEYED, "group"), "name": "new"}},
+    "a new keyed class without a window": {PLACE: {**without(KEYED, "window"), "name": "new"}},
+    "a new class without what all classes have": {PLACE: {**without(KEYED, "stream"), "name": "new"}},
     "another place": {"settings.me": 1, "settings.siblings": 2},
     "other machine kinds": {"settings.models": ["b", "a"]},
 }
@@ -246,10 +292,11 @@
         keys = path.split(".")
         for key in keys[:-1]:
             at = at[int(key) if key.isdigit() else key]
+        last: Any = int(keys[-1]) if keys[-1].isdigit() else keys[-1]
         if value is None:
-            del at[keys[-1]]
+            del at[last]
         else:
-            at[keys[-1]] = value
+            at[last] = value
     return orjson.dumps(source)
 
 
@@ -300,9 +347,37 @@
     asyncio.run(scenario())
 
 
+VALID_CHANGES: dict[str, Any] = {
+    "a class is dropped": {"settings.classes": [KEYED]},
+    "a new class lacks optional keys": {
+        PLACE: {**without(KEYED, "by_arrival", "zones_open", "aim_stretch"), "name": "new"}
+    },
+    "a class has another group": {f"{PLACE}.group": "cell"},
+    "a tenant is dropped": {"settings.tenants": []},
+    "keys are added": {"settings.obligations.look_back": 9000.0, f"{PLACE}.models_open": [0]},
+}
+
+
+@pytest.mark.parametrize("change", VALID_CHANGES.values(), ids=VALID_CHANGES)
+def test_a_complete_file_is_taken_over(change: Any, tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setenv("RELAY_CONFIG", write(tmp_path, **VALID)["RELAY_CONFIG"])
+    old = load_config({"RELAY_CONFIG": str(tmp_path / "config.json")}, Counters())
+    (tmp_path / "config.json").write_bytes(invalid_content(change))
+    check_change(old, load_config({"RELAY_CONFIG": str(tmp_path / "config.json")}, Counters()))
+
+
+@pytest.mark.parametrize(("spare", "expected"), [(None, 0.0), (2, 2)])
+def test_a_share_of_retries_limits_them_without_a_number_of_free_ones(spare: Any, expected: float) -> None:
+    rules = {**VALID["settings"]["obligations"], "spare_attempts": spare}
+    assert decode_rules(rules).retry_budget_free == expected
+    assert decode_rules(without(rules, "repeat_ratio", "spare_attempts")).retry_budget_free is None
+
+
 @pytest.mark.parametrize(
     ("change", "problem"),
     [
+        ({f"{PLACE}.group": None}, r"field 'settings.classes\[\d\].group' is missing"),
+        ({f"{PLACE}.window": None}, r"field 'settings.classes\[\d\].window' is missing"),
         ({"settings.caps.most_tries": 0}, "field 'settings.caps.most_tries' is not over 0"),
         ({"settings.classes.0.hard_limit": 0}, r"field 'settings.classes\[0\].hard_limit' is not over 0"),
         ({"settings.classes.0.name": None}, r"field 'settings.classes\[0\].name' is missing"),
