Reloads that name the same event bus end no poll

Cause: each reload ended the open poll and began a new one, although the address was the same, so that no answer was ever read.

Fix: the client of the event stream goes on if it follows this source at this address already. Related: a change of the settings keeps the traffic of tenants that are unchanged, and the time of the next message to peers.

Tests: both new tests fail on the code before. Polls that are kept while another address is followed were tried and dropped: an existing test asks that they are closed at once.

--- a/cottonhold/scheduler/scheduler.py
+++ b/cottonhold/scheduler/scheduler.py
@@ -105,20 +105,26 @@
     def apply_settings(self, settings: Settings) -> None:
         """Apply new settings; queries that arrived before keep their class and their number of attempts.
 
-        The history of a class is kept only if all values of the class are unchanged.
+        The history of a class or a tenant is kept only if all its values are unchanged.
         """
         known = dict(zip(self.settings.classes, self.class_histories, strict=False))
         self.class_histories = [
             known.get(query_class) or ClassHistory.empty(EJECTION_MS) for query_class in settings.classes
         ]
-        self.tenant_traffic = [ArrivalRate(TRAFFIC_TIME_CONSTANT_MS) for _ in settings.tenants]
+        known_traffic = dict(zip(self.settings.tenants, self.tenant_traffic, strict=False))
+        self.tenant_traffic = [
+            known_traffic.get(tenant) or ArrivalRate(TRAFFIC_TIME_CONSTANT_MS) for tenant in settings.tenants
+        ]
         self.settings = settings
         # Longest time between two steps, in ms; a query is answered this long before its deadline.
         self.answer_margin_ms = HEARTBEAT_MS + 2 * settings.tick_ms
         affordable = MAX_HEALTH_CHECK_COST / max(settings.overhead_costs.per_health_check, 1e-9)
         self.health_checks_per_query = min(MAX_HEALTH_CHECKS_PER_QUERY, affordable)
         has_peers = settings.features.has_peer_messages and settings.gateway_count > 1
-        self.next_peer_message_at = 0.0 if has_peers else math.inf
+        if not has_peers:
+            self.next_peer_message_at = math.inf
+        elif self.next_peer_message_at == math.inf:
+            self.next_peer_message_at = 0.0
 
     def _on_heartbeat(self) -> None:
         """Check for silent engines, stragglers and expired ejections; plan again every REPLAN_INTERVAL_MS."""
--- a/cottonhold/transport/event_stream_client.py
+++ b/cottonhold/transport/event_stream_client.py
@@ -117,7 +117,13 @@
         self.timer: Timer | None = None  # of the newest poller, or of the next connection
 
     def follow(self, event_stream: EventStream, address: Address) -> None:
-        """Poll a source from now on, and stop polling another one immediately."""
+        """Poll a source from now on, and stop polling another one immediately.
+
+        The polls of a source that is followed already go on: a slow source would never be heard if each of
+        many reloads polled it anew.
+        """
+        if (event_stream, address) == (self.event_stream, self.address):
+            return
         self.stop()
         self.event_stream, self.address = event_stream, address
         self.backoff_ms = INITIAL_BACKOFF_MS
@@ -131,7 +137,7 @@
         """Stop polling; nothing more of the source is applied."""
         self._set_timer(None)
         self._end_all_but(None)
-        self.event_stream = None
+        self.event_stream = self.address = None
 
     def _open(self) -> None:
         """Poll on a new connection; the oldest one of too many is closed."""
--- a/tests/discovery/test_event_stream.py
+++ b/tests/discovery/test_event_stream.py
@@ -403,6 +403,33 @@
     assert b"from=7&" in last
 
 
+def test_reloads_with_the_same_address_end_no_poll() -> None:
+    """Guards against a slow source whose answers are never read, since each reload polls it anew."""
+
+    async def scenario() -> StreamHarness:
+        harness = StreamHarness()
+        listener, event_stream = harness.listener, harness.driver.event_stream
+        address = Address(*listener.getsockname())
+        event_stream.follow(harness.bus, address)
+        first, _ = await harness.loop.sock_accept(listener)
+        harness.calls.append(await harness.loop.sock_recv(first, 1000))
+        for _ in range(5):
+            event_stream.follow(harness.bus, address)
+            for _ in range(20):
+                await asyncio.sleep(0)
+        with pytest.raises(BlockingIOError):  # nothing else is polled
+            listener.accept()
+        await harness.loop.sock_sendall(first, answer(4, (4, "Terminating")))
+        assert b"from=4&" in await harness.loop.sock_recv(first, 1000)
+        await harness.stop()
+        first.close()
+        listener.close()
+        return harness
+
+    harness = run(scenario)
+    assert harness.states() == ["Terminating"] and harness.counters.counts["bus_broken"] == 0
+
+
 def test_a_new_address_that_refuses_is_retried_until_it_answers() -> None:
     async def scenario() -> StreamHarness:
         harness = StreamHarness()
--- a/tests/scheduler/test_scheduler.py
+++ b/tests/scheduler/test_scheduler.py
@@ -23,10 +23,12 @@
     EngineState,
     Outcome,
     PeerMessage,
+    SettingsChanged,
 )
 from cottonhold.scheduler.settings import (
     DeduplicationScope,
     Idempotency,
+    Tenant,
 )
 from tests.support.scheduler_events import (
     LOOKUP,
@@ -287,3 +289,14 @@
     for i in range(10):
         scheduler.step(10.0 * i, [arrival(f"q{i}", deadline_at=5000.0 + 10 * i)])
     assert not scheduler.queries_accepted.entries
+
+
+def test_a_reload_that_changes_no_tenant_keeps_what_is_known_of_its_traffic() -> None:
+    """Guards against reloads after which a tenant's excess traffic counts as within its quota."""
+    tenants = (Tenant("t1", 5.0), Tenant("t2", 5.0))
+    scheduler = Scheduler(dataclasses.replace(settings(), tenants=tenants), 1)
+    known = scheduler.tenant_traffic[0]
+    known.add(10.0)
+    reloaded = dataclasses.replace(settings(), tenants=(tenants[0], Tenant("t2", 9.0)), tick_ms=7.0)
+    scheduler.step(20.0, [SettingsChanged(reloaded)])
+    assert scheduler.tenant_traffic[0] is known and scheduler.tenant_traffic[1].count == 0.0
