--- a/cottonhold/backend/resp.py
+++ b/cottonhold/backend/resp.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+from collections.abc import Iterable, Iterator
 
 MAX_ELEMENTS = 8  # limit of an array; an answer has at most four
 MAX_ELEMENT_BYTES = 8 * 1024
@@ -13,7 +14,7 @@
 MAX_FIELDS = 64  # of an answer, which has a few
 MAX_ARRAY_BYTES = 16 * 1024  # an answer has one page, an id and some fields
 
-Rows = list[list[bytes]]
+Rows = Iterable[list[bytes]]
 # A page of whole rows with three cells each. No part can match a separator, so matching takes linear time.
 PAGE = re.compile(rb"(?:[^\t\n]*+\t[^\t\n]*+\t[^\t\n]*+\n)*+\Z")
 
@@ -125,11 +126,16 @@
         return []
     if page[-1:] != b"\n":
         raise RespError("a page does not end with a complete row")
-    rows = [row.split(b"\t") for row in page[:-1].split(b"\n")]
-    if any(len(row) != COLUMNS for row in rows):
+    if any(row.count(b"\t") != COLUMNS - 1 for row in page[:-1].split(b"\n")):
         raise RespError(f"a row does not have {COLUMNS} columns")
     _check_text(page)
-    return rows
+    return _split_rows(page)
+
+
+def _split_rows(page: bytes) -> Iterator[list[bytes]]:
+    """Yield the rows of a checked page; as lists they would take many times its size."""
+    for row in page[:-1].split(b"\n"):
+        yield row.split(b"\t")
 
 
 def decode_count(fields: dict[str, str], name: str, minimum: int, maximum: int) -> int:
