Held attempts share one timer a connection, and begin no later than a connect may take

Found in the review of the change: each write on a connection started a timer for each of its held attempts, and a held attempt could begin 0.5 s after its decision, while the budgets of retries and of cold engines allow for the time of a connect (0.25 s as usual).

Change: one timer for each connection; the hold ends when a connect would have to. The start and stop of accepting, which stood in two test files, are methods of the loopback.

--- a/cottonhold/backend/attempt.py
+++ b/cottonhold/backend/attempt.py
@@ -24,9 +24,6 @@
     def enqueue(self, item: Attempt | bytes, /) -> None:
         """Queue an attempt or encoded bytes for writing."""
 
-    def flush(self) -> None:
-        """Schedule a write of what is queued."""
-
     def write_now(self, item: bytes, /) -> None:
         """Write encoded bytes immediately."""
 
@@ -51,7 +48,7 @@
     connection: AttemptConnection | None = None  # None before the attempt is queued and after it ended
     timer: Timer | None = None
     is_written: bool = False
-    held_since: float = math.inf  # since when it waits for new connections to be read; inf if it does not
+    is_held: bool = False  # whether it waits for new connections to be read
     first_response_at: float = 0.0
     response_fields: dict[str, str] = field(default_factory=dict)
     pages: list[bytes | None] = field(default_factory=list)  # empty until page 0 was received
--- a/cottonhold/backend/connection.py
+++ b/cottonhold/backend/connection.py
@@ -17,6 +17,7 @@
 
 # Calls that wait to be written, at which the engine counts as one that does not read.
 MAX_QUEUED_ITEMS = 1024
+HOLD_CHECK_MS = 5.0  # interval between checks of whether attempts still have to wait
 MAX_READS_BEFORE_WRITE = 4  # limit of reads of unsolicited data before a write on an idle connection
 # A write ends with the item that reaches this size; a socket's send buffer holds that much.
 MAX_WRITE_BYTES = 16 * 1024
@@ -30,7 +31,7 @@
     answer_pool: BytePool  # incomplete answers of all engines
 
     def has_to_wait(self, attempt: Attempt) -> bool:
-        """Return whether an attempt must not be sent yet; its connection is then flushed again later."""
+        """Return whether an attempt must not be sent yet."""
 
     def end_unless_sendable(self, attempt: Attempt) -> bool:
         """Return whether an attempt may be sent, and end it if not; called before its first byte."""
@@ -71,6 +72,7 @@
         self.is_up = self.is_closed = self.is_closing = False
         self.lacked_local_resources = False  # set if a connect failed for lack of a resource of this machine
         self.queue: deque[Attempt | bytes] = deque()
+        self.is_check_scheduled = False  # whether a timer runs for attempts that are held
         self.attempts: dict[bytes, Attempt] = {}
         # Ids of attempts that ended without a result, in this order; they are not reused on this connection.
         self.abandoned_ids: dict[bytes, None] = {}
@@ -107,11 +109,24 @@
                 item = self.owner.encode_request(item)
             parts.append(item)
             size += len(item)
-        self.queue.extendleft(reversed(held))
+        if held:
+            self.queue.extendleft(reversed(held))
+            self._check_held_later()
         if parts:
             self.last_used_at = self.owner.clock.now()
         return b"".join(parts)
 
+    def _check_held_later(self) -> None:
+        """Flush again after HOLD_CHECK_MS, with one timer for all attempts that are held."""
+        if not self.is_check_scheduled:
+            self.is_check_scheduled = True
+            self.owner.clock.call_in(HOLD_CHECK_MS, self._check_held)
+
+    def _check_held(self) -> None:
+        self.is_check_scheduled = False
+        if not self.is_closed:
+            self._flush()
+
     def _detect_close(self) -> None:
         """Detect that the engine has closed an idle connection, before something is written on it.
 
@@ -188,10 +203,9 @@
         if len(self.queue) > MAX_QUEUED_ITEMS:
             self.owner.on_unread(self)
         else:
-            self.flush()
+            self._flush()
 
-    def flush(self) -> None:
-        """Schedule a write of what is queued."""
+    def _flush(self) -> None:
         if self.is_up and self.stream is not None:
             self.stream.flush()
 
--- a/cottonhold/backend/connection_pool.py
+++ b/cottonhold/backend/connection_pool.py
@@ -37,7 +37,6 @@
 
 # When an engine is removed or restarts, a connection that received nothing for this long is considered dead.
 INACTIVITY_LIMIT_MS = 1000.0
-HOLD_CHECK_MS = 5.0  # interval between checks of whether an attempt still has to wait
 MIN_ATTEMPT_MS = 1.0  # an attempt with less time left is not sent, since no engine could answer in time
 
 Connect = Callable[[Address, Connection], StreamHandle]
@@ -46,8 +45,11 @@
 class AttemptListener(Protocol):
     """Owns the attempts and is notified when they end; implemented by the gateway."""
 
-    def has_to_wait(self, attempt: Attempt) -> bool:
-        """Return whether an attempt must not be sent yet, since its cancellation may not have been read."""
+    def has_to_wait(self, attempt: Attempt, max_delay_ms: float) -> bool:
+        """Return whether an attempt must not be sent yet, since its cancellation may not have been read.
+
+        It waits for `max_delay_ms` after the decision on it at the most.
+        """
 
     def is_wanted(self, attempt: Attempt) -> bool:
         """Return whether an attempt that was not sent yet may still be sent."""
@@ -206,18 +208,12 @@
         return connection
 
     def has_to_wait(self, attempt: Attempt) -> bool:
-        """Return whether an attempt must not be sent yet; if so, its connection is flushed again later."""
-        if not self.listener.has_to_wait(attempt):
-            return False
-        if attempt.held_since == math.inf:
-            attempt.held_since = self.clock.now()
+        """Return whether an attempt must not be sent yet, for as long as a connect may take at the most."""
+        was_held = attempt.is_held
+        attempt.is_held = self.listener.has_to_wait(attempt, self.settings.connect_timeout_ms)
+        if attempt.is_held and not was_held:
             self.counters.add("attempts_held")
-        self.clock.call_in(HOLD_CHECK_MS, lambda: self._flush_held(attempt))
-        return True
-
-    def _flush_held(self, attempt: Attempt) -> None:
-        if attempt.connection is not None and not attempt.is_written:
-            attempt.connection.flush()
+        return attempt.is_held
 
     def end_unless_sendable(self, attempt: Attempt) -> bool:
         """Check an attempt right before its first byte is written; return whether it may be sent.
@@ -292,7 +288,7 @@
         if connection is None or attempt not in connection.queue:
             self.cancel(attempt, Outcome.TIMEOUT)
             return
-        if attempt.held_since < math.inf:
+        if attempt.is_held:
             self.cancel(attempt, Outcome.NOT_STARTED)
             return
         is_connecting = self.clock.now() - connection.opened_at < self.settings.connect_timeout_ms
--- a/cottonhold/node/gateway.py
+++ b/cottonhold/node/gateway.py
@@ -248,7 +248,7 @@
             self.counters.add("clients_gone")
             self.push(ClientDisconnected(request.client_request.request_id))
 
-    def has_to_wait(self, attempt: Attempt) -> bool:
+    def has_to_wait(self, attempt: Attempt, max_delay_ms: float) -> bool:
         """Return whether an attempt has to wait, since a cancellation may not have been read yet."""
         request, now = self.requests.get(attempt.request_id), self.clock.now()
         if request is None:
@@ -256,8 +256,7 @@
         age_ms = now - request.client_request.arrived_at
         if age_ms <= CANCELLATION_LIMIT_MS:
             return False
-        held_ms = max(now - attempt.held_since, 0.0)
-        return has_to_wait(age_ms, self.max_unread_ms(), held_ms)
+        return has_to_wait(age_ms, self.max_unread_ms(), now - attempt.started_at, max_delay_ms)
 
     def is_wanted(self, attempt: Attempt) -> bool:
         """Return whether an attempt may still start: it is its request's current one, and a client waits."""
--- a/tests/support/loopback.py
+++ b/tests/support/loopback.py
@@ -127,9 +127,7 @@
         self.world.gateway.on_engine_list(EngineListChange(infos, addresses, True))
         self.listener = self.event_loop.listener.listen(Address("127.0.0.1", 0))
         self.address = self.listener.getsockname()
-        self.accepting = self.event_loop.spawn(
-            self.event_loop.listener.accept(self.listener, self.world.sessions)
-        )
+        self.start_accepting()
         self.clients: list[Client] = []
 
     def client(self, first_data: bytes = packet(1, LOGIN)) -> Client:
@@ -163,6 +161,16 @@
             self.world.wait(1)
             await self.run_once()
 
+    async def stop_accepting(self) -> None:
+        """Leave new clients in the listener's queue."""
+        self.accepting.cancel()
+        await asyncio.gather(self.accepting, return_exceptions=True)
+
+    def start_accepting(self) -> None:
+        self.accepting = self.event_loop.spawn(
+            self.event_loop.listener.accept(self.listener, self.world.sessions)
+        )
+
     async def close(self) -> None:
         """Close everything, and check that no socket, session or connection has leaked."""
         self.accepting.cancel()
--- a/tests/transport/test_listener_queue.py
+++ b/tests/transport/test_listener_queue.py
@@ -26,18 +26,6 @@
 HALF_LOGIN = packet(1, bytes(80))[:5]
 
 
-async def stop_accepting(loopback: Loopback) -> None:
-    loopback.accepting.cancel()
-    await asyncio.gather(loopback.accepting, return_exceptions=True)
-
-
-def start_accepting(loopback: Loopback) -> None:
-    listener = loopback.event_loop.listener
-    loopback.accepting = loopback.event_loop.spawn(
-        listener.accept(loopback.listener, loopback.world.sessions)
-    )
-
-
 def join_crowd(loopback: Loopback, data: bytes) -> None:
     """Let a crowd of clients connect, send this, and stop."""
     for _ in range(CROWD):
@@ -48,12 +36,12 @@
     """Guards against a second grant of the time for which a request waited to be accepted."""
 
     async def scenario(loopback: Loopback) -> None:
-        await stop_accepting(loopback)
+        await loopback.stop_accepting()
         client = loopback.client()
         client.send_query(1, allow=5000)
         await asyncio.sleep(WAIT_S)
         accepted_at = loopback.world.clock.now()
-        start_accepting(loopback)
+        loopback.start_accepting()
         await loopback.until(lambda: bool(loopback.world.gateway.requests))
         (request,) = loopback.world.gateway.requests.values()
         age_ms = accepted_at - request.client_request.arrived_at
@@ -96,11 +84,11 @@
 
     async def scenario(loopback: Loopback) -> None:
         monkeypatch.setattr("cottonhold.transport.listener.asyncio.sleep", lambda _: sleep(0))
-        await stop_accepting(loopback)
+        await loopback.stop_accepting()
         join_crowd(loopback, data)
         client = loopback.client()
         loopback.world.sessions.max_sessions = max_sessions
-        start_accepting(loopback)
+        loopback.start_accepting()
         started_at = loopback.world.clock.now()
         while client.responses() != GREETED:
             await loopback.pass_ms(1)
@@ -123,12 +111,12 @@
         await loopback.until(lambda: len(sessions) == CROWD)
         await loopback.pass_ms(int(MAX_QUEUE_WAIT_MS) + 20)
         loopback.faults.plan("accept", errno.EMFILE)
-        await stop_accepting(loopback)
+        await loopback.stop_accepting()
         client = loopback.client()
         if is_closing:
             await loopback.event_loop.listener.accept_queued(loopback.listener, loopback.world.sessions)
         else:
-            start_accepting(loopback)
+            loopback.start_accepting()
         await loopback.until(lambda: client.responses() == GREETED)
         await loopback.until(lambda: len(sessions) < CROWD)
         assert loopback.counts["clients_pushed_out_halted"] > 0
