The keys of settings are kept to a limited depth, and named in one line

Found in the review of the change: a file with 1,000 nested objects in its settings ended a start or a reload with RecursionError instead of one line, paths of deep objects took much memory, and the name of a class could break the log line.

Change: the keys of the settings, of their sections and of named entries are kept as a typed value; nothing is looked into deeper.

Tests: on the code before, loading the deep file raised RecursionError (tried); tests/config/test_settings_keys.py.

--- a/cottonhold/config/relay.py
+++ b/cottonhold/config/relay.py
@@ -15,7 +15,7 @@
 import orjson
 
 from cottonhold.config.settings import KEYED_EFFECT, decode_settings
-from cottonhold.config.settings_keys import key_paths, missing_keys
+from cottonhold.config.settings_keys import SettingsKeys
 from cottonhold.discovery.event_stream import decode_events
 from cottonhold.discovery.model import Address, ConfiguredNames, SourceReport
 from cottonhold.message_validation import NUMBER, Json, WireError, read, read_list
@@ -82,7 +82,7 @@
         names: Names of zones and machine types, by which engine entries are decoded.
         settings: Settings of the scheduler.
         connections: Settings of connections to engines.
-        settings_keys: The paths of all keys in the file's `settings`.
+        settings_keys: The keys of the file's `settings`; None without such a file.
     """
 
     name: str
@@ -100,7 +100,7 @@
     names: ConfiguredNames
     settings: Settings
     connections: ConnectionSettings
-    settings_keys: frozenset[str] = frozenset()
+    settings_keys: SettingsKeys | None = None
 
 
 def load_config(environ: Mapping[str, str], counters: Counters) -> Config:
@@ -212,8 +212,9 @@
     for key, (old_value, new_value) in fixed_values.items():
         if old_value != new_value:
             raise ConfigError(f"field '{key}' changes only with a restart")
-    if missing := missing_keys(old.settings_keys, new.settings_keys):
-        raise ConfigError(f"field 'settings.{missing[0]}' is missing, which the settings in force have")
+    if old.settings_keys is not None and new.settings_keys is not None:
+        for key in old.settings_keys.missing_in(new.settings_keys):
+            raise ConfigError(f"field 'settings.{key}' is missing, which the settings in force have")
 
 
 def decode_config(source: Json, environ: Mapping[str, str], counters: Counters) -> Config:
@@ -253,7 +254,7 @@
             max_streams=read(caps, "streams_per_conn", int, 32),
             health_check_cost=settings.overhead_costs.per_health_check,
         ),
-        settings_keys=key_paths(params),
+        settings_keys=SettingsKeys.of(params),
     )
 
 
