Other installations count an engine of an unknown zone in none of their zones

Found in the review of the change: the number of an unknown zone is -1, by which other installations took the last zone: in decisions on zones, in the list of machines and in the cache.

--- a/cottonhold/discovery/model.py
+++ b/cottonhold/discovery/model.py
@@ -82,6 +82,10 @@
             return None
         return self.zones.index(name) if name in self.zones else UNKNOWN_PLACE
 
+    def zone_name(self, zone: int) -> str:
+        """Return the name of a zone; empty for UNKNOWN_PLACE and without configured zones."""
+        return self.zones[zone] if 0 <= zone < len(self.zones) else ""
+
     def zone_index(self, name: str) -> int:
         """Return the position of a zone; 0, the first zone, if the name isn't configured."""
         return self.zones.index(name) if name in self.zones else 0
--- a/cottonhold/fleet/recovery/cached_engines.py
+++ b/cottonhold/fleet/recovery/cached_engines.py
@@ -115,8 +115,7 @@
             and len(self.engines) >= MAX_RECORDS[RecordKind.ENGINE_ADDRESS]
         ):
             return None
-        zones, machine_types = self.names.zones, self.names.machine_types
-        zone = zones[engine.zone] if engine.zone < len(zones) else ""
+        machine_types, zone = self.names.machine_types, self.names.zone_name(engine.zone)
         machine_type = ""
         if engine.machine_type < len(machine_types):
             machine_type = machine_types[engine.machine_type]
--- a/cottonhold/node/standalone/engine_list.py
+++ b/cottonhold/node/standalone/engine_list.py
@@ -9,7 +9,7 @@
 from cottonhold.fleet.rolling_replacement.plan import Machine
 from cottonhold.node.dispatcher import Dispatcher
 from cottonhold.scheduler.engine_state import engine_cores
-from cottonhold.scheduler.events import Engine
+from cottonhold.scheduler.events import UNKNOWN_PLACE, Engine
 
 
 class EngineListPublisher:
@@ -62,9 +62,11 @@
         self.clock.call_in(duration_ms, release)
 
     def cores_by_zone(self, live: Mapping[str, Engine]) -> dict[str, dict[str, float]]:
-        """Return the cores of each engine, by the name of its zone and its id."""
+        """Return the cores of each engine whose zone is known, by the name of the zone and its id."""
         zone_names, cores = self.zone_names(), dict[str, dict[str, float]]()
         for engine_id, engine in live.items():
+            if engine.zone == UNKNOWN_PLACE:
+                continue
             zone_cores = cores.setdefault(zone_names[engine.zone], {})
             zone_cores[engine_id] = engine_cores(engine, self.machine_types)
         return cores
@@ -75,7 +77,7 @@
         return {
             engine_id: Machine(
                 engine_id,
-                zone_names[engine.zone],
+                zone_names[engine.zone] if engine.zone != UNKNOWN_PLACE else "",
                 engine_cores(engine, self.machine_types),
                 is_engine=True,
                 incarnation=self._incarnation(engine_id),
